Add the design page, the base library and the checks

The page settles modules, state and its owner, messages and the effect of each failing part before any code depends on them.

--- /dev/null
+++ b/lib/base/clock.h
@@ -0,0 +1,24 @@
+#ifndef BASE_CLOCK_H
+#define BASE_CLOCK_H
+
+#include <stdint.h>
+
+/*
+ * Reading of clocks. Decision libraries never call these; they take the time
+ * as an argument.
+ */
+
+#define NS_PER_US INT64_C(1000)
+#define NS_PER_MS INT64_C(1000000)
+#define NS_PER_SEC INT64_C(1000000000)
+
+/* A deadline that is never reached. */
+#define DEADLINE_NEVER INT64_MAX
+
+/* Monotonic time in nanoseconds. */
+int64_t clock_monotonic_ns(void);
+
+/* Wall time in milliseconds since the epoch. */
+int64_t clock_wall_ms(void);
+
+#endif
--- /dev/null
+++ b/lib/base/counters.c
@@ -0,0 +1,118 @@
+#include <string.h>
+
+#include "base/counters.h"
+
+static const uint64_t bucket_bounds_us[HISTOGRAM_BUCKETS - 1] = {
+	50,    100,   200,   390,    500,    1000,    2000,    5000,
+	10000, 20000, 50000, 100000, 500000, 1000000, 5000000,
+};
+
+void metrics_init(struct metrics *metrics)
+{
+	CDS_INIT_LIST_HEAD(&metrics->counters);
+	CDS_INIT_LIST_HEAD(&metrics->histograms);
+}
+
+void metrics_add_counter(struct metrics *metrics, struct counter *counter)
+{
+	cds_list_add_tail(&counter->node, &metrics->counters);
+}
+
+void metrics_add_histogram(struct metrics *metrics, struct histogram *hist)
+{
+	cds_list_add_tail(&hist->node, &metrics->histograms);
+}
+
+void counter_add(struct counter *counter, uint64_t n)
+{
+	__atomic_fetch_add(&counter->value, n, __ATOMIC_RELAXED);
+}
+
+void counter_set(struct counter *counter, uint64_t value)
+{
+	__atomic_store_n(&counter->value, value, __ATOMIC_RELAXED);
+}
+
+uint64_t counter_get(const struct counter *counter)
+{
+	return __atomic_load_n(&counter->value, __ATOMIC_RELAXED);
+}
+
+void histogram_observe(struct histogram *hist, uint64_t us)
+{
+	int i = 0;
+
+	while (i < HISTOGRAM_BUCKETS - 1 && us > bucket_bounds_us[i])
+		i++;
+	__atomic_fetch_add(&hist->buckets[i], 1, __ATOMIC_RELAXED);
+	__atomic_fetch_add(&hist->sum_us, us, __ATOMIC_RELAXED);
+	__atomic_fetch_add(&hist->count, 1, __ATOMIC_RELAXED);
+}
+
+static uint64_t load(const uint64_t *value)
+{
+	return __atomic_load_n(value, __ATOMIC_RELAXED);
+}
+
+/* The length of the name without its labels. */
+static int family_length(const char *name)
+{
+	return (int)strcspn(name, "{");
+}
+
+static void render_counters(const struct metrics *metrics, GString *out)
+{
+	const char *family = "";
+	struct counter *c;
+
+	cds_list_for_each_entry (c, &metrics->counters, node) {
+		int len = family_length(c->name);
+
+		/* Counters of one family are registered one after another. */
+		if (len != family_length(family) ||
+		    strncmp(family, c->name, (size_t)len) != 0) {
+			g_string_append_printf(out, "# HELP %.*s %s\n", len,
+					       c->name, c->help);
+			g_string_append_printf(out, "# TYPE %.*s %s\n", len,
+					       c->name,
+					       c->is_gauge ? "gauge"
+							   : "counter");
+			family = c->name;
+		}
+		g_string_append_printf(out, "%s %" G_GUINT64_FORMAT "\n",
+				       c->name, counter_get(c));
+	}
+}
+
+static void render_histogram(const struct histogram *h, GString *out)
+{
+	uint64_t cumulative = 0;
+
+	g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n",
+			       h->name, h->help, h->name);
+	for (int i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		cumulative += load(&h->buckets[i]);
+		g_string_append_printf(out, "%s_bucket{le=\"", h->name);
+		if (i < HISTOGRAM_BUCKETS - 1)
+			g_string_append_printf(out, "%g",
+					       (double)bucket_bounds_us[i] /
+						       1e6);
+		else
+			g_string_append(out, "+Inf");
+		g_string_append_printf(out, "\"} %" G_GUINT64_FORMAT "\n",
+				       cumulative);
+	}
+	g_string_append_printf(out, "%s_sum %g\n", h->name,
+			       (double)load(&h->sum_us) / 1e6);
+	g_string_append_printf(out, "%s_count %" G_GUINT64_FORMAT "\n", h->name,
+			       load(&h->count));
+}
+
+void metrics_render(const struct metrics *metrics, GString *out)
+{
+	struct histogram *h;
+
+	render_counters(metrics, out);
+	cds_list_for_each_entry (h, &metrics->histograms, node)
+		render_histogram(h, out);
+}
--- /dev/null
+++ b/lib/base/findings.h
@@ -0,0 +1,55 @@
+#ifndef BASE_FINDINGS_H
+#define BASE_FINDINGS_H
+
+#include <jansson.h>
+#include <stdio.h>
+#include <urcu/list.h>
+
+/*
+ * A list of findings about a document. Checks add every fault they see with
+ * its place, and the caller reports all of them together.
+ */
+
+enum finding_severity {
+	FINDING_ERROR,	/* the document is refused */
+	FINDING_WARNING /* the document is accepted */
+};
+
+struct finding {
+	struct cds_list_head node;
+	enum finding_severity severity;
+	char *file;
+	int line;   /* 1-based; 0 when only the path is known */
+	int column; /* 1-based; 0 when only the path is known */
+	char *path; /* JSON path such as /services/portal; "" is the root */
+	char *message;
+};
+
+struct findings {
+	struct cds_list_head list;
+	size_t nr_errors;
+	size_t nr_warnings;
+};
+
+void findings_init(struct findings *findings);
+
+/* Frees all entries; the list can be used again. */
+void findings_release(struct findings *findings);
+
+/* Adds a finding at a JSON path; file may be NULL. */
+void findings_add(struct findings *findings, enum finding_severity severity,
+		  const char *file, const char *path, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+
+/* Adds an error at a line and column of the text. */
+void findings_add_at(struct findings *findings, const char *file, int line,
+		     int column, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+
+/* Prints one line for each finding: FILE:PLACE: error|warning: MESSAGE. */
+void findings_print(const struct findings *findings, FILE *out);
+
+/* The findings as a JSON array of objects; the caller owns the reference. */
+json_t *findings_to_json(const struct findings *findings);
+
+#endif
--- /dev/null
+++ b/lib/base/log.c
@@ -0,0 +1,123 @@
+#include <glib.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#define QUOTE_BUFFERS 4
+#define QUOTE_BYTES 512
+#define MAX_EVENT_NAMES 256
+
+/* Count of lines of one event name in the current second. */
+struct event_rate {
+	const char *event;
+	int64_t second;
+	int lines;
+	int suppressed;
+};
+
+static pthread_mutex_t rate_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct event_rate rates[MAX_EVENT_NAMES];
+static int max_priority = LOG_INFO;
+
+void log_set_level(int priority)
+{
+	__atomic_store_n(&max_priority, priority, __ATOMIC_RELAXED);
+}
+
+static struct event_rate *find_rate(const char *event)
+{
+	for (int i = 0; i < MAX_EVENT_NAMES; i++) {
+		if (!rates[i].event)
+			rates[i].event = event;
+		if (!strcmp(rates[i].event, event))
+			return &rates[i];
+	}
+	return NULL;
+}
+
+/* Returns the number of lines left out before this one, or -1 to drop it. */
+static int admit_line(const char *event, int64_t second)
+{
+	struct event_rate *rate;
+	int suppressed = 0;
+
+	pthread_mutex_lock(&rate_lock);
+	rate = find_rate(event);
+	if (rate && rate->second != second) {
+		rate->second = second;
+		rate->lines = 0;
+	}
+	if (rate && rate->lines >= LOG_LINES_PER_SEC) {
+		rate->suppressed++;
+		suppressed = -1;
+	} else if (rate) {
+		rate->lines++;
+		suppressed = rate->suppressed;
+		rate->suppressed = 0;
+	}
+	pthread_mutex_unlock(&rate_lock);
+	return suppressed;
+}
+
+void log_event(int priority, const char *event, const char *fmt, ...)
+{
+	int64_t now = clock_wall_ms();
+	g_autoptr(GString) line = NULL;
+	int suppressed;
+	va_list args;
+
+	if (priority > __atomic_load_n(&max_priority, __ATOMIC_RELAXED))
+		return;
+	suppressed = admit_line(event, now / 1000);
+	if (suppressed < 0)
+		return;
+	line = g_string_new(NULL);
+	g_string_printf(line, "<%d>ts=%lld.%03d event=%s", priority,
+			(long long)(now / 1000), (int)(now % 1000), event);
+	if (suppressed)
+		g_string_append_printf(line, " suppressed=%d", suppressed);
+	if (*fmt) {
+		g_string_append_c(line, ' ');
+		va_start(args, fmt);
+		g_string_append_vprintf(line, fmt, args);
+		va_end(args);
+	}
+	g_string_append_c(line, '\n');
+	/* One write for each line keeps lines of several threads apart. */
+	if (write(STDERR_FILENO, line->str, line->len) < 0)
+		return;
+}
+
+static int needs_quotes(const char *value)
+{
+	if (!*value)
+		return 1;
+	for (; *value; value++)
+		if ((unsigned char)*value <= ' ' || *value == '"' ||
+		    *value == '\\' || *value == '=' || *value == 0x7f)
+			return 1;
+	return 0;
+}
+
+const char *log_quote(const char *value)
+{
+	static __thread char buffers[QUOTE_BUFFERS][QUOTE_BYTES];
+	static __thread int next;
+	g_autofree char *escaped = NULL;
+	char *buffer;
+
+	if (!value)
+		value = "";
+	if (!needs_quotes(value))
+		return value;
+	buffer = buffers[next];
+	next = (next + 1) % QUOTE_BUFFERS;
+	escaped = g_strescape(value, NULL);
+	snprintf(buffer, QUOTE_BYTES, "\"%.*s\"", QUOTE_BYTES - 3, escaped);
+	return buffer;
+}
--- /dev/null
+++ b/tests/base/test_base.cc
@@ -0,0 +1,156 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "base/counters.h"
+#include "base/digest.h"
+#include "base/findings.h"
+#include "base/log.h"
+#include "base/rng.h"
+}
+
+/* Guards against a digest that differs from the published SHA-256 vector. */
+TEST(Digest, MatchesPublishedVector)
+{
+	struct digest d, parsed;
+	char hex[DIGEST_HEX_CHARS + 1];
+
+	digest_compute(&d, "abc", 3);
+	digest_to_hex(&d, hex);
+	EXPECT_STREQ(hex, "ba7816bf8f01cfea414140de5dae2223"
+			  "b00361a396177a9cb410ff61f20015ad");
+	ASSERT_TRUE(digest_from_hex(&parsed, hex));
+	EXPECT_EQ(digest_compare(&d, &parsed), 0);
+}
+
+/* Guards against digests in a form that two hosts would read differently. */
+TEST(Digest, RefusesMalformedHex)
+{
+	std::string good(DIGEST_HEX_CHARS, 'a');
+	struct digest d;
+
+	EXPECT_FALSE(digest_from_hex(&d, ""));
+	EXPECT_FALSE(digest_from_hex(&d, (good + "a").c_str()));
+	EXPECT_FALSE(digest_from_hex(&d, good.substr(1).c_str()));
+	good[5] = 'A';
+	EXPECT_FALSE(digest_from_hex(&d, good.c_str()));
+	good[5] = 'g';
+	EXPECT_FALSE(digest_from_hex(&d, good.c_str()));
+}
+
+/* Guards against an order in which two contents of one number tie. */
+TEST(VersionId, OrdersByNumberThenDigest)
+{
+	struct version_id a = {}, b = {};
+
+	a.number = 1;
+	b.number = 2;
+	a.digest.bytes[0] = 9;
+	EXPECT_LT(version_id_compare(&a, &b), 0);
+	b.number = 1;
+	EXPECT_GT(version_id_compare(&a, &b), 0);
+	EXPECT_EQ(version_id_compare(&a, &a), 0);
+}
+
+/* Guards against a random sequence that cannot be replayed from its seed. */
+TEST(Rng, ReplaysFromSeed)
+{
+	struct rng a, b;
+
+	rng_init(&a, 42);
+	rng_init(&b, 42);
+	for (int i = 0; i < 100; i++) {
+		EXPECT_EQ(rng_below(&a, 7), rng_below(&b, 7));
+		EXPECT_LT(rng_below(&a, 7), 7u);
+		EXPECT_LT(rng_below(&b, 7), 7u);
+	}
+	EXPECT_EQ(rng_below(&a, 0), 0u);
+}
+
+/* Guards against findings that lose their place or their severity. */
+TEST(Findings, KeepsPlaceAndSeverity)
+{
+	struct findings f;
+	json_t *json;
+
+	findings_init(&f);
+	findings_add(&f, FINDING_ERROR, "tree.json", "/zones/z1", "no %s",
+		     "region");
+	findings_add(&f, FINDING_WARNING, "tree.json", "/services", "empty");
+	findings_add_at(&f, "tree.json", 3, 4, "unexpected token");
+	EXPECT_EQ(f.nr_errors, 2u);
+	EXPECT_EQ(f.nr_warnings, 1u);
+	json = findings_to_json(&f);
+	ASSERT_EQ(json_array_size(json), 3u);
+	EXPECT_STREQ(json_string_value(
+			     json_object_get(json_array_get(json, 0), "path")),
+		     "/zones/z1");
+	EXPECT_EQ(json_integer_value(
+			  json_object_get(json_array_get(json, 2), "line")),
+		  3);
+	json_decref(json);
+	findings_release(&f);
+	EXPECT_EQ(f.nr_errors, 0u);
+}
+
+/* Guards against log values that break the key=value form of a line. */
+TEST(Log, QuotesValuesThatNeedIt)
+{
+	EXPECT_STREQ(log_quote("plain"), "plain");
+	EXPECT_STREQ(log_quote("two words"), "\"two words\"");
+	EXPECT_STREQ(log_quote("a\nb"), "\"a\\nb\"");
+	EXPECT_STREQ(log_quote(""), "\"\"");
+}
+
+/* Guards against a storm of one event filling the log. */
+TEST(Log, LimitsLinesOfOneEvent)
+{
+	testing::internal::CaptureStderr();
+	for (int i = 0; i < 10 * LOG_LINES_PER_SEC; i++)
+		log_event(LOG_INFO, "storm", "n=%d", i);
+	log_event(LOG_INFO, "other_event", "n=1");
+	std::string out = testing::internal::GetCapturedStderr();
+	long lines = std::count(out.begin(), out.end(), '\n');
+
+	/* The loop may cross the end of one second. */
+	EXPECT_LE(lines, 2 * LOG_LINES_PER_SEC + 1);
+	EXPECT_NE(out.find("event=other_event"), std::string::npos);
+}
+
+/* Guards against metrics text that a scraper refuses. */
+TEST(Metrics, RendersFamiliesOnceAndCumulativeBuckets)
+{
+	struct counter ran = {};
+	struct counter lost = {};
+	struct histogram hist = {};
+	struct metrics metrics;
+	GString *out = g_string_new(NULL);
+
+	ran.name = "requests_total{outcome=\"ran\"}";
+	ran.help = "Requests by outcome.";
+	lost.name = "requests_total{outcome=\"unknown\"}";
+	lost.help = ran.help;
+	hist.name = "added_seconds";
+	hist.help = "Added time.";
+	metrics_init(&metrics);
+	metrics_add_counter(&metrics, &ran);
+	metrics_add_counter(&metrics, &lost);
+	metrics_add_histogram(&metrics, &hist);
+	counter_add(&ran, 3);
+	histogram_observe(&hist, 60);
+	histogram_observe(&hist, 10000000);
+	metrics_render(&metrics, out);
+	std::string text(out->str);
+
+	EXPECT_EQ(text.find("# TYPE requests_total counter"),
+		  text.rfind("# TYPE requests_total counter"));
+	EXPECT_NE(text.find("requests_total{outcome=\"ran\"} 3\n"),
+		  std::string::npos);
+	EXPECT_NE(text.find("added_seconds_bucket{le=\"0.0001\"} 1\n"),
+		  std::string::npos);
+	EXPECT_NE(text.find("added_seconds_bucket{le=\"+Inf\"} 2\n"),
+		  std::string::npos);
+	EXPECT_NE(text.find("added_seconds_count 2\n"), std::string::npos);
+	g_string_free(out, TRUE);
+}
