tree: parse, validate, split, assemble, match, explain and compare

Cause: the library had only its declarations. Change: one table of policy keys with type, range, default and side; one list of levels that holds the precedence; validation that reports all findings with their path, shared by whole trees and parts; parts and manifest; routing table with a hash index over prefixes; explanation and comparison of effective values.

--- /dev/null
+++ b/lib/tree/model.h
@@ -0,0 +1,115 @@
+#ifndef TREE_MODEL_H
+#define TREE_MODEL_H
+
+#include "tree/policy.h"
+
+/*
+ * A validated tree in memory, private to the library. It holds what the JSON
+ * document says and no JSON, so that a daemon can keep it beside its table.
+ */
+
+/* A reference-counted arena of strings, shared by a tree and its tables. */
+struct string_store {
+	GStringChunk *chunk;
+	size_t bytes; /* all strings with their NULs */
+};
+
+struct string_store *string_store_new(void);
+struct string_store *string_store_ref(struct string_store *store);
+void string_store_unref(struct string_store *store);
+char *string_store_add(struct string_store *store, const char *text);
+
+struct tree_deployment {
+	char *name;
+	struct override override;
+};
+
+struct tree_zone {
+	char *name;
+	char *region;
+	const struct tree_deployment *deployment; /* NULL for none */
+	bool in_service;
+	struct override override;
+	/* The last service checked against this zone, while parsing. */
+	const struct tree_service *checked;
+};
+
+struct tree_target {
+	char *host;
+	struct tree_zone *zone;
+	char *traffic;
+	bool in_service;
+	const struct tree_service *service;
+};
+
+struct tree_route {
+	char *name;
+	char *prefix;
+	unsigned methods;
+	bool at_most_once;
+	struct override *override; /* NULL for none */
+	const struct tree_service *service;
+	struct tree_route *same_prefix; /* list used while parsing */
+};
+
+struct tree_service {
+	char *name;
+	const struct tree_deployment *deployment; /* NULL for none */
+	struct override override;
+	struct tree_target *targets; /* in the order of the document */
+	size_t nr_targets;
+	struct tree_route *routes; /* in the order of the document */
+	size_t nr_routes;
+};
+
+struct tree {
+	int64_t version;
+	struct string_store *strings;
+	struct override defaults;
+	struct tree_deployment *deployments; /* sorted by name, as all below */
+	size_t nr_deployments;
+	struct tree_zone *zones;
+	size_t nr_zones;
+	struct tree_service *services;
+	size_t nr_services;
+};
+
+/*
+ * Finds an element by name by binary search in an array sorted by the name,
+ * which is a char * in the first member of its elements.
+ */
+void *find_by_name(const void *base, size_t nr, size_t size, const char *name);
+
+/* Compares two elements by that first member, for qsort(). */
+int compare_by_name(const void *a, const void *b);
+
+struct tree_zone *tree_find_zone(const struct tree *tree, const char *name);
+
+/* One level that supplies settings to a service, route or target. */
+struct level {
+	const char *kind; /* such as "zone" */
+	const char *name; /* NULL for the defaults */
+	const struct override *override;
+	unsigned keys; /* keys that this level supplies */
+};
+
+#define LEVELS_MAX 6
+
+/*
+ * Lists the levels above the built-in values from lowest to highest. This is
+ * the only place that knows the precedence. The zones and the route may be
+ * NULL. Returns the number of levels.
+ */
+size_t tree_levels(const struct tree *tree, const struct tree_service *service,
+		   const struct tree_route *route,
+		   const struct tree_zone *ingress_zone,
+		   const struct tree_zone *target_zone,
+		   struct level levels[LEVELS_MAX]);
+
+/* The effective policy of those levels. */
+void tree_policy(const struct tree *tree, const struct tree_service *service,
+		 const struct tree_route *route,
+		 const struct tree_zone *ingress_zone,
+		 const struct tree_zone *target_zone, struct policy *policy);
+
+#endif
--- /dev/null
+++ b/lib/tree/parse.c
@@ -0,0 +1,841 @@
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "tree/check.h"
+#include "tree/model.h"
+#include "tree/parts.h"
+
+/* Paths below this one are answered by the daemon itself. */
+#define RESERVED_PREFIX "/.godwitspur"
+
+/* Levels of the document above the value of one service. */
+#define SERVICE_DEPTH 2
+
+/* The safe methods of HTTP (RFC 9110); they take no ticket. */
+#define SAFE_METHODS                         \
+	(HTTP_METHOD_BIT(HTTP_METHOD_GET) |  \
+	 HTTP_METHOD_BIT(HTTP_METHOD_HEAD) | \
+	 HTTP_METHOD_BIT(HTTP_METHOD_OPTIONS))
+
+/* The state of one validation. */
+struct parse {
+	struct checker checker;
+	struct tree *tree;
+	size_t nr_targets;
+	/* What must be unique in the whole tree. */
+	GHashTable *hosts;     /* host to struct tree_target */
+	GHashTable *addresses; /* canonical address to struct tree_target */
+	GHashTable *routes;    /* route name to struct tree_route */
+	GHashTable *prefixes;  /* prefix to a list by same_prefix */
+};
+
+static void parse_init(struct parse *parse, const char *file,
+		       struct findings *findings)
+{
+	memset(parse, 0, sizeof(*parse));
+	checker_init(&parse->checker, file, findings);
+	parse->tree = g_new0(struct tree, 1);
+	parse->tree->strings = string_store_new();
+	parse->hosts = g_hash_table_new(g_str_hash, g_str_equal);
+	parse->addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	parse->routes = g_hash_table_new(g_str_hash, g_str_equal);
+	parse->prefixes = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+/* The tree, or NULL when there was any error. */
+static struct tree *parse_finish(struct parse *parse)
+{
+	struct tree *tree = parse->tree;
+
+	g_hash_table_destroy(parse->hosts);
+	g_hash_table_destroy(parse->addresses);
+	g_hash_table_destroy(parse->routes);
+	g_hash_table_destroy(parse->prefixes);
+	checker_finish(&parse->checker);
+	if (!parse->checker.nr_errors)
+		return tree;
+	tree_free(tree);
+	return NULL;
+}
+
+static char *keep(struct parse *parse, const char *text)
+{
+	return text ? string_store_add(parse->tree->strings, text) : NULL;
+}
+
+/* Reports the first value on each path that is nested too deeply. */
+static void check_depth(struct checker *checker, json_t *value, int depth)
+{
+	g_autofree const char **keys = NULL;
+	size_t nr = 0;
+	size_t len;
+
+	if (!json_is_object(value) && !json_is_array(value))
+		return;
+	if (depth > TREE_DEPTH_MAX) {
+		check_error(checker, NULL, "nested deeper than %d levels",
+			    TREE_DEPTH_MAX);
+		return;
+	}
+	for (size_t i = 0; i < json_array_size(value); i++) {
+		len = checker_push_index(checker, i);
+		check_depth(checker, json_array_get(value, i), depth + 1);
+		checker_pop(checker, len);
+	}
+	if (!json_object_size(value))
+		return;
+	keys = check_sorted_keys(value, &nr);
+	for (size_t i = 0; i < nr; i++) {
+		len = checker_push(checker, keys[i]);
+		check_depth(checker, json_object_get(value, keys[i]),
+			    depth + 1);
+		checker_pop(checker, len);
+	}
+}
+
+/* Whether any value is nested deeper than the limit, without its path. */
+static bool is_too_deep(json_t *value, int depth)
+{
+	const char *key;
+	json_t *child;
+	size_t i;
+
+	if (!json_is_object(value) && !json_is_array(value))
+		return false;
+	if (depth > TREE_DEPTH_MAX)
+		return true;
+	json_array_foreach (value, i, child)
+		if (is_too_deep(child, depth + 1))
+			return true;
+	json_object_foreach (value, key, child)
+		if (is_too_deep(child, depth + 1))
+			return true;
+	return false;
+}
+
+/* Checks the depth of a value that stands below depth - 1 other levels. */
+static void check_nesting(struct checker *checker, json_t *value, int depth)
+{
+	if (is_too_deep(value, depth))
+		check_depth(checker, value, depth);
+}
+
+static bool parse_policy_value(struct checker *checker,
+			       const struct policy_key *key, json_t *value,
+			       struct policy *values)
+{
+	const char *text;
+
+	if (key->type != POLICY_PRIORITY) {
+		if (!check_range(checker, key->name, value, key->min, key->max))
+			return false;
+		policy_set(values, key, json_integer_value(value));
+		return true;
+	}
+	if (!check_type(checker, key->name, value, JSON_STRING))
+		return false;
+	text = json_string_value(value);
+	for (int i = 0; i < PRIORITY_COUNT; i++) {
+		if (strcmp(text, priority_name((enum priority)i)) != 0)
+			continue;
+		policy_set(values, key, i);
+		return true;
+	}
+	check_error(checker, key->name,
+		    "\"%s\" is not one of order, lookup, background",
+		    check_shown(checker, text));
+	return false;
+}
+
+/* Parses the POLICY object that is the member key of parent, if any. */
+static void parse_override(struct checker *checker, json_t *parent,
+			   const char *key, unsigned allowed,
+			   struct override *override)
+{
+	const char *known[POLICY_KEYS + 1] = { NULL };
+	json_t *object = check_member(checker, parent, key, JSON_OBJECT, false);
+	size_t len;
+
+	if (!object)
+		return;
+	len = checker_push(checker, key);
+	for (unsigned i = 0; i < POLICY_KEYS; i++) {
+		const struct policy_key *policy_key = &policy_keys[i];
+		json_t *value = json_object_get(object, policy_key->name);
+
+		known[i] = policy_key->name;
+		if (!value)
+			continue;
+		if (!(allowed & 1u << i))
+			check_error(checker, policy_key->name,
+				    "target-side key is not allowed in a "
+				    "route");
+		if (parse_policy_value(checker, policy_key, value,
+				       &override->values))
+			override->set |= 1u << i;
+	}
+	check_keys(checker, object, known);
+	checker_pop(checker, len);
+}
+
+static void parse_deployment(struct parse *parse, json_t *json,
+			     struct tree_deployment *deployment)
+{
+	static const char *const known[] = { "override", NULL };
+	struct checker *checker = &parse->checker;
+
+	if (!check_type(checker, NULL, json, JSON_OBJECT))
+		return;
+	check_keys(checker, json, known);
+	parse_override(checker, json, "override", POLICY_ALL_KEYS,
+		       &deployment->override);
+}
+
+/* The deployment that the member "deployment" names, if any. */
+static const struct tree_deployment *parse_deployment_name(struct parse *parse,
+							   json_t *object)
+{
+	struct checker *checker = &parse->checker;
+	const struct tree_deployment *deployment;
+	const char *name =
+		check_name_member(checker, object, "deployment", false);
+
+	if (!name)
+		return NULL;
+	deployment = find_by_name(parse->tree->deployments,
+				  parse->tree->nr_deployments,
+				  sizeof(*deployment), name);
+	if (!deployment)
+		check_error(checker, "deployment", "unknown deployment \"%s\"",
+			    name);
+	return deployment;
+}
+
+static void parse_zone(struct parse *parse, json_t *json,
+		       struct tree_zone *zone)
+{
+	static const char *const known[] = { "region", "deployment",
+					     "in_service", "override", NULL };
+	struct checker *checker = &parse->checker;
+
+	if (!check_type(checker, NULL, json, JSON_OBJECT))
+		return;
+	check_keys(checker, json, known);
+	zone->region =
+		keep(parse, check_name_member(checker, json, "region", true));
+	zone->deployment = parse_deployment_name(parse, json);
+	zone->in_service = check_bool(checker, json, "in_service", true);
+	parse_override(checker, json, "override", POLICY_ALL_KEYS,
+		       &zone->override);
+}
+
+/*
+ * Parses all values of an object whose keys are names. The array gets one
+ * element for each key, sorted; its first member is set to the name.
+ */
+static void *parse_named(struct parse *parse, json_t *object, size_t size,
+			 size_t *nr_elements)
+{
+	g_autofree const char **keys = check_sorted_keys(object, nr_elements);
+	char *elements = g_malloc0_n(*nr_elements, size);
+
+	for (size_t i = 0; i < *nr_elements; i++) {
+		check_name(&parse->checker, keys[i], keys[i]);
+		*(char **)(void *)(elements + i * size) = keep(parse, keys[i]);
+	}
+	return elements;
+}
+
+static void parse_deployments(struct parse *parse, json_t *root)
+{
+	struct checker *checker = &parse->checker;
+	struct tree *tree = parse->tree;
+	json_t *object =
+		check_member(checker, root, "deployments", JSON_OBJECT, false);
+	size_t outer, len;
+
+	if (!object)
+		return;
+	outer = checker_push(checker, "deployments");
+	tree->deployments =
+		parse_named(parse, object, sizeof(*tree->deployments),
+			    &tree->nr_deployments);
+	for (size_t i = 0; i < tree->nr_deployments; i++) {
+		struct tree_deployment *deployment = &tree->deployments[i];
+
+		len = checker_push(checker, deployment->name);
+		parse_deployment(parse,
+				 json_object_get(object, deployment->name),
+				 deployment);
+		checker_pop(checker, len);
+	}
+	checker_pop(checker, outer);
+}
+
+static void parse_zones(struct parse *parse, json_t *root)
+{
+	struct checker *checker = &parse->checker;
+	struct tree *tree = parse->tree;
+	json_t *object =
+		check_member(checker, root, "zones", JSON_OBJECT, false);
+	size_t outer, len;
+
+	if (!object)
+		return;
+	outer = checker_push(checker, "zones");
+	tree->zones = parse_named(parse, object, sizeof(*tree->zones),
+				  &tree->nr_zones);
+	for (size_t i = 0; i < tree->nr_zones; i++) {
+		struct tree_zone *zone = &tree->zones[i];
+
+		len = checker_push(checker, zone->name);
+		parse_zone(parse, json_object_get(object, zone->name), zone);
+		checker_pop(checker, len);
+	}
+	checker_pop(checker, outer);
+}
+
+/* The members that the part root holds; the deployments go first. */
+static void parse_root(struct parse *parse, json_t *root)
+{
+	parse_override(&parse->checker, root, "defaults", POLICY_ALL_KEYS,
+		       &parse->tree->defaults);
+	parse_deployments(parse, root);
+	parse_zones(parse, root);
+}
+
+/* A decimal port 1 to 65535 without leading zeros; 0 for anything else. */
+static unsigned parse_port(const char *text)
+{
+	unsigned port = 0;
+
+	if (*text < '1' || *text > '9')
+		return 0;
+	for (; *text; text++) {
+		if (!g_ascii_isdigit(*text))
+			return 0;
+		port = port * 10 + (unsigned)(*text - '0');
+		if (port > 65535)
+			return 0;
+	}
+	return port;
+}
+
+/*
+ * The one spelling of IPv4:port or [IPv6]:port, for finding duplicates; NULL
+ * when the text is neither. The caller frees it.
+ */
+static char *canonical_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	bool bracketed = text[0] == '[';
+	int family = bracketed ? AF_INET6 : AF_INET;
+	char host[INET6_ADDRSTRLEN];
+	unsigned char address[sizeof(struct in6_addr)];
+	unsigned port;
+	size_t len;
+
+	if (!colon)
+		return NULL;
+	len = (size_t)(colon - text);
+	if (bracketed) {
+		if (len < 2 || text[len - 1] != ']')
+			return NULL;
+		text++;
+		len -= 2;
+	}
+	if (len >= sizeof(host))
+		return NULL;
+	memcpy(host, text, len);
+	host[len] = '\0';
+	port = parse_port(colon + 1);
+	if (!port || inet_pton(family, host, address) != 1)
+		return NULL;
+	inet_ntop(family, address, host, sizeof(host));
+	return g_strdup_printf("%s %u", host, port);
+}
+
+static void check_address(struct parse *parse, const char *text,
+			  struct tree_target *target)
+{
+	struct checker *checker = &parse->checker;
+	char *address = canonical_address(text);
+	const struct tree_target *other;
+
+	if (!address) {
+		check_error(checker, "traffic",
+			    "\"%s\" is not IPv4:port or [IPv6]:port",
+			    check_shown(checker, text));
+		return;
+	}
+	other = g_hash_table_lookup(parse->addresses, address);
+	if (!other) {
+		g_hash_table_insert(parse->addresses, address, target);
+		return;
+	}
+	check_error(checker, "traffic",
+		    "duplicate address %s, also used in service \"%s\"",
+		    check_shown(checker, text),
+		    check_shown(checker, other->service->name));
+	g_free(address);
+}
+
+static void check_host(struct parse *parse, struct tree_target *target)
+{
+	const struct tree_target *other =
+		g_hash_table_lookup(parse->hosts, target->host);
+
+	if (!other)
+		g_hash_table_insert(parse->hosts, target->host, target);
+	else
+		check_error(&parse->checker, "host",
+			    "duplicate host \"%s\", also in service \"%s\"",
+			    target->host,
+			    check_shown(&parse->checker, other->service->name));
+}
+
+static void parse_target_zone(struct parse *parse, json_t *json,
+			      struct tree_target *target)
+{
+	const struct tree_deployment *wanted = target->service->deployment;
+	struct checker *checker = &parse->checker;
+	const char *name = check_name_member(checker, json, "zone", true);
+
+	if (!name)
+		return;
+	target->zone = tree_find_zone(parse->tree, name);
+	if (!target->zone)
+		check_error(checker, "zone", "unknown zone \"%s\"", name);
+	else if (wanted && target->zone->deployment &&
+		 wanted != target->zone->deployment)
+		check_error(checker, "zone",
+			    "zone \"%s\" belongs to deployment \"%s\", the "
+			    "service to \"%s\"",
+			    name,
+			    check_shown(checker,
+					target->zone->deployment->name),
+			    check_shown(checker, wanted->name));
+}
+
+static void parse_target(struct parse *parse, json_t *json,
+			 struct tree_target *target)
+{
+	static const char *const known[] = { "host", "zone", "traffic",
+					     "in_service", NULL };
+	struct checker *checker = &parse->checker;
+	const char *traffic;
+
+	if (!check_type(checker, NULL, json, JSON_OBJECT))
+		return;
+	check_keys(checker, json, known);
+	target->host =
+		keep(parse, check_name_member(checker, json, "host", true));
+	if (target->host)
+		check_host(parse, target);
+	parse_target_zone(parse, json, target);
+	traffic = check_string(checker, json, "traffic", true);
+	target->traffic = keep(parse, traffic);
+	if (traffic)
+		check_address(parse, traffic, target);
+	target->in_service = check_bool(checker, json, "in_service", true);
+}
+
+static void parse_targets(struct parse *parse, json_t *json,
+			  struct tree_service *service)
+{
+	struct checker *checker = &parse->checker;
+	json_t *array =
+		check_member(checker, json, "targets", JSON_ARRAY, false);
+	size_t outer, len;
+
+	if (!json_array_size(array)) {
+		if (array || !json_object_get(json, "targets"))
+			check_warning(checker, NULL, "service without target");
+		return;
+	}
+	service->nr_targets = json_array_size(array);
+	parse->nr_targets += service->nr_targets;
+	service->targets = g_new0(struct tree_target, service->nr_targets);
+	outer = checker_push(checker, "targets");
+	for (size_t i = 0; i < service->nr_targets; i++) {
+		service->targets[i].service = service;
+		len = checker_push_index(checker, i);
+		parse_target(parse, json_array_get(array, i),
+			     &service->targets[i]);
+		checker_pop(checker, len);
+	}
+	checker_pop(checker, outer);
+}
+
+/* What is wrong with a prefix, or NULL. */
+static const char *prefix_fault(const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	if (prefix[0] != '/')
+		return "does not start with \"/\"";
+	for (const char *p = prefix; *p; p++)
+		if ((unsigned char)*p <= 0x20 || *p == 0x7f || *p == '?' ||
+		    *p == '#')
+			return "holds a character that no path has";
+	if (strstr(prefix, "//"))
+		return "holds an empty path segment";
+	if (len > 1 && prefix[len - 1] == '/')
+		return "ends with \"/\"";
+	if (g_str_has_prefix(prefix, RESERVED_PREFIX) &&
+	    strchr("/", prefix[strlen(RESERVED_PREFIX)]))
+		return "is reserved for the daemon";
+	return NULL;
+}
+
+static void parse_prefix(struct parse *parse, json_t *json,
+			 struct tree_route *route)
+{
+	struct checker *checker = &parse->checker;
+	const char *prefix = check_string(checker, json, "prefix", true);
+	const char *fault;
+
+	if (!prefix)
+		return;
+	fault = prefix_fault(prefix);
+	if (fault)
+		check_error(checker, "prefix", "\"%s\" %s",
+			    check_shown(checker, prefix), fault);
+	else
+		route->prefix = keep(parse, prefix);
+}
+
+static void parse_methods(struct parse *parse, json_t *json,
+			  struct tree_route *route)
+{
+	struct checker *checker = &parse->checker;
+	json_t *array =
+		check_member(checker, json, "methods", JSON_ARRAY, true);
+	enum http_method method;
+	const char *name;
+	json_t *value;
+	size_t i, len;
+
+	if (!array)
+		return;
+	if (!json_array_size(array))
+		check_error(checker, "methods", "no methods");
+	len = checker_push(checker, "methods");
+	json_array_foreach (array, i, value) {
+		size_t inner = checker_push_index(checker, i);
+
+		if (check_type(checker, NULL, value, JSON_STRING)) {
+			name = json_string_value(value);
+			if (!http_method_parse(name, &method))
+				check_error(checker, NULL,
+					    "unknown method \"%s\"",
+					    check_shown(checker, name));
+			else if (route->methods & HTTP_METHOD_BIT(method))
+				check_error(checker, NULL,
+					    "duplicate method %s", name);
+			else
+				route->methods |= HTTP_METHOD_BIT(method);
+		}
+		checker_pop(checker, inner);
+	}
+	checker_pop(checker, len);
+}
+
+static void check_route_name(struct parse *parse, struct tree_route *route)
+{
+	const struct tree_route *other =
+		g_hash_table_lookup(parse->routes, route->name);
+
+	if (!other)
+		g_hash_table_insert(parse->routes, route->name, route);
+	else
+		check_error(&parse->checker, "name",
+			    "duplicate route name \"%s\", also in service "
+			    "\"%s\"",
+			    route->name,
+			    check_shown(&parse->checker, other->service->name));
+}
+
+/* Reports methods that another route with the same prefix has already. */
+static void check_route_key(struct parse *parse, struct tree_route *route)
+{
+	struct tree_route *first =
+		g_hash_table_lookup(parse->prefixes, route->prefix);
+	struct checker *checker = &parse->checker;
+	bool overlaps = false;
+
+	for (struct tree_route *other = first; other;
+	     other = other->same_prefix) {
+		unsigned both = other->methods & route->methods;
+
+		for (int i = 0; i < HTTP_METHOD_COUNT; i++) {
+			if (!(both & HTTP_METHOD_BIT(i)))
+				continue;
+			overlaps = true;
+			check_error(checker, "prefix",
+				    "duplicate prefix and method: %s \"%s\" "
+				    "is also a route of service \"%s\"",
+				    http_method_name((enum http_method)i),
+				    check_shown(checker, route->prefix),
+				    check_shown(checker, other->service->name));
+		}
+	}
+	/* Only disjoint routes are kept, so a list has at most one for each
+	 * method, however many duplicates a document holds. */
+	if (overlaps || !route->methods)
+		return;
+	route->same_prefix = first;
+	g_hash_table_insert(parse->prefixes, route->prefix, route);
+}
+
+static void parse_route(struct parse *parse, json_t *json,
+			struct tree_route *route)
+{
+	static const char *const known[] = { "name",	 "prefix",
+					     "methods",	 "at_most_once",
+					     "override", NULL };
+	struct checker *checker = &parse->checker;
+	struct override override = { 0 };
+
+	if (!check_type(checker, NULL, json, JSON_OBJECT))
+		return;
+	check_keys(checker, json, known);
+	route->name =
+		keep(parse, check_name_member(checker, json, "name", true));
+	if (route->name)
+		check_route_name(parse, route);
+	parse_prefix(parse, json, route);
+	parse_methods(parse, json, route);
+	if (route->prefix)
+		check_route_key(parse, route);
+	route->at_most_once = check_bool(checker, json, "at_most_once", false);
+	if (route->at_most_once && (route->methods & SAFE_METHODS))
+		check_error(checker, "methods",
+			    "GET, HEAD and OPTIONS are not allowed in a route "
+			    "with at_most_once");
+	parse_override(checker, json, "override",
+		       policy_side_keys(POLICY_CALLER_SIDE), &override);
+	if (override.set)
+		route->override = g_memdup2(&override, sizeof(override));
+}
+
+static void parse_routes(struct parse *parse, json_t *json,
+			 struct tree_service *service)
+{
+	struct checker *checker = &parse->checker;
+	json_t *array =
+		check_member(checker, json, "routes", JSON_ARRAY, false);
+	size_t outer, len;
+
+	if (!json_array_size(array))
+		return;
+	service->nr_routes = json_array_size(array);
+	service->routes = g_new0(struct tree_route, service->nr_routes);
+	outer = checker_push(checker, "routes");
+	for (size_t i = 0; i < service->nr_routes; i++) {
+		service->routes[i].service = service;
+		len = checker_push_index(checker, i);
+		parse_route(parse, json_array_get(array, i),
+			    &service->routes[i]);
+		checker_pop(checker, len);
+	}
+	checker_pop(checker, outer);
+}
+
+/* The range of cold_slots ends at the effective slots of each target. */
+static void check_cold_slots(struct parse *parse,
+			     const struct tree_service *service)
+{
+	for (size_t i = 0; i < service->nr_targets; i++) {
+		struct tree_zone *zone = service->targets[i].zone;
+		struct policy policy;
+
+		if (!zone || zone->checked == service)
+			continue;
+		zone->checked = service;
+		tree_policy(parse->tree, service, NULL, NULL, zone, &policy);
+		if (policy.cold_slots > policy.slots)
+			check_error(&parse->checker, NULL,
+				    "cold_slots %d is above slots %d for "
+				    "targets in zone \"%s\"",
+				    policy.cold_slots, policy.slots,
+				    check_shown(&parse->checker, zone->name));
+	}
+}
+
+static void parse_service(struct parse *parse, json_t *json,
+			  struct tree_service *service)
+{
+	static const char *const known[] = { "deployment", "override",
+					     "targets", "routes", NULL };
+	struct checker *checker = &parse->checker;
+
+	if (!check_type(checker, NULL, json, JSON_OBJECT))
+		return;
+	check_keys(checker, json, known);
+	service->deployment = parse_deployment_name(parse, json);
+	parse_override(checker, json, "override", POLICY_ALL_KEYS,
+		       &service->override);
+	parse_targets(parse, json, service);
+	parse_routes(parse, json, service);
+	check_cold_slots(parse, service);
+}
+
+/* Checks that concern all services together. */
+static void check_totals(struct parse *parse)
+{
+	struct checker *checker = &parse->checker;
+
+	if (!parse->tree->nr_services)
+		check_error(checker, NULL, "no services");
+	if (parse->tree->nr_services > TREE_SERVICES_MAX)
+		check_error(checker, NULL, "%zu services, more than %d",
+			    parse->tree->nr_services, TREE_SERVICES_MAX);
+	if (parse->nr_targets > TREE_TARGETS_MAX)
+		check_error(checker, NULL, "%zu targets, more than %d",
+			    parse->nr_targets, TREE_TARGETS_MAX);
+}
+
+/* Checks the size that a value will have as a part. */
+static void check_part_size(struct checker *checker, const json_t *value)
+{
+	size_t len = json_dumpb(value, NULL, 0, JSON_COMPACT);
+
+	if (len > TREE_PART_BYTES_MAX)
+		check_error(checker, NULL, "part of %zu bytes, more than %d",
+			    len, TREE_PART_BYTES_MAX);
+}
+
+static void check_root_size(struct checker *checker, json_t *root)
+{
+	json_t *part = json_copy(root);
+
+	json_object_del(part, "version");
+	json_object_del(part, "services");
+	check_part_size(checker, part);
+	json_decref(part);
+}
+
+static void parse_services(struct parse *parse, json_t *root, bool may_be_large)
+{
+	struct checker *checker = &parse->checker;
+	struct tree *tree = parse->tree;
+	json_t *object =
+		check_member(checker, root, "services", JSON_OBJECT, false);
+	size_t outer, len;
+
+	if (!object)
+		return;
+	outer = checker_push(checker, "services");
+	tree->services = parse_named(parse, object, sizeof(*tree->services),
+				     &tree->nr_services);
+	for (size_t i = 0; i < tree->nr_services; i++) {
+		struct tree_service *service = &tree->services[i];
+		json_t *value = json_object_get(object, service->name);
+
+		len = checker_push(checker, service->name);
+		parse_service(parse, value, service);
+		if (may_be_large)
+			check_part_size(checker, value);
+		checker_pop(checker, len);
+	}
+	checker_pop(checker, outer);
+}
+
+static void parse_document(struct parse *parse, json_t *root, size_t len)
+{
+	static const char *const known[] = { "version",	    "defaults",
+					     "deployments", "zones",
+					     "services",    NULL };
+	struct checker *checker = &parse->checker;
+	/* The compact form is never longer than the text it is made from. */
+	bool may_be_large = len > TREE_PART_BYTES_MAX;
+
+	if (!check_type(checker, NULL, root, JSON_OBJECT))
+		return;
+	check_nesting(checker, root, 1);
+	check_keys(checker, root, known);
+	check_integer(checker, root, "version", 1, TREE_VERSION_MAX,
+		      &parse->tree->version);
+	parse_root(parse, root);
+	if (may_be_large)
+		check_root_size(checker, root);
+	parse_services(parse, root, may_be_large);
+	check_totals(parse);
+}
+
+struct tree *tree_parse(const char *text, size_t len, const char *file,
+			struct findings *findings)
+{
+	struct parse parse;
+	json_t *root;
+
+	parse_init(&parse, file, findings);
+	if (len > TREE_BYTES_MAX) {
+		check_error(&parse.checker, NULL,
+			    "tree of %zu bytes, more than %d", len,
+			    TREE_BYTES_MAX);
+		return parse_finish(&parse);
+	}
+	root = check_load(&parse.checker, text, len);
+	if (root)
+		parse_document(&parse, root, len);
+	json_decref(root);
+	return parse_finish(&parse);
+}
+
+/*
+ * Parses one part. Its name is the file of a syntax error, since that has no
+ * path, and the first tokens of the path of all other findings.
+ */
+static void assemble_part(struct parse *parse,
+			  const struct manifest_entry *entry, const char *data,
+			  struct tree_service *service)
+{
+	static const char *const known[] = { "defaults", "deployments", "zones",
+					     NULL };
+	struct checker *checker = &parse->checker;
+	json_t *json;
+
+	g_string_append_printf(checker->path, "/%s", entry->name);
+	checker->file = entry->name;
+	json = check_load(checker, data, entry->bytes);
+	checker->file = NULL;
+	if (json)
+		check_nesting(checker, json, service ? SERVICE_DEPTH + 1 : 1);
+	if (json && service)
+		parse_service(parse, json, service);
+	if (json && !service && check_type(checker, NULL, json, JSON_OBJECT)) {
+		check_keys(checker, json, known);
+		parse_root(parse, json);
+	}
+	json_decref(json);
+	checker_pop(checker, 0);
+}
+
+struct tree *tree_assemble(const struct manifest *manifest,
+			   const char *const *part_data,
+			   struct findings *findings)
+{
+	struct parse parse;
+	struct tree *tree;
+
+	parse_init(&parse, NULL, findings);
+	tree = parse.tree;
+	tree->version = manifest->id.number;
+	tree->services = g_new0(struct tree_service, manifest->nr_entries);
+	for (size_t i = 0; i < manifest->nr_entries; i++) {
+		const struct manifest_entry *entry = &manifest->entries[i];
+		const char *name = part_service(entry->name);
+		struct tree_service *service = NULL;
+
+		if (name) {
+			service = &tree->services[tree->nr_services++];
+			service->name = keep(&parse, name);
+		}
+		assemble_part(&parse, entry, part_data[i], service);
+	}
+	check_totals(&parse);
+	return parse_finish(&parse);
+}
--- a/lib/tree/tree.h
+++ b/lib/tree/tree.h
@@ -260,6 +260,10 @@
 	char *route;	    /* NULL for a service alone */
 	char *ingress_zone; /* NULL when none was given */
 	char *target_host;  /* NULL when none was given */
+	/* Of that target: */
+	char *target_zone;
+	bool target_in_service; /* its own mark */
+	bool zone_in_service;	/* the mark of its zone */
 	struct explained_key *keys;
 	size_t nr_keys;
 };
