--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -79,7 +79,7 @@
 	int64_t eject_first_ns;		     /* 1 s, doubled each time */
 	int64_t eject_longest_ns;	     /* 30 s */
 	int64_t report_life_ns;	  /* 1 s: how long a told load is used */
-	int64_t draining_life_ns; /* 30 s: then a trial request asks again */
+	int64_t draining_life_ns; /* 5 s: then a trial request asks again */
 	struct rng *rng;	  /* not owned; outlives the balance */
 };
 
@@ -158,7 +158,7 @@
  * and returns.
  */
 int balance_update(struct balance *balance,
-		   const struct balance_service *service,
+		   const struct balance_service *settings,
 		   const struct balance_target *targets, size_t nr_targets,
 		   int64_t now);
 
@@ -169,9 +169,9 @@
 
 /*
  * Picks a target that may get new work: the own zone first, then the region,
- * then all, as the load needs it. When every target that may get new work is
- * ejected, the one whose ejection ends first is tried. False, and choice
- * unchanged, when there is none (FAILURE_NO_TARGET).
+ * then all, as the load needs it. When every such target is ejected, the
+ * policy chooses among them as trials, rather than failing all requests.
+ * False, and choice unchanged, when there is none (FAILURE_NO_TARGET).
  */
 bool balance_pick(struct balance *balance,
 		  const struct balance_request *request, int64_t now,
@@ -189,10 +189,10 @@
  * Counts a request as in flight at a target. False, and nothing counted, when
  * the last update lacks the target: pick again.
  */
-bool balance_start(struct balance *balance, balance_handle target, int64_t now);
+bool balance_start(struct balance *balance, balance_handle handle, int64_t now);
 
 /* Ends a request counted by balance_start(). */
-void balance_finish(struct balance *balance, balance_handle target,
+void balance_finish(struct balance *balance, balance_handle handle,
 		    const struct balance_result *result, int64_t now);
 
 /*
@@ -204,7 +204,7 @@
 
 /* Requests in flight at a target by this ingress; 0 for unknown handles. */
 uint32_t balance_in_flight(const struct balance *balance,
-			   balance_handle target);
+			   balance_handle handle);
 
 /* State for the dump; the caller owns the reference. */
 json_t *balance_dump(const struct balance *balance, int64_t now);
--- /dev/null
+++ b/lib/balance/finish.c
@@ -0,0 +1,141 @@
+#include "balance/state.h"
+
+/* Latencies are smoothed with weight 1/8 for a new value, as TCP does. */
+#define LATENCY_SHIFT 3
+bool balance_start(struct balance *balance, balance_handle handle, int64_t now)
+{
+	struct target *target = balance_target_at(balance, handle);
+
+	(void)now;
+	if (!target || !target->service)
+		return false;
+	target->in_flight++;
+	return true;
+}
+
+/* Puts a target out of use after failures, as far as the share allows it. */
+static void eject(const struct balance *balance, struct target *target,
+		  int64_t now)
+{
+	struct service *service = target->service;
+	int64_t longest = balance->options.eject_longest_ns;
+
+	if (!target->in_subset ||
+	    service->nr_ejected >=
+		    service_eject_limit(service, service->nr_subset))
+		return;
+	/* A target that stayed in long enough starts with a short one again. */
+	if (!target->back_off || now - target->returned_at >= longest)
+		target->back_off = balance->options.eject_first_ns;
+	else
+		target->back_off = MIN(2 * target->back_off, longest);
+	target->ejected = true;
+	target->trial_pending = false;
+	target->trial_at = now + target->back_off;
+	service->nr_ejected++;
+	service->nr_held++;
+}
+
+static void count_failure(const struct balance *balance, struct target *target,
+			  int64_t now)
+{
+	target->failures++;
+	if (!target_is_held(target)) {
+		if (target->failures >= balance->options.eject_failures)
+			eject(balance, target, now);
+		return;
+	}
+	/* Only a trial tells about the time after the ejection. */
+	if (!target->trial_pending)
+		return;
+	target->trial_pending = false;
+	target->back_off =
+		MIN(2 * target->back_off, balance->options.eject_longest_ns);
+	target->trial_at = now + target->back_off;
+}
+
+static void judge(const struct balance *balance, struct target *target,
+		  const struct balance_result *result, int64_t now)
+{
+	/* An attempt that was cancelled says nothing of its target. */
+	if (result->reason == FAILURE_CANCELLED)
+		return;
+	if (failure_get(result->reason)->counts_for_ejection) {
+		count_failure(balance, target, now);
+		return;
+	}
+	if (result->reason == FAILURE_NONE)
+		target->failures = 0;
+	/* A refusal is an answer as well: the target is reachable. */
+	if (target_is_held(target) && target->trial_pending)
+		target_release(target, now);
+}
+
+static int64_t smooth(int64_t mean, int64_t sample)
+{
+	return mean ? mean + (sample - mean) / (1 << LATENCY_SHIFT) : sample;
+}
+
+static void learn_latency(struct target *target,
+			  const struct balance_result *result, int64_t now)
+{
+	struct service *service = target->service;
+	int64_t latency = MAX(result->latency_ns, 1);
+	bool answered = result->reason == FAILURE_NONE;
+
+	/* A quick failure is not a quick answer, but a late one is slow. */
+	if (!answered &&
+	    (result->reason != FAILURE_DEADLINE || latency <= target->latency))
+		return;
+	target->latency = smooth(target_latency(target, now), latency);
+	target->latency_at = now;
+	service->latency = smooth(service->latency, latency);
+}
+
+static void learn_report(struct target *target,
+			 const struct balance_result *result, int64_t now)
+{
+	if (result->reported) {
+		target->told = true;
+		target->told_at = now;
+		target->told_in_flight = result->in_flight;
+		target->told_queue = result->queue;
+		target->limit = CLAMP(result->limit, 1, target->slots);
+		return;
+	}
+	/* After a loss the backend server may be cold. */
+	if (failure_get(result->reason)->counts_for_ejection &&
+	    result->reason != FAILURE_DEADLINE) {
+		target->told = false;
+		target->limit = target->cold_slots;
+	}
+}
+
+static void mark_draining(const struct balance *balance, struct target *target,
+			  int64_t now)
+{
+	target->draining = true;
+	target->draining_until = now + balance->options.draining_life_ns;
+	service_refresh_subset(balance, target->service, now);
+}
+
+void balance_finish(struct balance *balance, balance_handle handle,
+		    const struct balance_result *result, int64_t now)
+{
+	struct target *target = balance_target_at(balance, handle);
+
+	if (!target || !target->in_flight)
+		return;
+	target->in_flight--;
+	if (!target->service) {
+		if (!target->in_flight)
+			balance_remove_target(balance, target);
+		return;
+	}
+	learn_report(target, result, now);
+	learn_latency(target, result, now);
+	judge(balance, target, result, now);
+	if ((result->reported && result->draining) ||
+	    result->reason == FAILURE_TARGET_DRAINING)
+		mark_draining(balance, target, now);
+}
--- /dev/null
+++ b/lib/balance/pick.c
@@ -0,0 +1,147 @@
+#include "balance/state.h"
+
+/* A due trial waits this long for a request that may be retried. */
+#define TRIAL_PATIENCE (1 * NS_PER_SEC)
+
+static bool is_excluded(const struct balance_request *request,
+			const struct target *target)
+{
+	for (size_t i = 0; i < request->nr_excluded; i++) {
+		if (request->excluded[i] == target->handle)
+			return true;
+	}
+	return false;
+}
+
+/* The target whose trial is due and may be made by the request. */
+static struct target *due_trial(const struct service *service,
+				const struct balance_request *request,
+				int64_t now)
+{
+	int64_t due_before = request->retryable ? now : now - TRIAL_PATIENCE;
+
+	for (size_t i = 0; service->nr_held && i < service->nr_subset; i++) {
+		struct target *target = service->subset[i];
+
+		if (target_is_held(target) && target->trial_at <= due_before &&
+		    !is_excluded(request, target))
+			return target;
+	}
+	return NULL;
+}
+
+static void add_candidate(struct balance *balance, struct target *target,
+			  size_t n, int64_t now)
+{
+	struct balance_candidate *candidate = &balance->candidates[n];
+
+	candidate->load = target_load(balance, target, now);
+	candidate->limit = target->limit;
+	candidate->latency_ns = MAX(target_latency(target, now), 1);
+	balance->candidate_targets[n] = target;
+}
+
+/*
+ * Collects the targets that get work as usual: of the own zone, and while that
+ * is over its share of use or has none, of the region, then of all.
+ */
+static size_t collect(struct balance *balance, const struct service *service,
+		      const struct balance_request *request, int64_t now)
+{
+	uint64_t load = 0, limit = 0;
+	size_t n = 0, i = 0;
+
+	for (int tier = 0; tier < NR_TIERS; tier++) {
+		for (; i < service->tier_end[tier]; i++) {
+			struct target *target = service->subset[i];
+
+			if (target_is_held(target) ||
+			    is_excluded(request, target))
+				continue;
+			add_candidate(balance, target, n, now);
+			load += balance->candidates[n].load;
+			limit += balance->candidates[n].limit;
+			n++;
+		}
+		if (n &&
+		    load * 100 <=
+			    limit * (uint64_t)service->zone_overflow_percent)
+			break;
+	}
+	return n;
+}
+
+/* Collects the targets that otherwise get only trials. */
+static size_t collect_held(struct balance *balance,
+			   const struct service *service,
+			   const struct balance_request *request, int64_t now)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < service->nr_subset; i++) {
+		struct target *target = service->subset[i];
+
+		if (!target_is_held(target) || is_excluded(request, target))
+			continue;
+		add_candidate(balance, target, n, now);
+		n++;
+	}
+	return n;
+}
+
+static void fill_choice(struct balance_choice *choice,
+			const struct target *target, bool trial)
+{
+	choice->target = target->handle;
+	g_strlcpy(choice->host, target->host, sizeof(choice->host));
+	g_strlcpy(choice->traffic, target->traffic, sizeof(choice->traffic));
+	choice->own_zone = target->tier == TIER_ZONE;
+	choice->trial = trial;
+	choice->accepts_new_work = target_accepts_new_work(target);
+}
+
+bool balance_pick(struct balance *balance,
+		  const struct balance_request *request, int64_t now,
+		  struct balance_choice *choice)
+{
+	struct service *service = balance_service_at(balance, request->service);
+	const struct balance_policy *policy = balance->options.policy;
+	struct target *target;
+	size_t n;
+
+	if (!service)
+		return false;
+	if (now >= service->refresh_at)
+		service_refresh_subset(balance, service, now);
+	target = due_trial(service, request, now);
+	if (!target) {
+		n = collect(balance, service, request, now);
+		if (!n)
+			n = collect_held(balance, service, request, now);
+		if (!n)
+			return false;
+		target = balance->candidate_targets[policy->choose(
+			balance->candidates, n, &service->cursor,
+			balance->options.rng)];
+	}
+	if (target_is_held(target)) {
+		/* One trial for each back-off, even if it never ends. */
+		target->trial_pending = true;
+		target->trial_at = now + target->back_off;
+	}
+	fill_choice(choice, target, target_is_held(target));
+	return true;
+}
+
+bool balance_find(struct balance *balance, int index, const char *host,
+		  struct balance_choice *choice)
+{
+	const struct service *service = balance_service_at(balance, index);
+	const struct target *target =
+		service ? g_hash_table_lookup(service->by_host, host) : NULL;
+
+	if (!target)
+		return false;
+	fill_choice(choice, target, target_is_held(target));
+	return true;
+}
