--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -2,6 +2,7 @@
 
 /* Latencies are smoothed with weight 1/8 for a new value, as TCP does. */
 #define LATENCY_SHIFT 3
+
 bool balance_start(struct balance *balance, balance_handle handle, int64_t now)
 {
 	struct target *target = balance_target_at(balance, handle);
