Add the libraries once, admit and quarantine

The daemon needs the decisions of sections 7 and 13 as pure libraries. once remembers refused tickets besides those that ran: otherwise a delayed copy of a ticket could run after another copy was answered not-run. Times never go back within an instance, because a thread may read the clock and then wait for the lock. The macro of cleanup.h is marked for clang-tidy, which first sees it now that a header uses it.

--- /dev/null
+++ b/lib/admit/admit.c
@@ -0,0 +1,343 @@
+#include "admit/admit.h"
+
+#include <glib.h>
+
+#include "admit/queue.h"
+#include "base/clock.h"
+
+/* Weight of a new service time in the mean: one in this many. */
+#define MEAN_WEIGHT 8
+
+/* Service time as seen for one priority, since their requests differ. */
+struct service {
+	int64_t mean_ns; /* 0: not known */
+	int nr_running;
+};
+
+struct admit {
+	int queue_max;
+	const struct admit_limit_policy *policy;
+	struct admit_ramp ramp;
+	struct admit_queue queue;
+	struct service services[ADMIT_NR_PRIORITIES];
+	int64_t mean_ns; /* of all priorities */
+	int64_t latest;	 /* largest `now` seen */
+	uint64_t life;
+	int nr_running;
+	bool draining;
+};
+
+static int64_t admit_now(struct admit *admit, int64_t now)
+{
+	if (now > admit->latest)
+		admit->latest = now;
+	return admit->latest;
+}
+
+static void take_options(struct admit *admit,
+			 const struct admit_options *options)
+{
+	admit->queue_max = options->queue_max;
+	admit->policy = options->limit_policy ? options->limit_policy
+					      : &admit_limit_observed;
+	admit->ramp.slots = MAX(1, options->slots);
+	admit->ramp.cold_slots =
+		CLAMP(options->cold_slots, 1, admit->ramp.slots);
+	admit->ramp.ramp_ns = options->ramp_ns;
+}
+
+struct admit *admit_new(const struct admit_options *options, int64_t now)
+{
+	struct admit *admit = g_new0(struct admit, 1);
+
+	admit->latest = now;
+	admit->life = 1;
+	take_options(admit, options);
+	queue_init(&admit->queue);
+	admit->policy->cold(&admit->ramp, now);
+	return admit;
+}
+
+void admit_free(struct admit *admit)
+{
+	queue_release(&admit->queue);
+	g_free(admit);
+}
+
+void admit_set_policy(struct admit *admit, const struct admit_options *options,
+		      int64_t now)
+{
+	take_options(admit, options);
+	admit->ramp.limit = CLAMP(admit->ramp.limit, admit->ramp.cold_slots,
+				  admit->ramp.slots);
+	admit_limit(admit, now);
+}
+
+int admit_limit(struct admit *admit, int64_t now)
+{
+	now = admit_now(admit, now);
+	if (admit->policy->tick)
+		admit->policy->tick(&admit->ramp, now);
+	return admit->ramp.limit;
+}
+
+/*
+ * Whether a request that could start after wait_ns would end too late by the
+ * mean service time of its priority. While none of its priority runs, only
+ * the deadline itself counts: the mean could not improve if a high one kept
+ * every request out.
+ */
+static bool is_too_late(const struct admit *admit,
+			const struct admit_request *request, int64_t wait_ns)
+{
+	const struct service *service = &admit->services[request->priority];
+	int64_t left;
+
+	if (request->deadline <= admit->latest)
+		return true;
+	if (request->deadline == DEADLINE_NEVER)
+		return false;
+	left = request->deadline - admit->latest;
+	if (!service->nr_running)
+		return wait_ns >= left;
+	return wait_ns + service->mean_ns > left;
+}
+
+static void start(struct admit *admit, struct admit_request *request)
+{
+	request->state = ADMIT_RUNNING;
+	request->started = admit->latest;
+	request->life = admit->life;
+	admit->services[request->priority].nr_running++;
+	admit->nr_running++;
+}
+
+static int64_t expected_wait(const struct admit *admit,
+			     const struct admit_request *request)
+{
+	int ahead =
+		queue_ahead(&admit->queue, request->priority, request->caller);
+
+	return ahead * (admit->mean_ns / admit->ramp.limit);
+}
+
+enum admit_verdict admit_arrive(struct admit *admit,
+				struct admit_request *request, int64_t now,
+				struct admit_request **displaced)
+{
+	int limit = admit_limit(admit, now);
+
+	*displaced = NULL;
+	request->state = ADMIT_IDLE;
+	request->arrival = admit->latest;
+	request->queue = NULL;
+	request->cost = CLAMP(request->cost, 1, ADMIT_COST_MAX);
+	if (admit->draining)
+		return ADMIT_REFUSED_DRAINING;
+	if (!admit->queue.nr_requests && admit->nr_running < limit) {
+		if (is_too_late(admit, request, 0))
+			return ADMIT_REFUSED_DEADLINE;
+		start(admit, request);
+		return ADMIT_RUN;
+	}
+	if (is_too_late(admit, request, expected_wait(admit, request)))
+		return ADMIT_REFUSED_DEADLINE;
+	if (admit->queue.nr_requests >= admit->queue_max) {
+		*displaced =
+			queue_victim(&admit->queue, request, admit->queue_max);
+		if (!*displaced)
+			return ADMIT_REFUSED_FULL;
+		admit_cancel(admit, *displaced);
+	}
+	request->state = ADMIT_WAITING;
+	queue_push(&admit->queue, request);
+	return ADMIT_QUEUED;
+}
+
+struct admit_request *admit_next(struct admit *admit, int64_t now,
+				 struct cds_list_head *expired)
+{
+	int limit = admit_limit(admit, now);
+
+	while (admit->nr_running < limit) {
+		struct admit_request *request = queue_pop(&admit->queue);
+
+		if (!request)
+			return NULL;
+		if (!is_too_late(admit, request, 0)) {
+			start(admit, request);
+			return request;
+		}
+		request->state = ADMIT_IDLE;
+		cds_list_add_tail(&request->node, expired);
+	}
+	return NULL;
+}
+
+static void mean_add(int64_t *mean_ns, int64_t service_ns)
+{
+	if (*mean_ns)
+		*mean_ns += (service_ns - *mean_ns) / MEAN_WEIGHT;
+	else
+		*mean_ns = service_ns;
+}
+
+void admit_done(struct admit *admit, struct admit_request *request,
+		enum admit_outcome outcome, int64_t now)
+{
+	struct service *service = &admit->services[request->priority];
+	int64_t service_ns;
+
+	now = admit_now(admit, now);
+	service_ns = now - request->started;
+	request->state = ADMIT_IDLE;
+	service->nr_running--;
+	admit->nr_running--;
+	/* A request that was given up would have taken at least this long. */
+	if (outcome == ADMIT_ANSWERED ||
+	    (outcome == ADMIT_FAILED && service_ns > service->mean_ns)) {
+		mean_add(&service->mean_ns, service_ns);
+		mean_add(&admit->mean_ns, service_ns);
+	}
+	if (request->life == admit->life && admit->policy->done)
+		admit->policy->done(&admit->ramp, outcome, service_ns, now);
+}
+
+bool admit_cancel(struct admit *admit, struct admit_request *request)
+{
+	if (request->state != ADMIT_WAITING)
+		return false;
+	queue_remove(&admit->queue, request);
+	request->state = ADMIT_IDLE;
+	return true;
+}
+
+/* When the first request of a class becomes too late at the earliest. */
+static int64_t class_timer(const struct admit *admit, int priority)
+{
+	const struct service *service = &admit->services[priority];
+	int64_t deadline = admit->queue.classes[priority].earliest_deadline;
+
+	if (deadline == DEADLINE_NEVER || !service->nr_running)
+		return deadline;
+	return deadline - service->mean_ns + 1;
+}
+
+static void expire_caller(struct admit *admit, struct admit_caller *caller,
+			  struct cds_list_head *expired, int64_t *earliest)
+{
+	struct admit_request *request, *next;
+
+	cds_list_for_each_entry_safe (request, next, &caller->requests, node) {
+		/* The caller is freed with its last request. */
+		bool last = &next->node == &caller->requests;
+
+		if (is_too_late(admit, request, 0)) {
+			admit_cancel(admit, request);
+			cds_list_add_tail(&request->node, expired);
+		} else {
+			*earliest = MIN(*earliest, request->deadline);
+		}
+		if (last)
+			return;
+	}
+}
+
+static void expire_class(struct admit *admit, struct admit_class *class,
+			 struct cds_list_head *expired)
+{
+	int64_t earliest = DEADLINE_NEVER;
+	struct admit_caller *caller, *next;
+
+	cds_list_for_each_entry_safe (caller, next, &class->callers, node)
+		expire_caller(admit, caller, expired, &earliest);
+	class->earliest_deadline = earliest;
+}
+
+void admit_expire(struct admit *admit, int64_t now,
+		  struct cds_list_head *expired)
+{
+	now = admit_now(admit, now);
+	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+		if (class_timer(admit, i) <= now)
+			expire_class(admit, &admit->queue.classes[i], expired);
+}
+
+int64_t admit_next_timer(const struct admit *admit)
+{
+	int64_t timer = DEADLINE_NEVER;
+
+	if (!admit->queue.nr_requests)
+		return timer;
+	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+		timer = MIN(timer, class_timer(admit, i));
+	if (admit->policy->next)
+		timer = MIN(timer, admit->policy->next(&admit->ramp));
+	return timer;
+}
+
+bool admit_backend_lost(struct admit *admit, uint64_t life, int64_t now)
+{
+	now = admit_now(admit, now);
+	if (life != admit->life)
+		return false;
+	admit->life++;
+	admit->policy->cold(&admit->ramp, now);
+	return true;
+}
+
+uint64_t admit_life(const struct admit *admit)
+{
+	return admit->life;
+}
+
+void admit_drain(struct admit *admit)
+{
+	admit->draining = true;
+}
+
+int admit_running(const struct admit *admit)
+{
+	return admit->nr_running;
+}
+
+int admit_queued(const struct admit *admit)
+{
+	return admit->queue.nr_requests;
+}
+
+bool admit_cold(const struct admit *admit)
+{
+	return admit->ramp.limit < admit->ramp.slots;
+}
+
+const char *admit_verdict_name(enum admit_verdict verdict)
+{
+	static const char *const names[] = {
+		[ADMIT_RUN] = "run",
+		[ADMIT_QUEUED] = "queued",
+		[ADMIT_REFUSED_FULL] = "queue_full",
+		[ADMIT_REFUSED_DEADLINE] = "deadline",
+		[ADMIT_REFUSED_DRAINING] = "draining",
+	};
+
+	return names[verdict];
+}
+
+json_t *admit_dump(const struct admit *admit)
+{
+	const struct admit_class *classes = admit->queue.classes;
+
+	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:I, s:I, "
+			 "s:{s:i, s:i, s:i}}",
+			 "limit_policy", admit->policy->name, "limit",
+			 admit->ramp.limit, "slots", admit->ramp.slots,
+			 "cold_slots", admit->ramp.cold_slots, "running",
+			 admit->nr_running, "queue_max", admit->queue_max,
+			 "draining", admit->draining, "life",
+			 (json_int_t)admit->life, "mean_us",
+			 (json_int_t)(admit->mean_ns / NS_PER_US), "queued",
+			 "order", classes[ADMIT_ORDER].nr_requests, "lookup",
+			 classes[ADMIT_LOOKUP].nr_requests, "background",
+			 classes[ADMIT_BACKGROUND].nr_requests);
+}
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -13,15 +13,18 @@
  * limit that starts cold, a bounded queue with three priorities, and fairness
  * between callers. The owner serializes the calls with its lock.
  *
- * Use: admit_arrive() for each request; after admit_done(), admit_cancel() and
- * on a timer, admit_next() until it returns NULL. Every request that was
- * queued comes back exactly once: from admit_next(), in the list of expired
+ * Use: admit_arrive() for each request; after it returned ADMIT_QUEUED, after
+ * admit_done(), admit_cancel() and admit_set_policy(), and at
+ * admit_next_timer(): admit_next() until it returns NULL. Every request that
+ * was queued comes back exactly once: from admit_next(), in the list of expired
  * ones of admit_next() or admit_expire(), as *displaced of admit_arrive(), or
  * by admit_cancel() returning true. Those not from admit_next() did not run.
  *
- * Order of the queue. The priorities share the slots by weights 16:4:1, not
- * strictly, so a backlogged priority gets at least 1 in 21 starts and does
- * not wait for ever below a permanent load of a higher one. Within a priority
+ * Order of the queue. The priorities share the starts in rounds of at most 21,
+ * of which orders get up to 16, lookups 4 and background 1, in this order. A
+ * strict order would let a permanent load of a higher priority hold up a
+ * lower one until its deadline; so each waiting priority moves on in each
+ * round. Within a priority
  * the callers take turns by deficit round robin: with n callers waiting, each
  * gets 1/n of the cost that is started, however many requests another has.
  *
@@ -114,7 +117,7 @@
 	int64_t window[ADMIT_WINDOW]; /* last service times in ns */
 };
 
-/* How the limit moves. Any function may be NULL: nothing to do. */
+/* How the limit moves. Functions other than cold() may be NULL. */
 struct admit_limit_policy {
 	const char *name;
 	/* The backend server is new or was lost. */
@@ -122,8 +125,10 @@
 	/* A request ended; service_ns is its time on the backend server. */
 	void (*done)(struct admit_ramp *ramp, enum admit_outcome outcome,
 		     int64_t service_ns, int64_t now);
-	/* Time passed. */
+	/* Time passed, or settings changed. */
 	void (*tick)(struct admit_ramp *ramp, int64_t now);
+	/* When tick() next raises the limit if no request ends. */
+	int64_t (*next)(const struct admit_ramp *ramp);
 };
 
 extern const struct admit_limit_policy admit_limit_fixed;    /* slots */
@@ -187,6 +192,9 @@
  */
 bool admit_backend_lost(struct admit *admit, uint64_t life, int64_t now);
 
+/* The present life, for a connection that was lost while idle. */
+uint64_t admit_life(const struct admit *admit);
+
 /* Refuses all further arrivals; queued requests still run. */
 void admit_drain(struct admit *admit);
 
--- /dev/null
+++ b/lib/admit/limit.c
@@ -0,0 +1,135 @@
+#include "admit/admit.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+/* An answer is in good time up to this many times the best median. */
+#define GOOD_FACTOR 2
+
+/*
+ * Part of the difference by which a slower median raises the best one, so
+ * that a lasting change of the service time does not hold up the ramp.
+ */
+#define BEST_DECAY 16
+
+static void set_limit(struct admit_ramp *ramp, int limit, int64_t now)
+{
+	ramp->limit = CLAMP(limit, ramp->cold_slots, ramp->slots);
+	ramp->step_start = now;
+	ramp->good = 0;
+}
+
+static int64_t step_ns(const struct admit_ramp *ramp)
+{
+	return ramp->ramp_ns / MAX(1, ramp->slots - ramp->cold_slots);
+}
+
+/* fixed */
+
+static void fixed_set(struct admit_ramp *ramp, int64_t now)
+{
+	set_limit(ramp, ramp->slots, now);
+}
+
+const struct admit_limit_policy admit_limit_fixed = {
+	.name = "fixed",
+	.cold = fixed_set,
+	.tick = fixed_set,
+};
+
+/* by time */
+
+static void time_cold(struct admit_ramp *ramp, int64_t now)
+{
+	set_limit(ramp, ramp->cold_slots, now);
+}
+
+static int64_t time_next(const struct admit_ramp *ramp)
+{
+	if (ramp->limit >= ramp->slots)
+		return DEADLINE_NEVER;
+	return ramp->step_start + step_ns(ramp);
+}
+
+static void time_tick(struct admit_ramp *ramp, int64_t now)
+{
+	while (ramp->limit < ramp->slots && now >= time_next(ramp))
+		set_limit(ramp, ramp->limit + 1, time_next(ramp));
+}
+
+const struct admit_limit_policy admit_limit_time = {
+	.name = "time",
+	.cold = time_cold,
+	.tick = time_tick,
+	.next = time_next,
+};
+
+/* observed: by time and by answers in good time */
+
+static bool has_earned_step(const struct admit_ramp *ramp)
+{
+	return ramp->limit < ramp->slots && ramp->good >= ramp->limit;
+}
+
+static int64_t observed_next(const struct admit_ramp *ramp)
+{
+	return has_earned_step(ramp) ? time_next(ramp) : DEADLINE_NEVER;
+}
+
+static void observed_tick(struct admit_ramp *ramp, int64_t now)
+{
+	if (now >= observed_next(ramp))
+		set_limit(ramp, ramp->limit + 1, now);
+}
+
+static int compare_ns(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Takes the median of each ADMIT_WINDOW answers into the best one. */
+static void observe(struct admit_ramp *ramp, int64_t service_ns)
+{
+	int64_t median;
+
+	ramp->window[ramp->nr_window++] = service_ns;
+	if (ramp->nr_window < ADMIT_WINDOW)
+		return;
+	ramp->nr_window = 0;
+	qsort(ramp->window, ADMIT_WINDOW, sizeof(ramp->window[0]), compare_ns);
+	median = ramp->window[ADMIT_WINDOW / 2];
+	if (!ramp->best_median || median < ramp->best_median)
+		ramp->best_median = median;
+	else
+		ramp->best_median += (median - ramp->best_median) / BEST_DECAY;
+}
+
+static void observed_done(struct admit_ramp *ramp, enum admit_outcome outcome,
+			  int64_t service_ns, int64_t now)
+{
+	if (outcome == ADMIT_SHED) {
+		/* The backend server says that it has too much. */
+		set_limit(ramp, ramp->limit - 1, now);
+		return;
+	}
+	if (outcome != ADMIT_ANSWERED)
+		return;
+	if (!ramp->best_median || service_ns <= GOOD_FACTOR * ramp->best_median)
+		ramp->good++;
+	observe(ramp, service_ns);
+	observed_tick(ramp, now);
+}
+
+const struct admit_limit_policy admit_limit_observed = {
+	.name = "observed",
+	.cold = time_cold,
+	.done = observed_done,
+	.tick = observed_tick,
+	.next = observed_next,
+};
--- /dev/null
+++ b/lib/admit/queue.c
@@ -0,0 +1,222 @@
+#include "admit/queue.h"
+
+#include "base/clock.h"
+
+/* A caller's share of cost in each turn. */
+#define QUANTUM 1
+
+/* Part of the queue that is guaranteed to each priority: one in this many. */
+#define GUARANTEE_DIVISOR 8
+
+/*
+ * Starts of each priority in one round. Orders come first in a round; the
+ * others still move on in each.
+ */
+static const int class_weights[ADMIT_NR_PRIORITIES] = {
+	[ADMIT_ORDER] = 16,
+	[ADMIT_LOOKUP] = 4,
+	[ADMIT_BACKGROUND] = 1,
+};
+
+void queue_init(struct admit_queue *queue)
+{
+	queue->nr_requests = 0;
+	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++) {
+		struct admit_class *class = &queue->classes[i];
+
+		*class = (struct admit_class){
+			.credit = class_weights[i],
+			.earliest_deadline = DEADLINE_NEVER,
+		};
+		CDS_INIT_LIST_HEAD(&class->callers);
+		class->by_caller =
+			g_hash_table_new(g_int64_hash, g_int64_equal);
+	}
+}
+
+void queue_release(struct admit_queue *queue)
+{
+	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+		g_hash_table_destroy(queue->classes[i].by_caller);
+}
+
+static struct admit_caller *caller_get(struct admit_class *class, uint64_t name)
+{
+	struct admit_caller *caller =
+		g_hash_table_lookup(class->by_caller, &name);
+
+	if (caller)
+		return caller;
+	caller = g_new0(struct admit_caller, 1);
+	caller->caller = name;
+	CDS_INIT_LIST_HEAD(&caller->requests);
+	cds_list_add_tail(&caller->node, &class->callers);
+	g_hash_table_insert(class->by_caller, &caller->caller, caller);
+	class->nr_callers++;
+	return caller;
+}
+
+static void caller_free(struct admit_class *class, struct admit_caller *caller)
+{
+	g_hash_table_remove(class->by_caller, &caller->caller);
+	cds_list_del(&caller->node);
+	class->nr_callers--;
+	g_free(caller);
+}
+
+void queue_push(struct admit_queue *queue, struct admit_request *request)
+{
+	struct admit_class *class = &queue->classes[request->priority];
+	struct admit_caller *caller = caller_get(class, request->caller);
+
+	request->queue = caller;
+	cds_list_add_tail(&request->node, &caller->requests);
+	caller->nr_requests++;
+	class->nr_requests++;
+	queue->nr_requests++;
+	class->earliest_deadline =
+		MIN(class->earliest_deadline, request->deadline);
+}
+
+void queue_remove(struct admit_queue *queue, struct admit_request *request)
+{
+	struct admit_class *class = &queue->classes[request->priority];
+	struct admit_caller *caller = request->queue;
+
+	cds_list_del(&request->node);
+	request->queue = NULL;
+	class->nr_requests--;
+	queue->nr_requests--;
+	if (!--caller->nr_requests)
+		caller_free(class, caller);
+	if (!class->nr_requests)
+		class->earliest_deadline = DEADLINE_NEVER;
+}
+
+static struct admit_class *class_next(struct admit_queue *queue)
+{
+	for (;;) {
+		for (int i = 0; i < ADMIT_NR_PRIORITIES; i++) {
+			struct admit_class *class = &queue->classes[i];
+
+			if (class->nr_requests && class->credit > 0) {
+				class->credit--;
+				return class;
+			}
+		}
+		for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+			queue->classes[i].credit = class_weights[i];
+	}
+}
+
+static struct admit_request *first_request(const struct admit_caller *caller)
+{
+	return cds_list_first_entry(&caller->requests, struct admit_request,
+				    node);
+}
+
+static void turn_end(struct admit_class *class, struct admit_caller *caller)
+{
+	caller->in_turn = false;
+	cds_list_move(&caller->node, class->callers.prev);
+}
+
+/*
+ * Deficit round robin. Each visit credits a caller that has a request
+ * waiting, so the visits before a start are bounded by the costs waiting.
+ */
+static struct admit_request *class_pop(struct admit_queue *queue,
+				       struct admit_class *class)
+{
+	for (;;) {
+		struct admit_caller *caller =
+			cds_list_first_entry(&class->callers,
+					     struct admit_caller, node);
+		struct admit_request *request = first_request(caller);
+
+		if (!caller->in_turn) {
+			caller->in_turn = true;
+			caller->deficit += QUANTUM;
+		}
+		if (caller->deficit < request->cost) {
+			turn_end(class, caller);
+			continue;
+		}
+		caller->deficit -= request->cost;
+		if (caller->nr_requests > 1 && caller->deficit < QUANTUM)
+			turn_end(class, caller);
+		queue_remove(queue, request);
+		return request;
+	}
+}
+
+struct admit_request *queue_pop(struct admit_queue *queue)
+{
+	if (!queue->nr_requests)
+		return NULL;
+	return class_pop(queue, class_next(queue));
+}
+
+int queue_ahead(const struct admit_queue *queue, enum admit_priority priority,
+		uint64_t caller)
+{
+	const struct admit_class *class = &queue->classes[priority];
+	const struct admit_caller *own =
+		g_hash_table_lookup(class->by_caller, &caller);
+	int turns = own ? own->nr_requests + 1 : 1;
+	int64_t by_turns = (int64_t)turns * class->nr_callers;
+	int ahead = (int)MIN(by_turns, class->nr_requests);
+
+	for (int i = 0; i < (int)priority; i++)
+		ahead += queue->classes[i].nr_requests;
+	return ahead;
+}
+
+static int guarantee(int queue_max)
+{
+	return queue_max < ADMIT_NR_PRIORITIES
+		       ? 0
+		       : MAX(1, queue_max / GUARANTEE_DIVISOR);
+}
+
+static struct admit_caller *longest_caller(const struct admit_class *class)
+{
+	struct admit_caller *caller, *longest = NULL;
+
+	cds_list_for_each_entry (caller, &class->callers, node)
+		if (!longest || caller->nr_requests > longest->nr_requests)
+			longest = caller;
+	return longest;
+}
+
+static struct admit_request *newest_request(const struct admit_caller *caller)
+{
+	return cds_list_entry(caller->requests.prev, struct admit_request,
+			      node);
+}
+
+struct admit_request *queue_victim(const struct admit_queue *queue,
+				   const struct admit_request *arrival,
+				   int queue_max)
+{
+	const struct admit_class *own = &queue->classes[arrival->priority];
+	const struct admit_caller *caller =
+		g_hash_table_lookup(own->by_caller, &arrival->caller);
+	int kept = guarantee(queue_max);
+	bool below_guarantee = own->nr_requests < kept;
+	struct admit_caller *longest;
+
+	for (int i = ADMIT_NR_PRIORITIES - 1; i >= 0; i--) {
+		const struct admit_class *class = &queue->classes[i];
+
+		if (class->nr_requests <= kept || class == own)
+			continue;
+		if (i > (int)arrival->priority || below_guarantee)
+			return newest_request(longest_caller(class));
+	}
+	longest = longest_caller(own);
+	if (longest &&
+	    longest->nr_requests >= (caller ? caller->nr_requests : 0) + 2)
+		return newest_request(longest);
+	return NULL;
+}
--- /dev/null
+++ b/lib/admit/queue.h
@@ -0,0 +1,52 @@
+#ifndef ADMIT_QUEUE_H
+#define ADMIT_QUEUE_H
+
+#include <glib.h>
+
+#include "admit/admit.h"
+
+/* The queue of an admit instance; internal to the library. */
+
+/* The requests of one caller in one priority. Exists while it has any. */
+struct admit_caller {
+	uint64_t caller;
+	struct cds_list_head node;     /* in admit_class.callers */
+	struct cds_list_head requests; /* oldest first */
+	int nr_requests;
+	int deficit;  /* cost that it may start in this turn */
+	bool in_turn; /* its turn began and was credited */
+};
+
+struct admit_class {
+	struct cds_list_head callers; /* the first has its turn */
+	GHashTable *by_caller;
+	int nr_callers;
+	int nr_requests;
+	int credit; /* starts left in this round */
+	/* Not above any queued deadline; made exact by admit_expire(). */
+	int64_t earliest_deadline;
+};
+
+struct admit_queue {
+	struct admit_class classes[ADMIT_NR_PRIORITIES];
+	int nr_requests;
+};
+
+void queue_init(struct admit_queue *queue);
+void queue_release(struct admit_queue *queue);
+void queue_push(struct admit_queue *queue, struct admit_request *request);
+void queue_remove(struct admit_queue *queue, struct admit_request *request);
+
+/* Takes off the next request to start; NULL when empty. */
+struct admit_request *queue_pop(struct admit_queue *queue);
+
+/* Requests that start before a new one of this priority and caller would. */
+int queue_ahead(const struct admit_queue *queue, enum admit_priority priority,
+		uint64_t caller);
+
+/* The queued request that gives way to an arrival in a full queue, or NULL. */
+struct admit_request *queue_victim(const struct admit_queue *queue,
+				   const struct admit_request *arrival,
+				   int queue_max);
+
+#endif
--- a/lib/base/cleanup.h
+++ b/lib/base/cleanup.h
@@ -10,11 +10,13 @@
 #define CLEANUP(function) __attribute__((cleanup(function)))
 
 /* Defines NAMEp(), the clean-up function of a pointer freed by NAME(). */
+/* NOLINTBEGIN(bugprone-macro-parentheses): a type takes no parentheses. */
 #define DEFINE_CLEANUP(type, name)                 \
 	static inline void name##p(type **pointer) \
 	{                                          \
 		if (*pointer)                      \
 			name(*pointer);            \
 	}
+/* NOLINTEND(bugprone-macro-parentheses) */
 
 #endif
--- a/lib/once/once.h
+++ b/lib/once/once.h
@@ -22,7 +22,8 @@
  * Every answer `not-run` to a request with a ticket must come from
  * once_abort() or once_refuse(): they remember the ticket, so that a delayed
  * copy of it cannot run after the answer said that it did not. The caller
- * needs a fresh ticket then. A daemon that is not the ticket's owner cannot
+ * needs a fresh ticket then. Answer `unknown` where these two return false.
+ * A daemon that is not the ticket's owner cannot
  * know this and answers `unknown`.
  *
  * All times are nanoseconds of one monotonic clock of the owner. Wall time is
@@ -152,10 +153,11 @@
 		 int64_t now, struct cds_list_head *waiters);
 
 /*
- * Ends a record whose request certainly did not run. The ticket will never
- * run: answer `not-run` to the owner and to the waiters.
+ * Ends a record whose request certainly did not run. True: the ticket will
+ * never run, answer `not-run` to the owner and to the waiters. False: there
+ * was no room to remember that, answer them `unknown`.
  */
-void once_abort(struct once *once, struct once_record *record, int64_t now,
+bool once_abort(struct once *once, struct once_record *record, int64_t now,
 		struct cds_list_head *waiters);
 
 /*
--- /dev/null
+++ b/lib/quarantine/quarantine.c
@@ -0,0 +1,343 @@
+#include "quarantine/quarantine.h"
+
+#include <glib.h>
+#include <string.h>
+#include <urcu/list.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/rng.h"
+
+#define DEFAULT_MAX_ENTRIES 1024
+#define NR_BUCKETS 256 /* a power of two */
+
+/*
+ * Crashes of one fingerprint seen by one origin. An entry is kept for another
+ * quarantine_ns after its end, so that a late message about it is known to be
+ * old news.
+ */
+struct entry {
+	struct cds_list_head bucket_node;
+	struct cds_list_head tell_node; /* told the longest time ago first */
+	uint64_t fingerprint;
+	uint64_t origin;
+	uint64_t last_life; /* of the own origin: life of the last crash */
+	uint32_t count;
+	uint32_t cleared; /* count at the last success or end */
+	int64_t end;
+};
+
+struct quarantine {
+	uint64_t origin;
+	int crashes;
+	int64_t quarantine_ns;
+	size_t max_entries;
+	size_t nr_entries;
+	/*
+	 * Largest own count so far. A new own entry counts on from it, because
+	 * peers may still know the larger count of an entry dropped here.
+	 */
+	uint32_t own_count;
+	struct cds_list_head buckets[NR_BUCKETS]; /* by fingerprint */
+	struct cds_list_head tell;
+};
+
+uint64_t quarantine_fingerprint(const char *service, const char *method,
+				const char *path, const void *body,
+				size_t body_len)
+{
+	const char *const texts[] = { service, method, path };
+	uint64_t hash = 0;
+
+	/* One after the other with its NUL, so that "a","bc" is not "ab","c".
+	 */
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		hash = XXH64(texts[i], strlen(texts[i]) + 1, hash);
+	return XXH64(body, body_len, hash);
+}
+
+uint64_t quarantine_origin(const char *host, uint64_t incarnation)
+{
+	return hash_mix(hash_string(host), incarnation);
+}
+
+struct quarantine *quarantine_new(const struct quarantine_options *options)
+{
+	struct quarantine *quarantine = g_new0(struct quarantine, 1);
+
+	quarantine->origin = options->origin;
+	quarantine->max_entries = options->max_entries ? options->max_entries
+						       : DEFAULT_MAX_ENTRIES;
+	quarantine_set_policy(quarantine, options->crashes,
+			      options->quarantine_ns);
+	for (size_t i = 0; i < NR_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&quarantine->buckets[i]);
+	CDS_INIT_LIST_HEAD(&quarantine->tell);
+	return quarantine;
+}
+
+static void entry_free(struct quarantine *quarantine, struct entry *entry)
+{
+	cds_list_del(&entry->bucket_node);
+	cds_list_del(&entry->tell_node);
+	quarantine->nr_entries--;
+	g_free(entry);
+}
+
+void quarantine_free(struct quarantine *quarantine)
+{
+	struct entry *entry, *next;
+
+	cds_list_for_each_entry_safe (entry, next, &quarantine->tell, tell_node)
+		entry_free(quarantine, entry);
+	g_free(quarantine);
+}
+
+void quarantine_set_policy(struct quarantine *quarantine, int crashes,
+			   int64_t quarantine_ns)
+{
+	quarantine->crashes = crashes;
+	quarantine->quarantine_ns = quarantine_ns;
+}
+
+static const struct cds_list_head *
+bucket_of(const struct quarantine *quarantine, uint64_t fingerprint)
+{
+	return &quarantine->buckets[fingerprint & (NR_BUCKETS - 1)];
+}
+
+static bool is_suspect(const struct entry *entry, int64_t now)
+{
+	return entry->end > now && entry->count > entry->cleared;
+}
+
+bool quarantine_check(const struct quarantine *quarantine, uint64_t fingerprint,
+		      int64_t now, int64_t *until)
+{
+	const struct entry *entry;
+	uint64_t count = 0;
+	int64_t end = 0;
+
+	cds_list_for_each_entry (entry, bucket_of(quarantine, fingerprint),
+				 bucket_node) {
+		if (entry->fingerprint != fingerprint ||
+		    !is_suspect(entry, now))
+			continue;
+		count += entry->count - entry->cleared;
+		end = MAX(end, entry->end);
+	}
+	if (count < (uint64_t)quarantine->crashes)
+		return false;
+	if (until)
+		*until = end;
+	return true;
+}
+
+static struct entry *entry_find(const struct quarantine *quarantine,
+				uint64_t fingerprint, uint64_t origin)
+{
+	struct entry *entry;
+
+	cds_list_for_each_entry (entry, bucket_of(quarantine, fingerprint),
+				 bucket_node)
+		if (entry->fingerprint == fingerprint &&
+		    entry->origin == origin)
+			return entry;
+	return NULL;
+}
+
+/*
+ * Frees the place of the entry that matters least: one that is not suspect
+ * before one that is, one of a fingerprint not quarantined before one that
+ * is, then the one that ends first.
+ */
+static void evict(struct quarantine *quarantine, int64_t now)
+{
+	struct entry *entry, *victim = NULL;
+	int victim_rank = 0;
+
+	cds_list_for_each_entry (entry, &quarantine->tell, tell_node) {
+		int rank = is_suspect(entry, now);
+
+		if (rank &&
+		    quarantine_check(quarantine, entry->fingerprint, now, NULL))
+			rank = 2;
+		if (!victim || rank < victim_rank ||
+		    (rank == victim_rank && entry->end < victim->end)) {
+			victim = entry;
+			victim_rank = rank;
+		}
+	}
+	if (victim)
+		entry_free(quarantine, victim);
+}
+
+static struct entry *entry_get(struct quarantine *quarantine,
+			       uint64_t fingerprint, uint64_t origin,
+			       int64_t now)
+{
+	struct entry *entry = entry_find(quarantine, fingerprint, origin);
+
+	if (entry)
+		return entry;
+	if (quarantine->nr_entries >= quarantine->max_entries)
+		quarantine_expire(quarantine, now);
+	if (quarantine->nr_entries >= quarantine->max_entries)
+		evict(quarantine, now);
+	entry = g_new0(struct entry, 1);
+	entry->fingerprint = fingerprint;
+	entry->origin = origin;
+	cds_list_add(&entry->bucket_node,
+		     &quarantine->buckets[fingerprint & (NR_BUCKETS - 1)]);
+	cds_list_add(&entry->tell_node, &quarantine->tell);
+	quarantine->nr_entries++;
+	return entry;
+}
+
+static void entry_tell(const struct entry *entry, int64_t now,
+		       struct quarantine_entry *told)
+{
+	told->fingerprint = entry->fingerprint;
+	told->origin = entry->origin;
+	told->count = entry->count;
+	told->cleared = entry->cleared;
+	told->left_ms =
+		(uint32_t)MIN(UINT32_MAX, (entry->end - now) / NS_PER_MS);
+}
+
+/* Crashes whose time ended do not add to a new one. */
+static void forget_ended(struct entry *entry, int64_t now)
+{
+	if (entry->end <= now)
+		entry->cleared = entry->count;
+}
+
+/* Gives the entry a later end and makes it the next one to tell. */
+static void entry_renew(struct quarantine *quarantine, struct entry *entry,
+			int64_t end)
+{
+	entry->end = MAX(entry->end, end);
+	cds_list_move(&entry->tell_node, &quarantine->tell);
+}
+
+void quarantine_crash(struct quarantine *quarantine, uint64_t fingerprint,
+		      uint64_t life, int64_t now,
+		      struct quarantine_entry *entry)
+{
+	struct entry *own =
+		entry_get(quarantine, fingerprint, quarantine->origin, now);
+
+	if (!own->count)
+		own->count = quarantine->own_count;
+	if (!own->end || own->last_life != life) {
+		forget_ended(own, now);
+		own->count++;
+		quarantine->own_count = MAX(quarantine->own_count, own->count);
+		own->last_life = life;
+		entry_renew(quarantine, own, now + quarantine->quarantine_ns);
+	}
+	if (entry)
+		entry_tell(own, now, entry);
+}
+
+static bool merge_cleared(struct quarantine *quarantine, struct entry *entry,
+			  uint32_t cleared)
+{
+	if (cleared <= entry->cleared)
+		return false;
+	entry->cleared = cleared;
+	cds_list_move(&entry->tell_node, &quarantine->tell);
+	return true;
+}
+
+void quarantine_success(struct quarantine *quarantine, uint64_t fingerprint,
+			int64_t now)
+{
+	struct entry *entry;
+
+	cds_list_for_each_entry (entry, bucket_of(quarantine, fingerprint),
+				 bucket_node)
+		if (entry->fingerprint == fingerprint && is_suspect(entry, now))
+			merge_cleared(quarantine, entry, entry->count);
+}
+
+bool quarantine_merge(struct quarantine *quarantine,
+		      const struct quarantine_entry *told, int64_t now)
+{
+	struct entry *entry;
+	int64_t left = (int64_t)told->left_ms * NS_PER_MS;
+
+	if (!told->count || !told->left_ms || told->cleared > told->count)
+		return false;
+	entry = entry_find(quarantine, told->fingerprint, told->origin);
+	if (entry && entry->count >= told->count)
+		return merge_cleared(quarantine, entry, told->cleared);
+	/* Nobody else counts for the own origin. */
+	if (told->origin == quarantine->origin)
+		return false;
+	entry = entry_get(quarantine, told->fingerprint, told->origin, now);
+	forget_ended(entry, now);
+	entry->count = told->count;
+	entry->cleared = MAX(entry->cleared, told->cleared);
+	entry_renew(quarantine, entry,
+		    now + MIN(left, quarantine->quarantine_ns));
+	return true;
+}
+
+size_t quarantine_tell(struct quarantine *quarantine, int64_t now,
+		       struct quarantine_entry *entries, size_t max)
+{
+	CDS_LIST_HEAD(told);
+	struct entry *entry, *next;
+	size_t n = 0;
+
+	cds_list_for_each_entry_safe (entry, next, &quarantine->tell,
+				      tell_node) {
+		if (n == max)
+			break;
+		if (entry->end - now < NS_PER_MS)
+			continue;
+		entry_tell(entry, now, &entries[n++]);
+		cds_list_move(&entry->tell_node, &told);
+	}
+	cds_list_splice(&told, quarantine->tell.prev);
+	return n;
+}
+
+size_t quarantine_expire(struct quarantine *quarantine, int64_t now)
+{
+	struct entry *entry, *next;
+
+	cds_list_for_each_entry_safe (entry, next, &quarantine->tell, tell_node)
+		if (entry->end + quarantine->quarantine_ns <= now)
+			entry_free(quarantine, entry);
+	return quarantine->nr_entries;
+}
+
+json_t *quarantine_dump(const struct quarantine *quarantine, int64_t now)
+{
+	json_t *list = json_array();
+	const struct entry *entry;
+	char text[17];
+
+	cds_list_for_each_entry (entry, &quarantine->tell, tell_node) {
+		if (!is_suspect(entry, now))
+			continue;
+		g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+			   entry->fingerprint);
+		json_array_append_new(
+			list,
+			json_pack(
+				"{s:s, s:b, s:i, s:b, s:I}", "fingerprint",
+				text, "own",
+				entry->origin == quarantine->origin, "crashes",
+				(int)(entry->count - entry->cleared), "refused",
+				quarantine_check(quarantine, entry->fingerprint,
+						 now, NULL),
+				"left_ms",
+				(json_int_t)((entry->end - now) / NS_PER_MS)));
+	}
+	return json_pack("{s:I, s:I, s:o}", "entries",
+			 (json_int_t)quarantine->nr_entries, "entries_max",
+			 (json_int_t)quarantine->max_entries, "suspects", list);
+}
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -20,9 +20,10 @@
  * its next success resets its count.
  *
  * Counts are kept for each origin (a run of a daemon) and merged by maximum,
- * so that entries told twice or out of order change nothing. Entries carry
- * the time left; an entry that is already known never gets a later end, so
- * that peers do not keep each other's entries alive.
+ * the number of those cleared by a success likewise, so that entries told
+ * twice or out of order change nothing. Entries carry the time left; an entry
+ * that is already known never gets a later end, so that peers do not keep each
+ * other's entries alive.
  */
 
 #define QUARANTINE_TELL_MAX 16
@@ -32,6 +33,7 @@
 	uint64_t fingerprint;
 	uint64_t origin;  /* quarantine_origin() */
 	uint32_t count;	  /* crashes that the origin saw, at least 1 */
+	uint32_t cleared; /* those of them before a later success */
 	uint32_t left_ms; /* time until it ends */
 };
 
@@ -84,7 +86,7 @@
 
 /* Takes an entry told by a peer or in an answer; true when it was news. */
 bool quarantine_merge(struct quarantine *quarantine,
-		      const struct quarantine_entry *entry, int64_t now);
+		      const struct quarantine_entry *told, int64_t now);
 
 /*
  * Writes up to max entries to tell a peer, those told the longest time ago
