--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -18,7 +18,7 @@
  */
 struct entry {
 	struct cds_list_head bucket_node;
-	struct cds_list_head tell_node; /* told the longest time ago first */
+	struct cds_list_head tell_node; /* in quarantine.tell or .unused */
 	uint64_t fingerprint;
 	uint64_t origin;
 	uint64_t last_life; /* of the own origin: life of the last crash */
@@ -39,7 +39,9 @@
 	 */
 	uint32_t own_count;
 	struct cds_list_head buckets[NR_BUCKETS]; /* by fingerprint */
-	struct cds_list_head tell;
+	struct cds_list_head tell; /* told the longest time ago first */
+	struct cds_list_head unused;
+	struct entry *entries; /* all max_entries of them */
 };
 
 uint64_t quarantine_fingerprint(const char *service, const char *method,
@@ -73,24 +75,25 @@
 	for (size_t i = 0; i < NR_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&quarantine->buckets[i]);
 	CDS_INIT_LIST_HEAD(&quarantine->tell);
+	CDS_INIT_LIST_HEAD(&quarantine->unused);
+	quarantine->entries = g_new0(struct entry, quarantine->max_entries);
+	for (size_t i = 0; i < quarantine->max_entries; i++)
+		cds_list_add_tail(&quarantine->entries[i].tell_node,
+				  &quarantine->unused);
 	return quarantine;
 }
 
-static void entry_free(struct quarantine *quarantine, struct entry *entry)
+void quarantine_free(struct quarantine *quarantine)
 {
-	cds_list_del(&entry->bucket_node);
-	cds_list_del(&entry->tell_node);
-	quarantine->nr_entries--;
-	g_free(entry);
+	g_free(quarantine->entries);
+	g_free(quarantine);
 }
 
-void quarantine_free(struct quarantine *quarantine)
+static void entry_drop(struct quarantine *quarantine, struct entry *entry)
 {
-	struct entry *entry, *next;
-
-	cds_list_for_each_entry_safe (entry, next, &quarantine->tell, tell_node)
-		entry_free(quarantine, entry);
-	g_free(quarantine);
+	cds_list_del(&entry->bucket_node);
+	cds_list_move(&entry->tell_node, &quarantine->unused);
+	quarantine->nr_entries--;
 }
 
 void quarantine_set_policy(struct quarantine *quarantine, int crashes,
@@ -114,7 +117,7 @@
 bool quarantine_check(const struct quarantine *quarantine, uint64_t fingerprint,
 		      int64_t now, int64_t *until)
 {
-	const struct entry *entry;
+	const struct entry *entry = NULL;
 	uint64_t count = 0;
 	int64_t end = 0;
 
@@ -153,7 +156,7 @@
  */
 static void evict(struct quarantine *quarantine, int64_t now)
 {
-	struct entry *entry, *victim = NULL;
+	struct entry *entry = NULL, *victim = NULL;
 	int victim_rank = 0;
 
 	cds_list_for_each_entry (entry, &quarantine->tell, tell_node) {
@@ -169,7 +172,7 @@
 		}
 	}
 	if (victim)
-		entry_free(quarantine, victim);
+		entry_drop(quarantine, victim);
 }
 
 static struct entry *entry_get(struct quarantine *quarantine,
@@ -184,9 +187,10 @@
 		quarantine_expire(quarantine, now);
 	if (quarantine->nr_entries >= quarantine->max_entries)
 		evict(quarantine, now);
-	entry = g_new0(struct entry, 1);
-	entry->fingerprint = fingerprint;
-	entry->origin = origin;
+	entry = cds_list_first_entry(&quarantine->unused, struct entry,
+				     tell_node);
+	cds_list_del(&entry->tell_node);
+	*entry = (struct entry){ .fingerprint = fingerprint, .origin = origin };
 	cds_list_add(&entry->bucket_node,
 		     &quarantine->buckets[fingerprint & (NR_BUCKETS - 1)]);
 	cds_list_add(&entry->tell_node, &quarantine->tell);
@@ -288,7 +292,7 @@
 		       struct quarantine_entry *entries, size_t max)
 {
 	CDS_LIST_HEAD(told);
-	struct entry *entry, *next;
+	struct entry *entry = NULL, *next;
 	size_t n = 0;
 
 	cds_list_for_each_entry_safe (entry, next, &quarantine->tell,
@@ -306,18 +310,18 @@
 
 size_t quarantine_expire(struct quarantine *quarantine, int64_t now)
 {
-	struct entry *entry, *next;
+	struct entry *entry = NULL, *next;
 
 	cds_list_for_each_entry_safe (entry, next, &quarantine->tell, tell_node)
 		if (entry->end + quarantine->quarantine_ns <= now)
-			entry_free(quarantine, entry);
+			entry_drop(quarantine, entry);
 	return quarantine->nr_entries;
 }
 
 json_t *quarantine_dump(const struct quarantine *quarantine, int64_t now)
 {
 	json_t *list = json_array();
-	const struct entry *entry;
+	const struct entry *entry = NULL;
 	char text[17];
 
 	cds_list_for_each_entry (entry, &quarantine->tell, tell_node) {
