--- /dev/null
+++ b/standins/hosts.c
@@ -0,0 +1,214 @@
+/*
+ * Stand-in of the host list: answers which hosts are live or leaving as it was
+ * some time ago.
+ */
+#include <argtable2.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "standin.h"
+
+#define LIST_MAX_BYTES (16 * 1024 * 1024)
+
+enum {
+	FAULT_NONE,
+	FAULT_OUTAGE,
+	FAULT_SLOW
+};
+static const char *const modes[] = { "none", "outage", "slow", NULL };
+
+/* One state of the list. */
+struct edition {
+	int64_t at; /* monotonic ns */
+	json_t *list;
+};
+
+/* Everything below is protected by standin.lock. */
+static GQueue editions = G_QUEUE_INIT; /* oldest first */
+static int64_t lag;		       /* ns */
+static int64_t revision;
+
+/* Adds an edition; takes over the reference to the array of hosts. */
+static void publish(json_t *hosts)
+{
+	struct edition *edition = g_new0(struct edition, 1);
+
+	edition->at = clock_monotonic_ns();
+	edition->list = json_pack("{s:I, s:o}", "revision",
+				  (json_int_t)++revision, "hosts", hosts);
+	g_queue_push_tail(&editions, edition);
+}
+
+/*
+ * The newest edition that is old enough, or the first one: the list existed
+ * before the test began. Older ones are dropped.
+ */
+static json_t *visible(void)
+{
+	int64_t until = clock_monotonic_ns() - lag;
+	struct edition *next;
+
+	while ((next = g_queue_peek_nth(&editions, 1)) && next->at <= until) {
+		struct edition *old = g_queue_pop_head(&editions);
+
+		json_decref(old->list);
+		g_free(old);
+	}
+	if (g_queue_is_empty(&editions))
+		return json_pack("{s:i, s:[]}", "revision", 0, "hosts");
+	return json_incref(
+		((struct edition *)g_queue_peek_head(&editions))->list);
+}
+
+static enum MHD_Result on_read(struct request *request)
+{
+	enum MHD_Result result = MHD_NO;
+
+	if (!request_is(request, "GET", "/v1/hosts"))
+		return reply_text(request, 404, "unknown path");
+	pthread_mutex_lock(&standin.lock);
+	if (standin.fault.mode == FAULT_SLOW)
+		fault_delay();
+	while (standin.fault.mode == FAULT_OUTAGE && standin.fault.hang &&
+	       standin_wait(clock_monotonic_ns() + NS_PER_SEC))
+		;
+	if (standin.fault.mode == FAULT_OUTAGE && !standin.fault.hang)
+		result = reply_text(request, 503, "outage");
+	else if (!standin.stopping)
+		result = reply_json(request, 200, visible());
+	pthread_mutex_unlock(&standin.lock);
+	return result;
+}
+
+static bool is_state(const char *state)
+{
+	return state && (!strcmp(state, "live") || !strcmp(state, "leaving"));
+}
+
+static bool is_host(json_t *host)
+{
+	const char *name, *zone, *region, *control, *state;
+
+	return !json_unpack(host, "{s:s, s:s, s:s, s:s, s:s !}", "host", &name,
+			    "zone", &zone, "region", &region, "control",
+			    &control, "state", &state) &&
+	       is_state(state);
+}
+
+static enum MHD_Result put_hosts(const struct request *request)
+{
+	json_t *list =
+		json_loadb((const char *)request->body->data,
+			   request->body->len, JSON_REJECT_DUPLICATES, NULL);
+	json_t *hosts = json_object_get(list, "hosts");
+	bool valid = json_is_array(hosts);
+	json_t *host;
+	size_t i;
+
+	json_array_foreach (hosts, i, host)
+		valid = valid && is_host(host);
+	if (valid) {
+		pthread_mutex_lock(&standin.lock);
+		publish(json_incref(hosts));
+		pthread_mutex_unlock(&standin.lock);
+	}
+	json_decref(list);
+	return valid ? reply_text(request, 200, "published")
+		     : reply_text(request, 400, "not a list of hosts");
+}
+
+/* The newest array of hosts, copied; empty when there is none. */
+static json_t *copy_hosts(void)
+{
+	struct edition *newest = g_queue_peek_tail(&editions);
+
+	if (!newest)
+		return json_array();
+	return json_deep_copy(json_object_get(newest->list, "hosts"));
+}
+
+/* Applies POST /host to the array; false when the request is not valid. */
+static bool change_host(const struct request *request, json_t *hosts)
+{
+	const char *name = request_query(request, "host");
+	const char *state = request_query(request, "state");
+	json_t *host;
+	size_t i;
+
+	if (!name || !state || (!is_state(state) && strcmp(state, "gone")))
+		return false;
+	json_array_foreach (hosts, i, host) {
+		if (strcmp(json_string_value(json_object_get(host, "host")),
+			   name))
+			continue;
+		if (!strcmp(state, "gone"))
+			return !json_array_remove(hosts, i);
+		return !json_object_set_new(host, "state", json_string(state));
+	}
+	host = json_pack("{s:o, s:o, s:o, s:o, s:o}", "host", json_text(name),
+			 "zone", json_text(request_query(request, "zone")),
+			 "region", json_text(request_query(request, "region")),
+			 "control",
+			 json_text(request_query(request, "control")), "state",
+			 json_text(state));
+	if (is_host(host))
+		return !json_array_append_new(hosts, host);
+	json_decref(host);
+	return false;
+}
+
+static enum MHD_Result post_host(const struct request *request)
+{
+	json_t *hosts;
+	bool valid;
+
+	pthread_mutex_lock(&standin.lock);
+	hosts = copy_hosts();
+	valid = change_host(request, hosts);
+	if (valid)
+		publish(hosts);
+	else
+		json_decref(hosts);
+	pthread_mutex_unlock(&standin.lock);
+	return valid ? reply_text(request, 200, "published")
+		     : reply_text(request, 400,
+				  "unknown host, or a bad parameter");
+}
+
+static enum MHD_Result on_control(struct request *request)
+{
+	if (request_is(request, "POST", "/fault"))
+		return fault_control(request, modes, NULL);
+	if (request_is(request, "PUT", "/hosts"))
+		return put_hosts(request);
+	if (request_is(request, "POST", "/host"))
+		return post_host(request);
+	return reply_text(request, 404, "unknown control request");
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
+	struct arg_str *listen =
+		arg_str1(NULL, "listen", "ADDRESS:PORT", "address for daemons");
+	struct arg_str *control = arg_str1(NULL, "control", "ADDRESS:PORT",
+					   "address for the test");
+	struct arg_int *lag_ms =
+		arg_int0(NULL, "lag-ms", "N", "age of the list, default 0");
+	void *table[] = { help, listen, control, lag_ms, arg_end(5) };
+
+	lag_ms->ival[0] = 0;
+	standin_parse(argc, argv, table);
+	lag = MAX(lag_ms->ival[0], 0) * NS_PER_MS;
+
+	struct server servers[] = {
+		{ .name = "listen",
+		  .address = listen->sval[0],
+		  .handle = on_read },
+		{ .name = "control",
+		  .address = control->sval[0],
+		  .body_max = LIST_MAX_BYTES,
+		  .handle = on_control },
+	};
+	return standin_run(servers, G_N_ELEMENTS(servers));
+}
--- /dev/null
+++ b/standins/source.c
@@ -0,0 +1,279 @@
+/*
+ * Stand-in of the configuration service: readers may only read and watch
+ * values, at a limited rate; a test publishes on the control address.
+ */
+#include <argtable2.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "standin.h"
+
+#define VALUE_MAX_BYTES 1048576
+#define WAIT_MAX_MS 60000
+#define KEY_MAX_CHARS 256
+#define KEY_CHARS                    \
+	"abcdefghijklmnopqrstuvwxyz" \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+
+enum {
+	FAULT_NONE,
+	FAULT_OUTAGE,
+	FAULT_STALE,
+	FAULT_SLOW
+};
+static const char *const modes[] = { "none", "outage", "stale", "slow", NULL };
+
+/* The last write of a key. */
+struct value {
+	GBytes *bytes; /* NULL after a delete */
+	int64_t revision;
+};
+
+/* Everything below is protected by standin.lock. */
+static GHashTable *values; /* key to struct value */
+static GHashTable *stale;  /* the values when mode stale was set, or NULL */
+static int64_t last_revision;
+static guint rate; /* calls allowed in any second; 0 is no limit */
+static int64_t total, refused, waiting, max_second;
+/* Times of the calls of the last second: all of them, and the allowed ones. */
+static GQueue arrived = G_QUEUE_INIT, allowed = G_QUEUE_INIT;
+
+static void value_free(void *pointer)
+{
+	struct value *value = pointer;
+
+	g_clear_pointer(&value->bytes, g_bytes_unref);
+	g_free(value);
+}
+
+static void store(GHashTable *table, const char *key, GBytes *bytes,
+		  int64_t revision)
+{
+	struct value *value = g_new0(struct value, 1);
+
+	value->bytes = bytes ? g_bytes_ref(bytes) : NULL;
+	value->revision = revision;
+	g_hash_table_replace(table, g_strdup(key), value);
+}
+
+static GHashTable *new_table(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     value_free);
+}
+
+static void on_fault(void)
+{
+	GHashTableIter iter;
+	void *key, *pointer;
+
+	g_clear_pointer(&stale, g_hash_table_unref);
+	if (standin.fault.mode != FAULT_STALE)
+		return;
+	stale = new_table();
+	g_hash_table_iter_init(&iter, values);
+	while (g_hash_table_iter_next(&iter, &key, &pointer)) {
+		const struct value *value = pointer;
+
+		store(stale, key, value->bytes, value->revision);
+	}
+}
+
+static void expire(GQueue *times, int64_t now)
+{
+	int64_t *oldest;
+
+	while ((oldest = g_queue_peek_head(times)) &&
+	       *oldest <= now - NS_PER_SEC)
+		g_free(g_queue_pop_head(times));
+}
+
+/* Counts a call; false when the rate of the last second is used up. */
+static bool count_call(void)
+{
+	int64_t now = clock_monotonic_ns();
+
+	total++;
+	expire(&arrived, now);
+	g_queue_push_tail(&arrived, g_memdup2(&now, sizeof(now)));
+	max_second = MAX(max_second, arrived.length);
+	expire(&allowed, now);
+	if (rate && allowed.length >= rate) {
+		refused++;
+		return false;
+	}
+	g_queue_push_tail(&allowed, g_memdup2(&now, sizeof(now)));
+	return true;
+}
+
+/* The key after the prefix of the path; NULL when it is not a valid key. */
+static const char *parse_key(const char *path, const char *prefix)
+{
+	const char *key, *rest;
+
+	if (!g_str_has_prefix(path, prefix))
+		return NULL;
+	key = path + strlen(prefix);
+	rest = key + strspn(key, KEY_CHARS);
+	if (rest != key && *rest == '/' && rest[1]) {
+		rest++;
+		rest += strspn(rest, KEY_CHARS);
+	}
+	if (!*key || *rest || strlen(key) > KEY_MAX_CHARS)
+		return NULL;
+	return key;
+}
+
+static const struct value *find(const char *key)
+{
+	static const struct value none;
+	const struct value *value =
+		g_hash_table_lookup(stale ? stale : values, key);
+
+	return value ? value : &none;
+}
+
+/* Answers with the lock held, as the value is now. */
+static enum MHD_Result reply_value(const struct request *request,
+				   const struct value *value, int64_t after)
+{
+	char revision[24];
+	size_t len = 0;
+	const void *data = NULL;
+	unsigned int status = value->bytes ? 200 : 404;
+
+	g_snprintf(revision, sizeof(revision), "%" G_GINT64_FORMAT,
+		   value->revision);
+	if (value->revision <= after)
+		status = 304;
+	else if (value->bytes)
+		data = g_bytes_get_data(value->bytes, &len);
+	return reply(request, status, data, len, "Revision", revision, NULL);
+}
+
+/* Answers a read, or a watch when after is not negative. */
+static enum MHD_Result read_value(const struct request *request,
+				  const char *key, int64_t after,
+				  int64_t wait_ms)
+{
+	int64_t until = clock_monotonic_ns() + wait_ms * NS_PER_MS;
+
+	if (standin.fault.mode == FAULT_SLOW)
+		fault_delay();
+	waiting++;
+	while (standin.fault.mode != FAULT_OUTAGE &&
+	       find(key)->revision <= after && standin_wait(until))
+		;
+	waiting--;
+	if (standin.fault.mode != FAULT_OUTAGE)
+		return reply_value(request, find(key), after);
+	if (!standin.fault.hang)
+		return reply_text(request, 503, "outage");
+	while (standin.fault.mode == FAULT_OUTAGE && standin.fault.hang &&
+	       standin_wait(clock_monotonic_ns() + NS_PER_SEC))
+		;
+	return MHD_NO;
+}
+
+static enum MHD_Result on_call(struct request *request)
+{
+	const char *key = parse_key(request->path, "/v1/values/");
+	int64_t after, wait_ms;
+	enum MHD_Result result;
+	bool counted;
+
+	pthread_mutex_lock(&standin.lock);
+	counted = count_call();
+	pthread_mutex_unlock(&standin.lock);
+	if (strcmp(request->method, "GET") && strcmp(request->method, "HEAD"))
+		return reply(request, 405, "read only\n", 10, "Allow",
+			     "GET, HEAD", NULL);
+	if (!counted)
+		return reply_text(request, 429, "too many calls");
+	if (!key)
+		return reply_text(request, 400, "bad key");
+	if (!request_number(request, "after", INT64_MAX, -1, &after) ||
+	    !request_number(request, "wait_ms", WAIT_MAX_MS, 0, &wait_ms))
+		return reply_text(request, 400, "bad after or wait_ms");
+	pthread_mutex_lock(&standin.lock);
+	result = read_value(request, key, after, wait_ms);
+	pthread_mutex_unlock(&standin.lock);
+	return result;
+}
+
+static enum MHD_Result write_value(const struct request *request,
+				   const char *key, bool delete)
+{
+	g_autoptr(GBytes) bytes = NULL;
+	enum MHD_Result result;
+
+	if (!delete)
+		bytes = g_bytes_new(request->body->data, request->body->len);
+	pthread_mutex_lock(&standin.lock);
+	store(values, key, bytes, ++last_revision);
+	result = reply_json(request, 200,
+			    json_pack("{s:I}", "revision",
+				      (json_int_t)last_revision));
+	standin_notify();
+	pthread_mutex_unlock(&standin.lock);
+	return result;
+}
+
+static enum MHD_Result reply_calls(const struct request *request)
+{
+	json_t *json;
+
+	pthread_mutex_lock(&standin.lock);
+	expire(&arrived, clock_monotonic_ns());
+	json = json_pack("{s:I, s:I, s:I, s:I, s:I}", "total",
+			 (json_int_t)total, "last_second",
+			 (json_int_t)arrived.length, "max_second",
+			 (json_int_t)max_second, "refused", (json_int_t)refused,
+			 "waiting", (json_int_t)waiting);
+	pthread_mutex_unlock(&standin.lock);
+	return reply_json(request, 200, json);
+}
+
+static enum MHD_Result on_control(struct request *request)
+{
+	const char *key = parse_key(request->path, "/values/");
+
+	if (request_is(request, "POST", "/fault"))
+		return fault_control(request, modes, on_fault);
+	if (request_is(request, "GET", "/calls"))
+		return reply_calls(request);
+	if (key && !strcmp(request->method, "PUT"))
+		return write_value(request, key, false);
+	if (key && !strcmp(request->method, "DELETE"))
+		return write_value(request, key, true);
+	return reply_text(request, 404, "unknown control request");
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
+	struct arg_str *listen =
+		arg_str1(NULL, "listen", "ADDRESS:PORT", "address for readers");
+	struct arg_str *control = arg_str1(NULL, "control", "ADDRESS:PORT",
+					   "address for the test");
+	struct arg_int *limit =
+		arg_int0(NULL, "rate", "N",
+			 "calls allowed in any second, 0 for all");
+	void *table[] = { help, listen, control, limit, arg_end(5) };
+
+	limit->ival[0] = 2000;
+	standin_parse(argc, argv, table);
+	rate = (guint)MAX(limit->ival[0], 0);
+	values = new_table();
+
+	struct server servers[] = {
+		{ .name = "listen",
+		  .address = listen->sval[0],
+		  .handle = on_call },
+		{ .name = "control",
+		  .address = control->sval[0],
+		  .body_max = VALUE_MAX_BYTES,
+		  .handle = on_control },
+	};
+	return standin_run(servers, G_N_ELEMENTS(servers));
+}
