--- a/standins/backend.c
+++ b/standins/backend.c
@@ -3,7 +3,6 @@
  * is cold after its start, sheds, drains, cancels, and records every execution
  * so that a test can count them.
  */
-#include <argtable2.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
@@ -65,16 +64,39 @@
 	uint64_t stop; /* position at which the connection is broken off */
 };
 
-static struct {
-	const char *name;
-	int slots, connections, service_ms, jitter_ms, cold_slots;
-	int64_t cold_ns;
-	bool fall_over, soft_crash;
-	int log_fd; /* -1 without --log */
-} options;
+enum {
+	NAME,
+	SLOTS,
+	CONNECTIONS,
+	SERVICE_MS,
+	JITTER_MS,
+	SEED,
+	COLD_MS,
+	COLD_SLOTS,
+	LAG_MS,
+	SOFT_CRASH,
+	NO_FALL_OVER,
+	LOG,
+	NR_SETTINGS
+};
+static struct setting settings[NR_SETTINGS + 1] = {
+	[NAME] = { "name", "NAME", "header Backend-Name", 0, "backend" },
+	[SLOTS] = { "slots", "N", "requests run at once", 10, NULL },
+	[CONNECTIONS] = { "connections", "N", "open connections", 130, NULL },
+	[SERVICE_MS] = { "service-ms", "N", "time of a request", 0, NULL },
+	[JITTER_MS] = { "jitter-ms", "N", "most random time added", 0, NULL },
+	[SEED] = { "seed", "N", "seed of the random time", 1, NULL },
+	[COLD_MS] = { "cold-ms", "N", "cold time after start", 0, NULL },
+	[COLD_SLOTS] = { "cold-slots", "N", "requests borne cold", 1, NULL },
+	[LAG_MS] = { "lag-ms", "N", "age of health and load told", 0, NULL },
+	[SOFT_CRASH] = { "soft-crash", NULL, "reset and turn cold, no exit" },
+	[NO_FALL_OVER] = { "no-fall-over", NULL, "bear any load while cold" },
+	[LOG] = { "log", "FILE", "file of execution lines", 0, NULL },
+};
 
 /* Everything below is protected by standin.lock. */
 static struct rng rng;
+static int log_fd = -1; /* without --log */
 static CDS_LIST_HEAD(runs);
 static CDS_LIST_HEAD(connections);
 static json_t *executions;
@@ -94,14 +116,15 @@
 
 static void turn_cold(void)
 {
-	cold_until = clock_monotonic_ns() + options.cold_ns;
+	cold_until =
+		clock_monotonic_ns() + settings[COLD_MS].number * NS_PER_MS;
 	overload_since = DEADLINE_NEVER;
 }
 
 /* Remembers since when a cold server has had more requests than it bears. */
 static void watch_overload(void)
 {
-	if (nr_running <= options.cold_slots)
+	if (nr_running <= settings[COLD_SLOTS].number)
 		overload_since = DEADLINE_NEVER;
 	else if (overload_since == DEADLINE_NEVER)
 		overload_since = clock_monotonic_ns();
@@ -122,8 +145,8 @@
 	struct run *run;
 
 	log_event(LOG_NOTICE, "crash", "reason=%s running=%d soft=%d", reason,
-		  nr_running, options.soft_crash);
-	if (!options.soft_crash)
+		  nr_running, settings[SOFT_CRASH].number);
+	if (!settings[SOFT_CRASH].number)
 		_exit(CRASH_STATUS);
 	nr_crashes++;
 	cds_list_for_each_entry (run, &runs, node)
@@ -155,7 +178,7 @@
 		samples[next_sample].load =
 			lie_load < 0 ? nr_running : (int)lie_load;
 		next_sample = (next_sample + 1) % nr_samples;
-		if (options.fall_over && is_cold() &&
+		if (!settings[NO_FALL_OVER].number && is_cold() &&
 		    overload_since <= clock_monotonic_ns() - OVERLOAD_NS)
 			crash("overload");
 		next += TICK_NS;
@@ -168,8 +191,8 @@
 
 static bool is_execution(const char *method)
 {
-	return strcmp(method, "GET") && strcmp(method, "HEAD") &&
-	       strcmp(method, "OPTIONS");
+	return !g_str_equal(method, "GET") && !g_str_equal(method, "HEAD") &&
+	       !g_str_equal(method, "OPTIONS");
 }
 
 /* One write() for each line, so that kill -9 loses and tears none. */
@@ -178,13 +201,13 @@
 	g_autoptr(GString) line = NULL;
 	char *text;
 
-	if (options.log_fd < 0)
+	if (log_fd < 0)
 		return;
 	text = json_dumps(record, JSON_COMPACT);
 	line = g_string_new(text);
 	free(text);
 	g_string_append_c(line, '\n');
-	if (write(options.log_fd, line->str, line->len) != (ssize_t)line->len)
+	if (write(log_fd, line->str, line->len) != (ssize_t)line->len)
 		log_event(LOG_ERR, "log_failed", "reason=%s",
 			  log_quote(strerror(errno)));
 }
@@ -213,7 +236,7 @@
 /* Takes a slot. False when the request is shed and truly not run. */
 static bool begin(const struct request *request, struct run *run)
 {
-	if (draining || nr_running >= options.slots) {
+	if (draining || nr_running >= settings[SLOTS].number) {
 		nr_shed++;
 		return false;
 	}
@@ -246,9 +269,11 @@
 /* Spends the service time; says how the run ended. */
 static const char *serve(struct run *run)
 {
-	int64_t until = clock_monotonic_ns() + options.service_ms * NS_PER_MS;
+	int64_t until =
+		clock_monotonic_ns() + settings[SERVICE_MS].number * NS_PER_MS;
 
-	until += (int64_t)rng_below(&rng, options.jitter_ms * NS_PER_MS + 1);
+	until += (int64_t)rng_below(&rng,
+				    settings[JITTER_MS].number * NS_PER_MS + 1);
 	if (standin.fault.mode == FAULT_SLOW)
 		until += standin.fault.ms * NS_PER_MS;
 	while (!run->cancelled && !run->reset &&
@@ -296,7 +321,7 @@
 static char *echo(const struct request *request, const char *id)
 {
 	json_t *json = json_pack("{s:s, s:s, s:o, s:o, s:I}", "name",
-				 options.name, "method", request->method,
+				 settings[NAME].text, "method", request->method,
 				 "path", json_text(request->target),
 				 "request_id", json_text(id), "body_bytes",
 				 (json_int_t)request->body_len);
@@ -312,7 +337,6 @@
 {
 	struct content *content = g_new0(struct content, 1);
 	struct MHD_Response *response;
-	enum MHD_Result result;
 	uint64_t len = (uint64_t)bytes;
 
 	content->seed = hash_string(id) % PATTERN_PERIOD;
@@ -324,31 +348,23 @@
 	response = MHD_create_response_from_callback(len, BLOCK_BYTES,
 						     read_content, content,
 						     free_content);
-	MHD_add_response_header(response, "Backend-Name", options.name);
 	MHD_add_response_header(response, "Backend-Request-Id", id);
 	MHD_add_response_header(response, "Content-Type",
 				bytes < 0 ? "application/json"
 					  : "application/octet-stream");
-	result = MHD_queue_response(request->connection, 200, response);
-	MHD_destroy_response(response);
-	return result;
-}
-
-static enum MHD_Result reply_short(const struct request *request,
-				   unsigned int status, const char *text,
-				   const char *header)
-{
-	return reply(request, status, text, strlen(text), "Backend-Name",
-		     options.name, header, header ? "1" : NULL, NULL);
+	return reply_with(request, 200, response);
 }
 
 static enum MHD_Result reply_shed(const struct request *request, bool drains)
 {
-	if (!drains)
-		return reply_short(request, 503, "shed\n", "Backend-Shed");
-	return reply(request, 503, "draining\n", 9, "Backend-Name",
-		     options.name, "Backend-Shed", "1", "Backend-Draining", "1",
-		     NULL);
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer(4, (void *)"shed",
+						MHD_RESPMEM_PERSISTENT);
+
+	MHD_add_response_header(response, "Backend-Shed", "1");
+	if (drains)
+		MHD_add_response_header(response, "Backend-Draining", "1");
+	return reply_with(request, 503, response);
 }
 
 /* Sends RST instead of an answer. */
@@ -387,8 +403,7 @@
 
 	if (!parse_deadline(request, &run.deadline) ||
 	    !request_number(request, "bytes", PATTERN_MAX_BYTES, -1, &bytes))
-		return reply_short(request, 400, "bad deadline or bytes\n",
-				   NULL);
+		return reply_text(request, 400, "bad deadline or bytes");
 	pthread_mutex_lock(&standin.lock);
 	if (begin(request, &run)) {
 		outcome = serve(&run);
@@ -398,15 +413,15 @@
 	truncate = standin.fault.mode == FAULT_TRUNCATE;
 	pthread_mutex_unlock(&standin.lock);
 
-	if (!strcmp(outcome, "shed"))
+	if (g_str_equal(outcome, "shed"))
 		return reply_shed(request, drains);
-	if (!strcmp(outcome, "reset"))
+	if (g_str_equal(outcome, "reset"))
 		return reply_reset(request);
-	if (!strcmp(outcome, "cancelled"))
-		return reply_short(request, 499, "cancelled\n",
-				   "Backend-Cancelled");
-	if (!strcmp(outcome, "deadline"))
-		return reply_short(request, 504, "deadline passed\n", NULL);
+	if (g_str_equal(outcome, "cancelled"))
+		return reply(request, 499, "cancelled", 9, "Backend-Cancelled",
+			     "1");
+	if (g_str_equal(outcome, "deadline"))
+		return reply_text(request, 504, "deadline passed");
 	return reply_done(request, run.id, bytes, truncate);
 }
 
@@ -417,24 +432,24 @@
 	int nr = 0;
 
 	if (!id || !*id)
-		return reply_short(request, 400, "no id\n", NULL);
+		return reply_text(request, 400, "no id");
 	pthread_mutex_lock(&standin.lock);
 	cds_list_for_each_entry (run, &runs, node) {
-		if (strcmp(run->id, id))
+		if (!g_str_equal(run->id, id))
 			continue;
 		run->cancelled = true;
 		nr++;
 	}
 	standin_notify();
 	pthread_mutex_unlock(&standin.lock);
-	return nr ? reply_short(request, 200, "cancelled\n", NULL)
-		  : reply_short(request, 404, "not running\n", NULL);
+	return nr ? reply_text(request, 200, "cancelled")
+		  : reply_text(request, 404, "not running");
 }
 
 /* Answers from the oldest sample of the ring, which is --lag-ms old. */
 static enum MHD_Result reply_sample(const struct request *request)
 {
-	bool is_load = !strcmp(request->path, "/-/load");
+	bool is_load = g_str_equal(request->path, "/-/load");
 	g_autofree char *text = NULL;
 	struct sample sample;
 
@@ -443,10 +458,10 @@
 	if (!sample.health)
 		sample.health = "cold";
 	text = is_load ? g_strdup_printf("{\"load\":%d,\"slots\":%d}",
-					 sample.load, options.slots)
+					 sample.load, settings[SLOTS].number)
 		       : g_strdup_printf("{\"health\":\"%s\"}", sample.health);
 	pthread_mutex_unlock(&standin.lock);
-	return reply_short(request, 200, text, NULL);
+	return reply_text(request, 200, text);
 }
 
 static enum MHD_Result on_call(struct request *request)
@@ -479,8 +494,8 @@
 	int64_t load;
 
 	if (!request_number(request, "load", INT32_MAX, -1, &load) ||
-	    (told && strcmp(told, "ok") && strcmp(told, "cold") &&
-	     strcmp(told, "draining")))
+	    (told && !g_str_equal(told, "ok") && !g_str_equal(told, "cold") &&
+	     !g_str_equal(told, "draining")))
 		return reply_text(request, 400, "bad health or load");
 	pthread_mutex_lock(&standin.lock);
 	/* Samples keep the pointer, so it must not be the request's. */
@@ -540,7 +555,8 @@
 	(void)address;
 	(void)len;
 	pthread_mutex_lock(&standin.lock);
-	result = nr_connections < options.connections ? MHD_YES : MHD_NO;
+	result = nr_connections < settings[CONNECTIONS].number ? MHD_YES
+							       : MHD_NO;
 	pthread_mutex_unlock(&standin.lock);
 	return result;
 }
@@ -569,95 +585,37 @@
 	pthread_mutex_unlock(&standin.lock);
 }
 
-/* A number of the command line, not negative. */
-static struct arg_int *number(const char *name, int fallback, const char *help)
+static void init(void)
 {
-	struct arg_int *arg = arg_int0(NULL, name, "N", help);
-
-	if (arg)
-		arg->ival[0] = fallback;
-	return arg;
-}
+	const char *log = settings[LOG].text;
+	pthread_t ticker;
 
-static void open_log(const char *path)
-{
-	options.log_fd =
-		open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-	if (options.log_fd >= 0)
-		return;
-	log_event(LOG_ERR, "cannot_open", "file=%s reason=%s", log_quote(path),
-		  log_quote(strerror(errno)));
-	exit(1);
+	standin.common[0] = "Backend-Name";
+	standin.common[1] = settings[NAME].text;
+	rng_init(&rng, (uint64_t)settings[SEED].number);
+	executions = json_array();
+	nr_samples = settings[LAG_MS].number * NS_PER_MS / TICK_NS + 1;
+	samples = g_new0(struct sample, nr_samples);
+	if (log)
+		log_fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+			      0644);
+	if (log && log_fd < 0) {
+		log_event(LOG_ERR, "cannot_open", "file=%s reason=%s",
+			  log_quote(log), log_quote(strerror(errno)));
+		exit(1);
+	}
+	turn_cold();
+	pthread_create(&ticker, NULL, run_ticks, NULL);
+	pthread_detach(ticker);
 }
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
-	struct arg_str *listen = arg_str1(NULL, "listen", "ADDRESS:PORT",
-					  "address for requests");
-	struct arg_str *control = arg_str1(NULL, "control", "ADDRESS:PORT",
-					   "address for the test");
-	struct arg_str *name = arg_str1(NULL, "name", "NAME",
-					"value of the header Backend-Name");
-	struct arg_int *slots = number("slots", 10, "requests run at once");
-	struct arg_int *limit = number("connections", 130, "open connections");
-	struct arg_int *service = number("service-ms", 0, "time of a request");
-	struct arg_int *jitter =
-		number("jitter-ms", 0, "largest random time added to it");
-	struct arg_int *cold_ms = number("cold-ms", 0, "cold time after start");
-	struct arg_int *cold_slots =
-		number("cold-slots", 1, "requests at once that it bears cold");
-	struct arg_int *lag_ms =
-		number("lag-ms", 0, "age of answers on health and load");
-	struct arg_int *seed = number("seed", 1, "seed of the jitter");
-	struct arg_lit *soft = arg_lit0(NULL, "soft-crash",
-					"reset connections and turn cold "
-					"instead of exiting");
-	struct arg_lit *steady =
-		arg_lit0(NULL, "no-fall-over", "bear any load while cold");
-	struct arg_file *log = arg_file0(NULL, "log", "FILE",
-					 "append a line for each start and "
-					 "end of an execution");
-	void *table[] = { help,	   listen, control, name,	slots,	limit,
-			  service, jitter, cold_ms, cold_slots, lag_ms, seed,
-			  soft,	   steady, log,	    arg_end(5) };
-	pthread_t ticker;
-	int status;
-
-	standin_parse(argc, argv, table);
-	options.name = name->sval[0];
-	options.slots = slots->ival[0];
-	options.connections = limit->ival[0];
-	options.service_ms = MAX(service->ival[0], 0);
-	options.jitter_ms = MAX(jitter->ival[0], 0);
-	options.cold_slots = cold_slots->ival[0];
-	options.cold_ns = cold_ms->ival[0] * NS_PER_MS;
-	options.soft_crash = soft->count;
-	options.fall_over = !steady->count;
-	options.log_fd = -1;
-	if (log->count)
-		open_log(log->filename[0]);
-
-	rng_init(&rng, (uint64_t)seed->ival[0]);
-	executions = json_array();
-	nr_samples =
-		(size_t)(MAX(lag_ms->ival[0], 0) * NS_PER_MS / TICK_NS) + 1;
-	samples = g_new0(struct sample, nr_samples);
-	turn_cold();
+	static const struct server listen = { .body_max = BODY_MAX_BYTES,
+					      .handle = on_call,
+					      .accept = accept_connection,
+					      .notify = on_connection };
+	static const struct server control = { .handle = on_control };
 
-	struct server servers[] = {
-		{ .name = "listen",
-		  .address = listen->sval[0],
-		  .body_max = BODY_MAX_BYTES,
-		  .handle = on_call,
-		  .accept = accept_connection,
-		  .notify = on_connection },
-		{ .name = "control",
-		  .address = control->sval[0],
-		  .handle = on_control },
-	};
-	pthread_create(&ticker, NULL, run_ticks, NULL);
-	status = standin_run(servers, G_N_ELEMENTS(servers));
-	pthread_join(ticker, NULL);
-	return status;
+	return standin_main(argc, argv, settings, init, &listen, &control);
 }
--- a/standins/hosts.c
+++ b/standins/hosts.c
@@ -2,7 +2,6 @@
  * Stand-in of the host list: answers which hosts are live or leaving as it was
  * some time ago.
  */
-#include <argtable2.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -17,6 +16,11 @@
 };
 static const char *const modes[] = { "none", "outage", "slow", NULL };
 
+static struct setting settings[] = {
+	{ "lag-ms", "N", "age of the list", 0, NULL },
+	{ NULL },
+};
+
 /* One state of the list. */
 struct edition {
 	int64_t at; /* monotonic ns */
@@ -25,7 +29,6 @@
 
 /* Everything below is protected by standin.lock. */
 static GQueue editions = G_QUEUE_INIT; /* oldest first */
-static int64_t lag;		       /* ns */
 static int64_t revision;
 
 /* Adds an edition; takes over the reference to the array of hosts. */
@@ -45,7 +48,7 @@
  */
 static json_t *visible(void)
 {
-	int64_t until = clock_monotonic_ns() - lag;
+	int64_t until = clock_monotonic_ns() - settings[0].number * NS_PER_MS;
 	struct edition *next;
 
 	while ((next = g_queue_peek_nth(&editions, 1)) && next->at <= until) {
@@ -82,7 +85,8 @@
 
 static bool is_state(const char *state)
 {
-	return state && (!strcmp(state, "live") || !strcmp(state, "leaving"));
+	return state &&
+	       (g_str_equal(state, "live") || g_str_equal(state, "leaving"));
 }
 
 static bool is_host(json_t *host)
@@ -135,13 +139,15 @@
 	json_t *host;
 	size_t i;
 
-	if (!name || !state || (!is_state(state) && strcmp(state, "gone")))
+	if (!name || !state ||
+	    (!is_state(state) && !g_str_equal(state, "gone")))
 		return false;
 	json_array_foreach (hosts, i, host) {
-		if (strcmp(json_string_value(json_object_get(host, "host")),
-			   name))
+		if (!g_str_equal(json_string_value(
+					 json_object_get(host, "host")),
+				 name))
 			continue;
-		if (!strcmp(state, "gone"))
+		if (g_str_equal(state, "gone"))
 			return !json_array_remove(hosts, i);
 		return !json_object_set_new(host, "state", json_string(state));
 	}
@@ -188,27 +194,9 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
-	struct arg_str *listen =
-		arg_str1(NULL, "listen", "ADDRESS:PORT", "address for daemons");
-	struct arg_str *control = arg_str1(NULL, "control", "ADDRESS:PORT",
-					   "address for the test");
-	struct arg_int *lag_ms =
-		arg_int0(NULL, "lag-ms", "N", "age of the list, default 0");
-	void *table[] = { help, listen, control, lag_ms, arg_end(5) };
-
-	lag_ms->ival[0] = 0;
-	standin_parse(argc, argv, table);
-	lag = MAX(lag_ms->ival[0], 0) * NS_PER_MS;
-
-	struct server servers[] = {
-		{ .name = "listen",
-		  .address = listen->sval[0],
-		  .handle = on_read },
-		{ .name = "control",
-		  .address = control->sval[0],
-		  .body_max = LIST_MAX_BYTES,
-		  .handle = on_control },
-	};
-	return standin_run(servers, G_N_ELEMENTS(servers));
+	static const struct server listen = { .handle = on_read };
+	static const struct server control = { .body_max = LIST_MAX_BYTES,
+					       .handle = on_control };
+
+	return standin_main(argc, argv, settings, NULL, &listen, &control);
 }
--- a/standins/source.c
+++ b/standins/source.c
@@ -2,7 +2,6 @@
  * Stand-in of the configuration service: readers may only read and watch
  * values, at a limited rate; a test publishes on the control address.
  */
-#include <argtable2.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -23,6 +22,11 @@
 };
 static const char *const modes[] = { "none", "outage", "stale", "slow", NULL };
 
+static struct setting settings[] = {
+	{ "rate", "N", "calls allowed in any second, 0 for all", 2000, NULL },
+	{ NULL },
+};
+
 /* The last write of a key. */
 struct value {
 	GBytes *bytes; /* NULL after a delete */
@@ -33,7 +37,6 @@
 static GHashTable *values; /* key to struct value */
 static GHashTable *stale;  /* the values when mode stale was set, or NULL */
 static int64_t last_revision;
-static guint rate; /* calls allowed in any second; 0 is no limit */
 static int64_t total, refused, waiting, max_second;
 /* Times of the calls of the last second: all of them, and the allowed ones. */
 static GQueue arrived = G_QUEUE_INIT, allowed = G_QUEUE_INIT;
@@ -91,6 +94,7 @@
 /* Counts a call; false when the rate of the last second is used up. */
 static bool count_call(void)
 {
+	guint rate = (guint)settings[0].number;
 	int64_t now = clock_monotonic_ns();
 
 	total++;
@@ -148,7 +152,7 @@
 		status = 304;
 	else if (value->bytes)
 		data = g_bytes_get_data(value->bytes, &len);
-	return reply(request, status, data, len, "Revision", revision, NULL);
+	return reply(request, status, data, len, "Revision", revision);
 }
 
 /* Answers a read, or a watch when after is not negative. */
@@ -185,9 +189,10 @@
 	pthread_mutex_lock(&standin.lock);
 	counted = count_call();
 	pthread_mutex_unlock(&standin.lock);
-	if (strcmp(request->method, "GET") && strcmp(request->method, "HEAD"))
-		return reply(request, 405, "read only\n", 10, "Allow",
-			     "GET, HEAD", NULL);
+	if (!g_str_equal(request->method, "GET") &&
+	    !g_str_equal(request->method, "HEAD"))
+		return reply(request, 405, "read only", 9, "Allow",
+			     "GET, HEAD");
 	if (!counted)
 		return reply_text(request, 429, "too many calls");
 	if (!key)
@@ -242,38 +247,23 @@
 		return fault_control(request, modes, on_fault);
 	if (request_is(request, "GET", "/calls"))
 		return reply_calls(request);
-	if (key && !strcmp(request->method, "PUT"))
+	if (key && g_str_equal(request->method, "PUT"))
 		return write_value(request, key, false);
-	if (key && !strcmp(request->method, "DELETE"))
+	if (key && g_str_equal(request->method, "DELETE"))
 		return write_value(request, key, true);
 	return reply_text(request, 404, "unknown control request");
 }
 
-int main(int argc, char **argv)
+static void init(void)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
-	struct arg_str *listen =
-		arg_str1(NULL, "listen", "ADDRESS:PORT", "address for readers");
-	struct arg_str *control = arg_str1(NULL, "control", "ADDRESS:PORT",
-					   "address for the test");
-	struct arg_int *limit =
-		arg_int0(NULL, "rate", "N",
-			 "calls allowed in any second, 0 for all");
-	void *table[] = { help, listen, control, limit, arg_end(5) };
-
-	limit->ival[0] = 2000;
-	standin_parse(argc, argv, table);
-	rate = (guint)MAX(limit->ival[0], 0);
 	values = new_table();
+}
+
+int main(int argc, char **argv)
+{
+	static const struct server listen = { .handle = on_call };
+	static const struct server control = { .body_max = VALUE_MAX_BYTES,
+					       .handle = on_control };
 
-	struct server servers[] = {
-		{ .name = "listen",
-		  .address = listen->sval[0],
-		  .handle = on_call },
-		{ .name = "control",
-		  .address = control->sval[0],
-		  .body_max = VALUE_MAX_BYTES,
-		  .handle = on_control },
-	};
-	return standin_run(servers, G_N_ELEMENTS(servers));
+	return standin_main(argc, argv, settings, init, &listen, &control);
 }
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -16,50 +16,69 @@
  * limits connections itself uses struct server.accept.
  */
 #define MAX_CONNECTIONS 4000
+#define MAX_SETTINGS 20
 #define THREAD_STACK_BYTES (256 * 1024)
 
-static sigset_t stop_signals;
-
 struct standin standin = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
-/* Blocks the stop signals before any thread starts and inherits the mask. */
-static void prepare(void)
+static void *make_argument(const struct setting *setting)
 {
-	pthread_condattr_t attr;
-
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&standin.changed, &attr);
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&stop_signals);
-	sigaddset(&stop_signals, SIGTERM);
-	sigaddset(&stop_signals, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
+	struct arg_int *number;
+
+	if (!setting->unit)
+		return arg_lit0(NULL, setting->name, setting->help);
+	if (!g_str_equal(setting->unit, "N"))
+		return arg_str0(NULL, setting->name, setting->unit,
+				setting->help);
+	number = arg_int0(NULL, setting->name, "N", setting->help);
+	if (number)
+		number->ival[0] = setting->number;
+	return number;
 }
 
-void standin_parse(int argc, char **argv, void **argtable)
+/* Takes over the value of an argument; false when it is negative. */
+static bool take_argument(struct setting *setting, const void *argument)
 {
-	struct arg_lit *help = argtable[0];
-	struct arg_end *end;
-	int nr = 0, nr_errors;
+	if (!setting->unit)
+		setting->number = ((const struct arg_lit *)argument)->count;
+	else if (g_str_equal(setting->unit, "N"))
+		setting->number = *((const struct arg_int *)argument)->ival;
+	else if (((const struct arg_str *)argument)->count)
+		setting->text = *((const struct arg_str *)argument)->sval;
+	return setting->number >= 0;
+}
 
-	if (arg_nullcheck(argtable)) {
-		fprintf(stderr, "%s: out of memory\n", argv[0]);
+/* Exits when the command line is wrong or asks for help. */
+static void parse(int argc, char **argv, struct setting *settings,
+		  const char **listen, const char **control)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
+	struct arg_str *first = arg_str1(NULL, "listen", "ADDRESS:PORT",
+					 "address for the system");
+	struct arg_str *second = arg_str1(NULL, "control", "ADDRESS:PORT",
+					  "address for the test");
+	struct arg_end *end = arg_end(5);
+	void *table[MAX_SETTINGS + 4] = { help, first, second };
+	bool valid;
+	size_t nr;
+
+	for (nr = 0; nr < MAX_SETTINGS && settings[nr].name; nr++)
+		table[nr + 3] = make_argument(&settings[nr]);
+	table[nr + 3] = end;
+	if (arg_nullcheck(table))
 		exit(1);
-	}
-	while (!(((struct arg_hdr *)argtable[nr])->flag & ARG_TERMINATOR))
-		nr++;
-	end = argtable[nr];
-	nr_errors = arg_parse(argc, argv, argtable);
-	if (!help->count && !nr_errors) {
-		prepare();
+	valid = !arg_parse(argc, argv, table);
+	for (size_t i = 0; valid && i < nr; i++)
+		valid = take_argument(&settings[i], table[i + 3]);
+	if (valid && !help->count) {
+		*listen = *first->sval;
+		*control = *second->sval;
 		return;
 	}
-	if (!help->count)
-		arg_print_errors(stderr, end, argv[0]);
+	arg_print_errors(stderr, end, argv[0]);
 	fprintf(stderr, "usage: %s", argv[0]);
-	arg_print_syntax(stderr, argtable, "\n");
-	arg_print_glossary(stderr, argtable, "  %-28s %s\n");
+	arg_print_syntax(stderr, table, "\n");
+	arg_print_glossary(stderr, table, "  %-24s %s\n");
 	exit(help->count ? 0 : 2);
 }
 
@@ -139,55 +158,77 @@
 	return server->handle(request);
 }
 
-static bool start_server(struct server *server)
+/* NULL when the address is wrong or in use. */
+static struct MHD_Daemon *start_server(const struct server *server,
+				       const char *text)
 {
 	struct sockaddr_in address;
+	struct MHD_Daemon *daemon;
 
-	if (!parse_address(server->address, &address)) {
-		log_event(LOG_ERR, "bad_address",
-			  "server=%s address=%s reason=\"not 127.0.0.x:port\"",
-			  server->name, log_quote(server->address));
-		return false;
-	}
-	server->daemon = MHD_start_daemon(
+	errno = EINVAL;
+	if (!parse_address(text, &address))
+		return NULL;
+	daemon = MHD_start_daemon(
 		MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
 			MHD_USE_THREAD_PER_CONNECTION,
-		0, server->accept, NULL, on_request, server,
+		0, server->accept, NULL, on_request, (void *)server,
 		MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned int)MAX_CONNECTIONS, MHD_OPTION_THREAD_STACK_SIZE,
 		(size_t)THREAD_STACK_BYTES, MHD_OPTION_URI_LOG_CALLBACK,
 		on_target, NULL, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
 		NULL, MHD_OPTION_NOTIFY_CONNECTION, server->notify, NULL,
 		MHD_OPTION_END);
-	if (!server->daemon) {
-		log_event(LOG_ERR, "cannot_listen",
-			  "server=%s address=%s reason=%s", server->name,
-			  server->address, log_quote(strerror(errno)));
-		return false;
-	}
-	log_event(LOG_INFO, "listening", "server=%s address=%s", server->name,
-		  server->address);
-	return true;
+	if (daemon)
+		log_event(LOG_INFO, "listening", "address=%s", text);
+	else
+		log_event(LOG_ERR, "cannot_listen", "address=%s reason=%s",
+			  log_quote(text), log_quote(strerror(errno)));
+	return daemon;
+}
+
+/* Blocks the stop signals before any thread starts and inherits the mask. */
+static void prepare_threads(sigset_t *stop_signals)
+{
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&standin.changed, &attr);
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(stop_signals);
+	sigaddset(stop_signals, SIGTERM);
+	sigaddset(stop_signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, stop_signals, NULL);
 }
 
-int standin_run(struct server *servers, size_t nr)
+int standin_main(int argc, char **argv, struct setting *settings,
+		 void (*init)(void), const struct server *listen,
+		 const struct server *control)
 {
-	bool started = true;
+	struct MHD_Daemon *first, *second = NULL;
+	const char *address, *control_address;
+	sigset_t stop_signals;
 	int signal_nr;
 
-	for (size_t i = 0; started && i < nr; i++)
-		started = start_server(&servers[i]);
-	if (started)
+	parse(argc, argv, settings, &address, &control_address);
+	prepare_threads(&stop_signals);
+	if (init)
+		init();
+	first = start_server(listen, address);
+	if (first)
+		second = start_server(control, control_address);
+	if (second)
 		sigwait(&stop_signals, &signal_nr);
 
 	pthread_mutex_lock(&standin.lock);
 	standin.stopping = true;
 	standin_notify();
 	pthread_mutex_unlock(&standin.lock);
-	for (size_t i = 0; i < nr; i++)
-		if (servers[i].daemon)
-			MHD_stop_daemon(servers[i].daemon);
-	return started ? 0 : 1;
+	if (first)
+		MHD_stop_daemon(first);
+	if (second)
+		MHD_stop_daemon(second);
+	return second ? 0 : 1;
 }
 
 bool standin_wait(int64_t deadline)
@@ -209,7 +250,8 @@
 bool request_is(const struct request *request, const char *method,
 		const char *path)
 {
-	return !strcmp(request->method, method) && !strcmp(request->path, path);
+	return g_str_equal(request->method, method) &&
+	       g_str_equal(request->path, path);
 }
 
 const char *request_header(const struct request *request, const char *name)
@@ -244,33 +286,36 @@
 	return !text || parse_number(text, max, value);
 }
 
-enum MHD_Result reply(const struct request *request, unsigned int status,
-		      const void *body, size_t len, ...)
+enum MHD_Result reply_with(const struct request *request, unsigned int status,
+			   struct MHD_Response *response)
 {
-	struct MHD_Response *response =
-		MHD_create_response_from_buffer(len, (void *)body,
-						MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
-	const char *name;
-	va_list args;
-
-	va_start(args, len);
-	while ((name = va_arg(args, const char *)))
-		MHD_add_response_header(response, name,
-					va_arg(args, const char *));
-	va_end(args);
+
+	if (standin.common[0])
+		MHD_add_response_header(response, standin.common[0],
+					standin.common[1]);
 	result = MHD_queue_response(request->connection, status, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
+enum MHD_Result reply(const struct request *request, unsigned int status,
+		      const void *body, size_t len, const char *name,
+		      const char *value)
+{
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer(len, (void *)body,
+						MHD_RESPMEM_MUST_COPY);
+
+	if (name)
+		MHD_add_response_header(response, name, value);
+	return reply_with(request, status, response);
+}
+
 enum MHD_Result reply_text(const struct request *request, unsigned int status,
 			   const char *text)
 {
-	g_autofree char *line = g_strdup_printf("%s\n", text);
-
-	return reply(request, status, line, strlen(line), "Content-Type",
-		     "text/plain", NULL);
+	return reply(request, status, text, strlen(text), NULL, NULL);
 }
 
 enum MHD_Result reply_json(const struct request *request, unsigned int status,
@@ -283,7 +328,7 @@
 	if (!text)
 		return MHD_NO;
 	result = reply(request, status, text, strlen(text), "Content-Type",
-		       "application/json", NULL);
+		       "application/json");
 	free(text);
 	return result;
 }
@@ -302,7 +347,8 @@
 	struct fault fault = { 0 };
 	int64_t hang;
 
-	while (name && modes[fault.mode] && strcmp(modes[fault.mode], name))
+	while (name && modes[fault.mode] &&
+	       !g_str_equal(modes[fault.mode], name))
 		fault.mode++;
 	if (!name || !modes[fault.mode])
 		return reply_text(request, 400, "unknown mode");
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -26,16 +26,22 @@
 	size_t body_len;  /* received, also beyond body_max */
 };
 
-/* One listen address. handle() may block; it runs in its connection's thread.
- */
+/* What a program does on one of its two addresses. */
 struct server {
-	const char *name;    /* for log lines */
-	const char *address; /* 127.0.0.x:port */
-	size_t body_max;     /* a longer body is answered with 413 */
+	size_t body_max; /* a longer body is answered with 413 */
+	/* May block; it runs in its connection's thread. */
 	enum MHD_Result (*handle)(struct request *request);
 	MHD_AcceptPolicyCallback accept;     /* or NULL */
 	MHD_NotifyConnectionCallback notify; /* or NULL */
-	struct MHD_Daemon *daemon;	     /* set by standin_run() */
+};
+
+/* An option of the command line besides --listen and --control. */
+struct setting {
+	const char *name;
+	const char *unit; /* "N" for a number, NULL for a flag, else a text */
+	const char *help;
+	int number;	  /* default, then the value; never negative */
+	const char *text; /* default, then the value */
 };
 
 struct fault {
@@ -50,19 +56,19 @@
 	pthread_cond_t changed; /* any change that a waiting request must see */
 	bool stopping;
 	struct fault fault;
+	const char *common[2]; /* header of every answer; NULL for none */
 };
 
 extern struct standin standin;
 
 /*
- * Parses the command line and prepares the state shared by threads. Prints
- * usage and exits with status 2 when it is wrong, with 0 after --help. The
- * first entry of the table is --help.
+ * Parses the command line, calls init(), which may be NULL, and serves until
+ * SIGTERM or SIGINT. The result is the exit status of the program: 2 for wrong
+ * usage. settings ends with an entry without name.
  */
-void standin_parse(int argc, char **argv, void **argtable);
-
-/* Serves until SIGTERM or SIGINT; the exit status of the program. */
-int standin_run(struct server *servers, size_t nr);
+int standin_main(int argc, char **argv, struct setting *settings,
+		 void (*init)(void), const struct server *listen,
+		 const struct server *control);
 
 /*
  * Waits with the lock held until a change or the deadline (monotonic ns).
@@ -91,14 +97,16 @@
 /* Parses a whole number in [0, max]. */
 bool parse_number(const char *text, int64_t max, int64_t *value);
 
-/*
- * Answers with a copy of the body and pairs of header names and values up to
- * NULL.
- */
+/* Queues a response and releases it. */
+enum MHD_Result reply_with(const struct request *request, unsigned int status,
+			   struct MHD_Response *response);
+
+/* Answers with a copy of the body and one header; name may be NULL. */
 enum MHD_Result reply(const struct request *request, unsigned int status,
-		      const void *body, size_t len, ...) G_GNUC_NULL_TERMINATED;
+		      const void *body, size_t len, const char *name,
+		      const char *value);
 
-/* Answers with a line of text that says why. */
+/* Answers with a text. */
 enum MHD_Result reply_text(const struct request *request, unsigned int status,
 			   const char *text);
 
