--- /dev/null
+++ b/tests/support/http.c
@@ -0,0 +1,125 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <neon/ne_request.h>
+#include <neon/ne_session.h>
+#include <neon/ne_socket.h>
+
+#include "http.h"
+
+/* Longer than the longest watch of the source, 60 s. */
+#define DEFAULT_TIMEOUT_S 70
+#define BLOCK_BYTES 16384
+
+static void init_neon(void)
+{
+	ne_sock_init();
+}
+
+static ne_session *open_session(const struct http_request *request)
+{
+	g_auto(GStrv) parts = g_strsplit(request->address, ":", 2);
+	int timeout =
+		request->timeout_s ? request->timeout_s : DEFAULT_TIMEOUT_S;
+	ne_session *session =
+		ne_session_create("http", parts[0],
+				  parts[1] ? (unsigned)atoi(parts[1]) : 0);
+
+	ne_set_read_timeout(session, timeout);
+	ne_set_connect_timeout(session, timeout);
+	/* Without a kept connection neon has no reason to send twice. */
+	ne_set_session_flag(session, NE_SESSFLAG_PERSIST, 0);
+	return session;
+}
+
+static void add_headers(ne_request *req, const char *headers)
+{
+	g_auto(GStrv) lines = g_strsplit(headers ? headers : "", "\r\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		char *value = strchr(*line, ':');
+
+		if (!value)
+			continue;
+		*value++ = '\0';
+		ne_add_request_header(req, *line, value + strspn(value, " "));
+	}
+}
+
+static void take_headers(ne_request *req, struct http_response *response)
+{
+	const char *name, *value;
+	void *cursor = NULL;
+
+	while ((cursor =
+			ne_response_header_iterate(req, cursor, &name, &value)))
+		g_hash_table_replace(response->headers,
+				     g_ascii_strdown(name, -1),
+				     g_strdup(value));
+}
+
+/* Runs the request; the result is one of neon's, NE_OK for a whole answer. */
+static int dispatch(ne_request *req, struct http_response *response)
+{
+	char block[BLOCK_BYTES];
+	ssize_t len;
+	int result = ne_begin_request(req);
+
+	if (result != NE_OK)
+		return result;
+	take_headers(req, response);
+	while ((len = ne_read_response_block(req, block, sizeof(block))) > 0)
+		g_byte_array_append(response->body, (const guint8 *)block,
+				    (guint)len);
+	return len < 0 ? NE_ERROR : ne_end_request(req);
+}
+
+int http_send(const struct http_request *request,
+	      struct http_response *response)
+{
+	static pthread_once_t once = PTHREAD_ONCE_INIT;
+	ne_session *session;
+	ne_request *req;
+	int result;
+
+	pthread_once(&once, init_neon);
+	memset(response, 0, sizeof(*response));
+	response->headers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	response->body = g_byte_array_new();
+
+	session = open_session(request);
+	req = ne_request_create(session,
+				request->method ? request->method : "GET",
+				request->target ? request->target : "/");
+	ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, 0);
+	add_headers(req, request->headers);
+	if (request->body)
+		ne_set_request_body_buffer(req, request->body,
+					   request->body_len);
+	result = dispatch(req, response);
+	if (result == NE_OK)
+		response->status = ne_get_status(req)->code;
+	else
+		response->error = g_strdup(ne_get_error(session));
+	response->refused = result == NE_CONNECT;
+	g_byte_array_append(response->body, (const guint8 *)"", 1);
+	g_byte_array_set_size(response->body, response->body->len - 1);
+	ne_request_destroy(req);
+	ne_session_destroy(session);
+	return response->status;
+}
+
+const char *http_header(const struct http_response *response, const char *name)
+{
+	return g_hash_table_lookup(response->headers, name);
+}
+
+void http_response_release(struct http_response *response)
+{
+	g_hash_table_unref(response->headers);
+	g_byte_array_unref(response->body);
+	g_free(response->error);
+	memset(response, 0, sizeof(*response));
+}
