--- a/standins/standin.c
+++ b/standins/standin.c
@@ -73,6 +73,8 @@
 	if (valid && !help->count) {
 		*listen = *first->sval;
 		*control = *second->sval;
+		/* The values stay: they are pointers into argv. */
+		arg_freetable(table, nr + 4);
 		return;
 	}
 	arg_print_errors(stderr, end, argv[0]);
