--- a/lib/dist/dist.h
+++ b/lib/dist/dist.h
@@ -216,25 +216,25 @@
 
 /*
  * Events. Blobs and lists are borrowed for the call; references are taken
- * where they are kept. Answers to calls that ended or timed out are ignored.
+ * where they are kept. id is the number of the call. Answers to calls that
+ * ended or timed out are ignored.
  */
 
 /* The host list was read. Reading it is up to the caller. */
 void dist_host_list(struct dist *dist, struct host_list *list, int64_t now);
 
 /* A call of the source ended; blob only with DIST_VALUE. */
-void dist_source_result(struct dist *dist, uint64_t call,
+void dist_source_result(struct dist *dist, uint64_t id,
 			enum dist_outcome outcome, struct blob *blob,
 			int64_t now);
 
 /* A peer answered ANNOUNCE. */
-void dist_peer_announced(struct dist *dist, uint64_t call,
+void dist_peer_announced(struct dist *dist, uint64_t id,
 			 const struct dist_announce *answer, int64_t now);
 
 /* GET_MANIFEST or GET_PART ended, or any call of a peer failed. */
-void dist_peer_result(struct dist *dist, uint64_t call,
-		      enum dist_outcome outcome, struct blob *blob,
-		      int64_t now);
+void dist_peer_result(struct dist *dist, uint64_t id, enum dist_outcome outcome,
+		      struct blob *blob, int64_t now);
 
 /* A peer called ANNOUNCE; fills the answer. */
 void dist_on_announce(struct dist *dist, const struct dist_announce *call,
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -127,13 +127,14 @@
 enum member_scope {
 	MEMBER_OWN_ZONE,
 	MEMBER_OTHER_ZONE,
-	MEMBER_ANY_ZONE
+	MEMBER_ANY_ZONE,
+	MEMBER_SUSPECTED /* suspected members of any zone, and only these */
 };
 
 /*
  * Draws up to nr distinct random peers of the scope into out, without the own
- * host, leaving and suspected hosts. Returns how many were drawn. The entries
- * are valid until the next host list.
+ * host and leaving hosts, and without suspected hosts unless asked for these.
+ * Returns how many were drawn. The entries are valid until the next host list.
  */
 size_t member_draw(struct member *member, enum member_scope scope, size_t nr,
 		   const struct member_host **out, int64_t now);
