--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -70,10 +70,18 @@
 bool header_is_hop_by_hop(const char *name)
 {
 	static const char *const names[] = {
-		"connection",	     "content-length", "expect",
-		"host",		     "keep-alive",     "proxy-authenticate",
-		"proxy-authorization", "proxy-connection", "te",
-		"trailer",	     "transfer-encoding", "upgrade",
+		"connection",
+		"content-length",
+		"expect",
+		"host",
+		"keep-alive",
+		"proxy-authenticate",
+		"proxy-authorization",
+		"proxy-connection",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
@@ -195,8 +203,8 @@
 {
 	const struct traffic_request *request = call->request;
 	ne_session *neon_session = open_neon(session, call->deadline);
-	ne_request *neon = ne_request_create(neon_session, request->method,
-					     request->path);
+	ne_request *neon =
+		ne_request_create(neon_session, request->method, request->path);
 	enum failure_reason reason;
 
 	/*
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -18,9 +18,9 @@
 struct backend_call {
 	const struct traffic_request *request;
 	const char *request_id;
-	int64_t deadline; /* monotonic ns */
+	int64_t deadline;		/* monotonic ns */
 	struct request_context context; /* handed to the backend server */
-	bool repeatable; /* neon may repeat it on a stale connection */
+	bool repeatable;  /* neon may repeat it on a stale connection */
 	int64_t body_max; /* bytes; a longer response is an error */
 };
 
--- /dev/null
+++ b/godwitspur/client.h
@@ -0,0 +1,14 @@
+#ifndef GODWITSPUR_CLIENT_H
+#define GODWITSPUR_CLIENT_H
+
+#include <glib.h>
+
+/*
+ * Calls an operator address: METHOD http://ADDRESS/path. Returns the body of a
+ * 200 answer, which the caller frees, or NULL with an error that names the
+ * address and the reason.
+ */
+char *client_call(const char *address, const char *method, const char *path,
+		  GError **error);
+
+#endif
--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -46,7 +46,7 @@
 	bool host_list_pending;
 	int64_t sweep_deadline;
 	int64_t manifest_revision; /* of the source, of the last read */
-	struct tree *validated; /* by the last acceptance */
+	struct tree *validated;	   /* by the last acceptance */
 	struct version_id validated_id;
 };
 
@@ -129,8 +129,10 @@
 			   struct findings *findings)
 {
 	struct control *control = ctx;
-	CLEANUP(manifest_freep) struct manifest *manifest = manifest_parse(
-		version->manifest->bytes, version->manifest->len, findings);
+	CLEANUP(manifest_freep)
+	struct manifest *manifest =
+		manifest_parse(version->manifest->bytes, version->manifest->len,
+			       findings);
 	g_autofree const char **parts = NULL;
 
 	if (control->validated)
@@ -150,8 +152,7 @@
 	.accept = accept_version,
 };
 
-static void apply_version(struct control *control,
-			  struct dist_version *version)
+static void apply_version(struct control *control, struct dist_version *version)
 {
 	struct findings findings;
 
@@ -163,10 +164,9 @@
 	findings_release(&findings);
 	if (!control->validated)
 		return;
-	control->options.ops->apply(
-		control->options.ctx,
-		table_new(control->validated, &version->id,
-			  control->options.settings->zone));
+	control->options.ops->apply(control->options.ctx,
+				    table_new(control->validated, &version->id,
+					      control->options.settings->zone));
 	tree_free(control->validated);
 	control->validated = NULL;
 }
@@ -224,10 +224,10 @@
 		return g_strdup_printf("/v1/values/part/%s", hex);
 	}
 	if (call->wait_ms > 0 && call->has_known)
-		return g_strdup_printf(
-			"/v1/values/manifest?after=%" PRId64
-			"&wait_ms=%" PRId64,
-			control->manifest_revision, call->wait_ms);
+		return g_strdup_printf("/v1/values/manifest?after=%" PRId64
+				       "&wait_ms=%" PRId64,
+				       control->manifest_revision,
+				       call->wait_ms);
 	return g_strdup("/v1/values/manifest");
 }
 
@@ -645,10 +645,9 @@
 
 	cds_list_for_each_entry (refusal, dist_refusals(control->dist), node)
 		json_array_append_new(
-			array,
-			json_pack("{s:o, s:o}", "version",
-				  version_json(&refusal->id), "findings",
-				  findings_to_json(&refusal->findings)));
+			array, json_pack("{s:o, s:o}", "version",
+					 version_json(&refusal->id), "findings",
+					 findings_to_json(&refusal->findings)));
 	return array;
 }
 
@@ -693,10 +692,8 @@
 				  hosts[i]->host, "zone", hosts[i]->zone,
 				  "control", hosts[i]->control, "version",
 				  version_json(&id), "heard_ms_ago",
-				  (json_int_t)(known ?
-						       (now - heard) /
-							       NS_PER_MS :
-						       -1)));
+				  (json_int_t)(known ? (now - heard) / NS_PER_MS
+						     : -1)));
 	}
 	g_free(hosts);
 	return array;
@@ -706,9 +703,8 @@
 {
 	int64_t now = clock_monotonic_ns();
 
-	return json_pack("{s:o, s:o, s:o, s:i}", "status",
-			 status_json(control), "dist",
-			 dist_dump(control->dist, now), "member",
+	return json_pack("{s:o, s:o, s:o, s:i}", "status", status_json(control),
+			 "dist", dist_dump(control->dist, now), "member",
 			 member_dump(control->member, now), "peer_connections",
 			 (int)g_hash_table_size(control->peers));
 }
@@ -844,8 +840,8 @@
 
 	control->options = *options;
 	rng_init(&control->rng, options->seed);
-	control->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					       peer_free);
+	control->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	control->loop = net_loop_new(&loop);
 	control->service.program = CONTROL_PROGRAM;
 	control->service.version = CONTROL_VERSION;
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -112,9 +112,8 @@
 
 	if (!status)
 		return NULL;
-	json_object_set_new(
-		status, "draining",
-		json_boolean(g_atomic_int_get(&daemon->draining)));
+	json_object_set_new(status, "draining",
+			    json_boolean(g_atomic_int_get(&daemon->draining)));
 	json_object_set_new(status, "in_flight",
 			    json_integer(ingress_in_flight(daemon->ingress) +
 					 target_in_flight(daemon->target)));
@@ -270,7 +269,7 @@
 	};
 	struct operator_options operator= {
 		.listen = daemon->settings->operator,
-		.metrics = &daemon->metrics,
+		.metrics = & daemon->metrics,
 		.ops = &operator_ops,
 		.ctx = daemon,
 	};
--- a/godwitspur/fetch.h
+++ b/godwitspur/fetch.h
@@ -14,19 +14,22 @@
 #define FETCH_BODY_MAX (1024 * 1024)
 
 /* Status codes below 0 are failures without an HTTP answer. */
-enum { FETCH_FAILED = -1, FETCH_TOO_LONG = -2 };
+enum {
+	FETCH_FAILED = -1,
+	FETCH_TOO_LONG = -2
+};
 
 /* A read; owned by the pool from fetch_start() until done has returned. */
 struct fetch {
 	struct cds_list_head node;
 	struct net_address address;
-	char *path; /* with query; freed by the pool */
-	int read_timeout_sec; /* neon counts whole seconds */
+	char *path;			   /* with query; freed by the pool */
+	int read_timeout_sec;		   /* neon counts whole seconds */
 	void (*done)(struct fetch *fetch); /* on the loop's thread */
 	void *ctx;
 
 	/* The result. */
-	int status; /* HTTP status or FETCH_* */
+	int status;	  /* HTTP status or FETCH_* */
 	int64_t revision; /* header Revision; 0 when absent */
 	GByteArray *body;
 };
--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -35,8 +35,8 @@
 	struct balance *balance;
 	GArray *budgets; /* struct retry_budget by service index */
 	struct quarantine *quarantine;
-	int serving; /* atomic */
-	int draining; /* atomic */
+	int serving;   /* atomic */
+	int draining;  /* atomic */
 	int in_flight; /* atomic */
 	struct counter requests[NR_OUTCOMES];
 	struct counter retries;
@@ -47,7 +47,7 @@
 struct exchange {
 	struct ingress *ingress;
 	struct MHD_Connection *connection;
-	char *path; /* as sent, without query */
+	char *path;   /* as sent, without query */
 	char *target; /* path and query as sent */
 	const char *method;
 	GByteArray *body;
@@ -351,8 +351,8 @@
 	else
 		found = balance_pick(ingress->balance, &request, now, choice);
 	if (!found || !balance_start(ingress->balance, choice->target, now))
-		return exchange->has_ticket ? FAILURE_TICKET_UNREACHABLE :
-					      FAILURE_NO_TARGET;
+		return exchange->has_ticket ? FAILURE_TICKET_UNREACHABLE
+					    : FAILURE_NO_TARGET;
 	return FAILURE_NONE;
 }
 
@@ -405,7 +405,8 @@
 		again = nr < BALANCE_EXCLUDED_MAX &&
 			send_again(exchange, reason, now);
 		pthread_mutex_unlock(&ingress->lock);
-		excluded[nr++] = choice.target;
+		if (again)
+			excluded[nr++] = choice.target;
 		if (again)
 			counter_add(&ingress->retries, 1);
 	} while (again);
@@ -503,9 +504,9 @@
 	info = MHD_get_connection_info(exchange->connection,
 				       MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	if (!info || getnameinfo(info->client_addr,
-				 info->client_addr->sa_family == AF_INET ?
-					 sizeof(struct sockaddr_in) :
-					 sizeof(struct sockaddr_in6),
+				 info->client_addr->sa_family == AF_INET
+					 ? sizeof(struct sockaddr_in)
+					 : sizeof(struct sockaddr_in6),
 				 exchange->caller, sizeof(exchange->caller),
 				 NULL, 0, NI_NUMERICHOST))
 		g_strlcpy(exchange->caller, "unknown",
@@ -550,8 +551,9 @@
 	struct ingress *ingress = exchange->ingress;
 
 	pthread_mutex_lock(&ingress->lock);
-	exchange->service = balance_service_index(
-		ingress->balance, exchange->route->service->name);
+	exchange->service =
+		balance_service_index(ingress->balance,
+				      exchange->route->service->name);
 	pthread_mutex_unlock(&ingress->lock);
 	return exchange->service < 0 ? FAILURE_NO_TARGET : FAILURE_NONE;
 }
@@ -577,9 +579,11 @@
 	if (reason != FAILURE_NONE)
 		return reason;
 	take_caller(exchange);
-	exchange->fingerprint = quarantine_fingerprint(
-		exchange->route->service->name, exchange->method,
-		exchange->target, exchange->body->data, exchange->body->len);
+	exchange->fingerprint =
+		quarantine_fingerprint(exchange->route->service->name,
+				       exchange->method, exchange->target,
+				       exchange->body->data,
+				       exchange->body->len);
 	pthread_mutex_lock(&ingress->lock);
 	reason = check_limits(exchange);
 	pthread_mutex_unlock(&ingress->lock);
@@ -673,15 +677,16 @@
 {
 	struct MHD_Response *response;
 	enum failure_reason reason = FAILURE_NO_ROUTE;
-	const char *path = MHD_lookup_connection_value(
-		exchange->connection, MHD_GET_ARGUMENT_KIND, "path");
+	const char *path =
+		MHD_lookup_connection_value(exchange->connection,
+					    MHD_GET_ARGUMENT_KIND, "path");
 
 	if (strcmp(exchange->method, "POST") != 0 || !path)
 		return answer_failure(exchange, FAILURE_BAD_REQUEST);
 	if (is_refusing(exchange->ingress))
 		return answer_failure(exchange, FAILURE_INGRESS_DRAINING);
-	exchange->route = table_match(exchange->snapshot->table,
-				      HTTP_METHOD_POST, path);
+	exchange->route =
+		table_match(exchange->snapshot->table, HTTP_METHOD_POST, path);
 	if (exchange->route)
 		reason = find_service(exchange);
 	if (reason == FAILURE_NONE && !issue_ticket(exchange))
@@ -780,9 +785,8 @@
 
 static void take_body(struct exchange *exchange, const char *data, size_t len)
 {
-	int64_t max = exchange->route ?
-			      exchange->route->policy.body_max_bytes :
-			      UNROUTED_BODY_MAX;
+	int64_t max = exchange->route ? exchange->route->policy.body_max_bytes
+				      : UNROUTED_BODY_MAX;
 
 	/* PEER_BODY_MAX is the largest body that one message can carry. */
 	if ((int64_t)(exchange->body->len + len) > MIN(max, PEER_BODY_MAX))
@@ -858,16 +862,15 @@
 	if (listen->storage.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	ingress->http = MHD_start_daemon(
-		flags, 0, NULL, NULL, on_request, ingress,
-		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&listen->storage,
+		flags, 0, NULL, NULL, on_request, ingress, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&listen->storage,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_CONNECTION_SEC,
 		MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES,
-		MHD_OPTION_STRICT_FOR_CLIENT, 1,
-		MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, NULL,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-		MHD_OPTION_END);
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_UNESCAPE_CALLBACK,
+		keep_escapes, NULL, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+		NULL, MHD_OPTION_END);
 	if (!ingress->http)
 		g_set_error(error, NET_ERROR, NET_ERROR_SOCKET,
 			    "%s:%u: cannot listen for callers", listen->host,
@@ -886,8 +889,8 @@
 		.rng = &ingress->rng,
 	};
 	struct quarantine_options quarantine = {
-		.origin = quarantine_origin(options->host,
-					    ~options->incarnation),
+		.origin =
+			quarantine_origin(options->host, ~options->incarnation),
 		.crashes = 2,
 		.quarantine_ns = 60 * NS_PER_SEC,
 	};
@@ -896,7 +899,8 @@
 	pthread_mutex_init(&ingress->lock, NULL);
 	rng_init(&ingress->rng, options->seed);
 	ingress->balance = balance_new(&balance);
-	ingress->budgets = g_array_new(FALSE, TRUE, sizeof(struct retry_budget));
+	ingress->budgets =
+		g_array_new(FALSE, TRUE, sizeof(struct retry_budget));
 	ingress->quarantine = quarantine_new(&quarantine);
 	add_metrics(ingress);
 	if (start_http(ingress, error))
--- a/godwitspur/links.c
+++ b/godwitspur/links.c
@@ -15,7 +15,7 @@
 /* A link to another daemon. */
 struct link {
 	char *address;
-	struct rpc_conn *conn; /* NULL: not connected */
+	struct rpc_conn *conn;	/* NULL: not connected */
 	int64_t retry_deadline; /* no new connection before */
 	bool hello_known;
 	uint64_t incarnation;
@@ -28,7 +28,7 @@
 	struct rpc_service service;
 	struct rpc_listener *listener;
 	pthread_mutex_t lock; /* guards links and draining */
-	GHashTable *links; /* address -> struct link */
+	GHashTable *links;    /* address -> struct link */
 	bool draining;
 };
 
@@ -73,7 +73,8 @@
 
 	memset(pending, 0, sizeof(*pending));
 	pending->call.done = pending_done;
-	pending->call.deadline = DEADLINE_NEVER; /* the waiting thread ends it */
+	pending->call.deadline =
+		DEADLINE_NEVER; /* the waiting thread ends it */
 	pending->xdr_result = xdr_result;
 	pending->result = result;
 	pthread_mutex_init(&pending->lock, NULL);
@@ -236,8 +237,8 @@
 
 	pthread_mutex_lock(&links->lock);
 	link = find_link(links, address);
-	*known = link->hello_known && link->conn &&
-		 !rpc_conn_closed(link->conn);
+	*known =
+		link->hello_known && link->conn && !rpc_conn_closed(link->conn);
 	same = *known && !strcmp(link->host, host);
 	*incarnation = link->incarnation;
 	pthread_mutex_unlock(&links->lock);
@@ -245,7 +246,8 @@
 }
 
 static void store_hello(struct links *links, const char *address,
-			struct rpc_conn *conn, const struct traffic_hello *hello)
+			struct rpc_conn *conn,
+			const struct traffic_hello *hello)
 {
 	struct link *link;
 
@@ -441,10 +443,10 @@
 		struct link *link = value;
 		bool open = link->conn && !rpc_conn_closed(link->conn);
 
-		json_array_append_new(array, json_pack("{s:s, s:b, s:s}",
-						       "address", link->address,
-						       "open", open, "host",
-						       link->host));
+		json_array_append_new(array,
+				      json_pack("{s:s, s:b, s:s}", "address",
+						link->address, "open", open,
+						"host", link->host));
 	}
 	pthread_mutex_unlock(&links->lock);
 	return array;
--- a/godwitspur/operator.c
+++ b/godwitspur/operator.c
@@ -97,8 +97,9 @@
 		return MHD_YES;
 	}
 	reply = route(ctx, method, url);
-	response = MHD_create_response_from_buffer(
-		strlen(reply.text), reply.text, MHD_RESPMEM_MUST_FREE);
+	response =
+		MHD_create_response_from_buffer(strlen(reply.text), reply.text,
+						MHD_RESPMEM_MUST_FREE);
 	MHD_add_response_header(response, "Content-Type", reply.type);
 	if (reply.status == 405)
 		MHD_add_response_header(response, "Allow", "GET, HEAD, POST");
--- a/godwitspur/settings.c
+++ b/godwitspur/settings.c
@@ -49,8 +49,7 @@
 	const char *text = read_text(reader, key, true);
 
 	if (text && !is_name(text))
-		add_error(reader, key,
-			  "must match [a-z0-9][a-z0-9-]{0,62}");
+		add_error(reader, key, "must match [a-z0-9][a-z0-9-]{0,62}");
 	return g_strdup(text);
 }
 
@@ -77,7 +76,7 @@
 
 	if (array && !json_is_array(array))
 		add_error(reader, "seeds", "must be an array of addresses");
-	json_array_foreach(array, i, value) {
+	json_array_foreach (array, i, value) {
 		g_autofree char *key = g_strdup_printf("seeds/%zu", i);
 		g_autoptr(GError) error = NULL;
 		struct net_address address;
@@ -112,15 +111,15 @@
 static void check_keys(struct reader *reader)
 {
 	static const char *const known[] = {
-		"host",	    "zone",   "region", "caller",
-		"traffic",  "control", "operator", "backend",
-		"source",   "host_list", "seeds", "source_interval_ms",
+		"host",	   "zone",	"region",   "caller",
+		"traffic", "control",	"operator", "backend",
+		"source",  "host_list", "seeds",    "source_interval_ms",
 		NULL,
 	};
 	json_t *value;
 	const char *key;
 
-	json_object_foreach(reader->root, key, value) {
+	json_object_foreach (reader->root, key, value) {
 		if (!g_strv_contains(known, key))
 			add_error(reader, key, "unknown key");
 	}
@@ -142,8 +141,7 @@
 	read_address(reader, "host_list", true, &settings->host_list);
 	settings->has_backend =
 		read_address(reader, "backend", false, &settings->backend);
-	settings->control_text =
-		g_strdup(read_text(reader, "control", false));
+	settings->control_text = g_strdup(read_text(reader, "control", false));
 	settings->seeds = read_seeds(reader);
 	settings->source_interval_ms =
 		read_interval(reader, "source_interval_ms");
--- a/godwitspur/settings.h
+++ b/godwitspur/settings.h
@@ -14,16 +14,16 @@
 	char *host;
 	char *zone;
 	char *region;
-	struct net_address caller; /* HTTP, for callers */
-	struct net_address traffic; /* ONC RPC, requests from daemons */
-	struct net_address control; /* ONC RPC, configuration */
+	struct net_address caller;   /* HTTP, for callers */
+	struct net_address traffic;  /* ONC RPC, requests from daemons */
+	struct net_address control;  /* ONC RPC, configuration */
 	struct net_address operator; /* HTTP, for operators */
-	char *control_text; /* the control address as written */
+	char *control_text;	     /* the control address as written */
 	bool has_backend;
-	struct net_address backend; /* HTTP, the backend server */
-	struct net_address source; /* HTTP, configuration service */
+	struct net_address backend;   /* HTTP, the backend server */
+	struct net_address source;    /* HTTP, configuration service */
 	struct net_address host_list; /* HTTP, list of hosts */
-	char **seeds; /* NULL-terminated control addresses */
+	char **seeds;		      /* NULL-terminated control addresses */
 	int64_t source_interval_ms;
 };
 
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -5,6 +5,7 @@
 #include "backend.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/rng.h"
 #include "retry/retry.h"
 #include "target.h"
 
@@ -24,7 +25,7 @@
 	struct once *once;
 	struct quarantine *quarantine;
 	struct cds_list_head runnable; /* jobs admitted to a slot */
-	struct cds_list_head waiting; /* jobs that wait for a first copy */
+	struct cds_list_head waiting;  /* jobs that wait for a first copy */
 	int nr_workers;
 	int nr_jobs;
 	bool draining;
@@ -222,8 +223,9 @@
 	struct admit_request *displaced = NULL;
 	enum admit_verdict verdict;
 
-	job->admit.priority = (enum admit_priority)CLAMP(
-		job->request.priority, 0, ADMIT_NR_PRIORITIES - 1);
+	job->admit.priority =
+		(enum admit_priority)CLAMP(job->request.priority, 0,
+					   ADMIT_NR_PRIORITIES - 1);
 	job->admit.caller = hash_string(job->request.caller);
 	job->admit.deadline = job->deadline;
 	verdict = admit_arrive(target->admit, &job->admit, now, &displaced);
@@ -324,8 +326,8 @@
 	job->snapshot = snapshot_get();
 	if (!job->snapshot || !target->options.has_backend)
 		return FAILURE_VERSION;
-	service = table_find_service(job->snapshot->table,
-				     job->request.service);
+	service =
+		table_find_service(job->snapshot->table, job->request.service);
 	if (!service)
 		return FAILURE_VERSION;
 	job->route = table_find_route(service, job->request.route);
@@ -396,13 +398,13 @@
 		.request = request,
 		.request_id = job->request_id,
 		.deadline = job->deadline,
-		.body_max = MIN(job->route->policy.body_max_bytes,
-				PEER_BODY_MAX),
+		.body_max =
+			MIN(job->route->policy.body_max_bytes, PEER_BODY_MAX),
 	};
 	int64_t left = job->deadline - clock_monotonic_ns();
 
-	call.repeatable = !*request->ticket &&
-			  method_is_idempotent(request->method);
+	call.repeatable =
+		!*request->ticket && method_is_idempotent(request->method);
 	call.context.deadline_wall_ms = clock_wall_ms() + left / NS_PER_MS;
 	call.context.hops = request->hops;
 	call.context.retries = request->retries;
@@ -451,13 +453,13 @@
 		if (job->reason == FAILURE_NONE)
 			bytes = encode_answer(job->answer, &len);
 		once_finish(target->once, job->record,
-			    job->reason == FAILURE_NONE ? ONCE_OUTCOME_RAN :
-							  ONCE_OUTCOME_UNKNOWN,
+			    job->reason == FAILURE_NONE ? ONCE_OUTCOME_RAN
+							: ONCE_OUTCOME_UNKNOWN,
 			    bytes, len, now, &waiters);
 	}
 	job->record = NULL;
-	release_waiters(target, job, &waiters,
-			(enum failure_reason)job->reason, replies);
+	release_waiters(target, job, &waiters, (enum failure_reason)job->reason,
+			replies);
 }
 
 static void note_lost(struct target *target, struct target_job *job,
@@ -485,8 +487,8 @@
 	if (outcome == ADMIT_LOST)
 		note_lost(target, job, crashed, now);
 	else if (outcome == ADMIT_ANSWERED)
-		quarantine_success(target->quarantine,
-				   job->request.fingerprint, now);
+		quarantine_success(target->quarantine, job->request.fingerprint,
+				   now);
 	admit_done(target->admit, &job->admit, outcome, now);
 	finish_record(target, job, now, replies);
 	histogram_observe(&target->service_time,
@@ -585,8 +587,8 @@
 		.ticket_life_ms = TICKET_LIFE_MS_START,
 	};
 	struct quarantine_options quarantine = {
-		.origin = quarantine_origin(options->host,
-					    options->incarnation),
+		.origin =
+			quarantine_origin(options->host, options->incarnation),
 		.crashes = QUARANTINE_CRASHES_START,
 		.quarantine_ns = QUARANTINE_NS_START,
 	};
@@ -610,8 +612,9 @@
 	const struct table *table = snapshot->table;
 
 	for (size_t i = 0; i < table->nr_services; i++) {
-		const struct table_target *self = table_find_target(
-			&table->services[i], target->options.host);
+		const struct table_target *self =
+			table_find_target(&table->services[i],
+					  target->options.host);
 
 		if (self)
 			return self;
--- a/godwitspur/target.h
+++ b/godwitspur/target.h
@@ -34,7 +34,7 @@
 	const struct table_route *route;
 	struct once_record *record;
 	int64_t deadline;
-	int reason; /* enum failure_reason */
+	int reason;		       /* enum failure_reason */
 	struct traffic_answer *answer; /* NULL: made from the reason */
 	struct quarantine_entry crash; /* count 0: none */
 	bool waiting;
--- a/lib/dist/announce.c
+++ b/lib/dist/announce.c
@@ -130,8 +130,7 @@
 		const struct dist_crash *old = &dist->crashes[i];
 
 		if (old->fingerprint == crash->fingerprint &&
-		    old->count >= crash->count &&
-		    !strcmp(old->host, crash->host))
+		    old->count >= crash->count && old->origin == crash->origin)
 			return false;
 	}
 	return true;
--- a/lib/dist/dist.h
+++ b/lib/dist/dist.h
@@ -126,8 +126,9 @@
 /* A crash of a backend server, carried for the quarantine library. */
 struct dist_crash {
 	uint64_t fingerprint;
-	char host[MEMBER_NAME_MAX + 1];
+	uint64_t origin; /* the run of a daemon that counted */
 	uint32_t count;
+	uint32_t left_ms; /* until the entry ends */
 };
 
 /*
--- a/lib/net/address.c
+++ b/lib/net/address.c
@@ -109,8 +109,8 @@
 	if (fd < 0)
 		return fail(fd, address, "socket", error);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const struct sockaddr *)&address->storage,
-		 address->len) < 0)
+	if (bind(fd, (const struct sockaddr *)&address->storage, address->len) <
+	    0)
 		return fail(fd, address, "bind", error);
 	if (listen(fd, LISTEN_BACKLOG) < 0)
 		return fail(fd, address, "listen", error);
--- a/lib/net/address.h
+++ b/lib/net/address.h
@@ -9,7 +9,10 @@
 #define NET_ERROR (net_error_quark())
 GQuark net_error_quark(void);
 
-enum net_error { NET_ERROR_ADDRESS, NET_ERROR_SOCKET };
+enum net_error {
+	NET_ERROR_ADDRESS,
+	NET_ERROR_SOCKET
+};
 
 struct net_address {
 	struct sockaddr_storage storage;
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -148,8 +148,8 @@
 	bool ok = false;
 
 	pthread_mutex_lock(&conn->lock);
-	if (conn->closed || waiting_bytes(conn) + len >
-				    conn->options.output_max)
+	if (conn->closed ||
+	    waiting_bytes(conn) + len > conn->options.output_max)
 		goto out;
 	if (!conn->connecting && !waiting_bytes(conn))
 		sent = write_some(conn->source.fd, data, len);
@@ -305,8 +305,7 @@
 			struct sockaddr_in6 *in =
 				(struct sockaddr_in6 *)&storage;
 
-			inet_ntop(AF_INET6, &in->sin6_addr, host,
-				  sizeof(host));
+			inet_ntop(AF_INET6, &in->sin6_addr, host, sizeof(host));
 			port = ntohs(in->sin6_port);
 		}
 	}
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -299,8 +299,8 @@
 static void on_closed(struct net_conn *conn, const char *reason)
 {
 	struct rpc_conn *rpc = net_conn_ctx(conn);
-	enum rpc_status status = net_conn_established(conn) ? RPC_LOST :
-							      RPC_NOT_SENT;
+	enum rpc_status status =
+		net_conn_established(conn) ? RPC_LOST : RPC_NOT_SENT;
 	struct rpc_call *call, *next;
 	struct cds_list_head calls;
 
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -11,11 +11,12 @@
  */
 
 enum rpc_status {
-	RPC_DONE, /* result holds the reply's body */
+	RPC_DONE,     /* result holds the reply's body */
 	RPC_NOT_SENT, /* the call certainly did not reach the other side */
-	RPC_LOST, /* the connection broke; the call may have been executed */
+	RPC_LOST,    /* the connection broke; the call may have been executed */
 	RPC_REFUSED, /* the other side refused the call without executing it */
-	RPC_TIMED_OUT, /* the deadline passed; the call may have been executed */
+	RPC_TIMED_OUT, /* the deadline passed; the call may have been executed
+			*/
 };
 
 /* An outstanding call; embedded in the caller's object. */
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -134,9 +134,9 @@
 	header->xid = message.rm_xid;
 	header->success = message.rm_reply.rp_stat == MSG_ACCEPTED &&
 			  message.acpted_rply.ar_stat == SUCCESS;
-	header->status = message.rm_reply.rp_stat == MSG_ACCEPTED ?
-				 message.acpted_rply.ar_stat :
-				 SYSTEM_ERR;
+	header->status = message.rm_reply.rp_stat == MSG_ACCEPTED
+				 ? message.acpted_rply.ar_stat
+				 : SYSTEM_ERR;
 	return true;
 }
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -21,13 +21,16 @@
 /* Largest record of a traffic connection: a body and the message's header. */
 #define WIRE_TRAFFIC_RECORD_MAX (PEER_BODY_MAX + 1048576)
 
-enum wire_kind { WIRE_CALL, WIRE_REPLY };
+enum wire_kind {
+	WIRE_CALL,
+	WIRE_REPLY
+};
 
 struct wire_header {
 	enum wire_kind kind;
 	uint32_t xid;
-	uint32_t program; /* calls only */
-	uint32_t version; /* calls only */
+	uint32_t program;   /* calls only */
+	uint32_t version;   /* calls only */
 	uint32_t procedure; /* calls only */
 	bool success; /* replies only: the call was accepted and executed */
 	enum accept_stat status; /* replies only */
