--- /dev/null
+++ b/godwitspur/commands.h
@@ -0,0 +1,27 @@
+#ifndef GODWITSPUR_COMMANDS_H
+#define GODWITSPUR_COMMANDS_H
+
+/*
+ * The subcommands. argv[0] is the name of the subcommand; the result is the
+ * exit status.
+ */
+
+enum cmd_status {
+	CMD_OK,
+	CMD_FAILED, /* the input or a file is at fault */
+	CMD_USAGE   /* the arguments are at fault */
+};
+
+/* check FILE: validates a tree and prints all findings. */
+int cmd_check(int argc, char **argv);
+
+/* explain FILE PATH: prints effective values and the levels that set them. */
+int cmd_explain(int argc, char **argv);
+
+/* diff OLD NEW: prints effective changes between two trees. */
+int cmd_diff(int argc, char **argv);
+
+/* render FILE DIR: writes the parts of a tree, then their manifest. */
+int cmd_render(int argc, char **argv);
+
+#endif
--- a/lib/tree/parse.c
+++ b/lib/tree/parse.c
@@ -814,27 +814,45 @@
 	checker_pop(checker, 0);
 }
 
+/*
+ * Gives the services their names, which the parts themselves lack. All names
+ * are checked before any service, as in a whole tree.
+ */
+static void assemble_names(struct parse *parse, const struct manifest *manifest)
+{
+	struct tree *tree = parse->tree;
+
+	tree->services = g_new0(struct tree_service, manifest->nr_entries);
+	for (size_t i = 0; i < manifest->nr_entries; i++) {
+		const char *entry = manifest->entries[i].name;
+		const char *name = part_service(entry);
+
+		if (!name)
+			continue;
+		g_string_append_printf(parse->checker.path, "/%s", entry);
+		check_name(&parse->checker, NULL, name);
+		checker_pop(&parse->checker, 0);
+		tree->services[tree->nr_services++].name = keep(parse, name);
+	}
+}
+
 struct tree *tree_assemble(const struct manifest *manifest,
 			   const char *const *part_data,
 			   struct findings *findings)
 {
+	struct tree_service *service;
 	struct parse parse;
-	struct tree *tree;
 
 	parse_init(&parse, NULL, findings);
-	tree = parse.tree;
-	tree->version = manifest->id.number;
-	tree->services = g_new0(struct tree_service, manifest->nr_entries);
+	parse.tree->version = manifest->id.number;
+	assemble_names(&parse, manifest);
+	service = parse.tree->services;
 	for (size_t i = 0; i < manifest->nr_entries; i++) {
 		const struct manifest_entry *entry = &manifest->entries[i];
-		const char *name = part_service(entry->name);
-		struct tree_service *service = NULL;
+		bool is_service = part_service(entry->name) != NULL;
 
-		if (name) {
-			service = &tree->services[tree->nr_services++];
-			service->name = keep(&parse, name);
-		}
-		assemble_part(&parse, entry, part_data[i], service);
+		assemble_part(&parse, entry, part_data[i],
+			      is_service ? service++ : NULL);
 	}
 	check_totals(&parse);
 	return parse_finish(&parse);
