--- a/godwitspur/commands.h
+++ b/godwitspur/commands.h
@@ -24,4 +24,15 @@
 /* render FILE DIR: writes the parts of a tree, then their manifest. */
 int cmd_render(int argc, char **argv);
 
+/* run FILE: runs the daemon with the settings in FILE. */
+int cmd_run(int argc, char **argv);
+
+/* status ADDRESS...: the version of each daemon, asked one by one. */
+int cmd_status(int argc, char **argv);
+
+/* dump ADDRESS, metrics ADDRESS, drain ADDRESS: one call of a daemon. */
+int cmd_dump(int argc, char **argv);
+int cmd_metrics(int argc, char **argv);
+int cmd_drain(int argc, char **argv);
+
 #endif
--- a/godwitspur/control.h
+++ b/godwitspur/control.h
@@ -53,6 +53,6 @@
 };
 
 /* The caller owns the reference; NULL when the control thread is stuck. */
-json_t *control_ask(struct control *control, enum control_question question);
+json_t *control_ask(struct control *control, enum control_question what);
 
 #endif
--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -421,12 +421,13 @@
 static bool issue_ticket(struct exchange *exchange)
 {
 	struct ingress *ingress = exchange->ingress;
-	const struct table_route *route = exchange->route;
 	struct balance_request request = { .service = exchange->service };
 	struct ticket ticket = { 0 };
 	struct balance_choice choice;
 	bool found;
 
+	if (!exchange->route)
+		return false;
 	pthread_mutex_lock(&ingress->lock);
 	found = balance_pick(ingress->balance, &request, clock_monotonic_ns(),
 			     &choice);
@@ -441,7 +442,8 @@
 				    &ticket.incarnation))
 		return false;
 	g_strlcpy(ticket.host, choice.host, sizeof(ticket.host));
-	ticket.expiry_wall_ms = clock_wall_ms() + route->policy.ticket_life_ms;
+	ticket.expiry_wall_ms =
+		clock_wall_ms() + exchange->route->policy.ticket_life_ms;
 	if (getrandom(ticket.random, sizeof(ticket.random), 0) !=
 	    sizeof(ticket.random))
 		return false;
@@ -930,7 +932,7 @@
 		.eject_percent_max = service->policy.eject_percent_max,
 		.zone_overflow_percent = service->policy.zone_overflow_percent,
 	};
-	g_autofree struct balance_target *targets =
+	struct balance_target *targets =
 		g_new0(struct balance_target, service->nr_targets + 1);
 
 	for (size_t i = 0; i < service->nr_targets; i++) {
@@ -946,6 +948,7 @@
 	}
 	add_budgets(ingress, balance_update(ingress->balance, &settings,
 					    targets, service->nr_targets, now));
+	g_free(targets);
 }
 
 void ingress_apply(struct ingress *ingress, const struct table *table)
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -442,7 +442,7 @@
 	const struct failure *failure =
 		failure_get((enum failure_reason)job->reason);
 	struct cds_list_head waiters;
-	g_autofree void *bytes = NULL;
+	void *bytes = NULL;
 	size_t len = 0;
 
 	if (!job->record)
@@ -456,6 +456,7 @@
 			    job->reason == FAILURE_NONE ? ONCE_OUTCOME_RAN
 							: ONCE_OUTCOME_UNKNOWN,
 			    bytes, len, now, &waiters);
+		g_free(bytes);
 	}
 	job->record = NULL;
 	release_waiters(target, job, &waiters, (enum failure_reason)job->reason,
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -290,7 +290,7 @@
 
 void net_conn_peer(const struct net_conn *conn, char *text, size_t size)
 {
-	struct sockaddr_storage storage;
+	struct sockaddr_storage storage = { 0 };
 	socklen_t len = sizeof(storage);
 	char host[INET6_ADDRSTRLEN] = "?";
 	unsigned port = 0;
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -43,10 +43,10 @@
 	 * arguments cannot be decoded or the procedure is not known, after
 	 * setting *error; otherwise it replies now or later.
 	 */
-	bool (*handle)(struct rpc_conn *conn, void *ctx, uint32_t xid,
+	bool (*handle)(struct rpc_conn *rpc, void *ctx, uint32_t xid,
 		       uint32_t procedure, XDR *args, enum accept_stat *error);
 	/* The connection is gone; may be NULL. */
-	void (*closed)(struct rpc_conn *conn, void *ctx, const char *reason);
+	void (*closed)(struct rpc_conn *rpc, void *ctx, const char *reason);
 	void *ctx;
 };
 
@@ -64,19 +64,19 @@
 struct rpc_conn *rpc_connect(const struct rpc_options *options,
 			     const struct net_address *address, GError **error);
 
-struct rpc_conn *rpc_conn_ref(struct rpc_conn *conn);
-void rpc_conn_unref(struct rpc_conn *conn);
-void rpc_conn_close(struct rpc_conn *conn);
-bool rpc_conn_closed(struct rpc_conn *conn);
-void rpc_conn_peer(const struct rpc_conn *conn, char *text, size_t size);
+struct rpc_conn *rpc_conn_ref(struct rpc_conn *rpc);
+void rpc_conn_unref(struct rpc_conn *rpc);
+void rpc_conn_close(struct rpc_conn *rpc);
+bool rpc_conn_closed(struct rpc_conn *rpc);
+void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size);
 
 /* A pointer for the service's use, such as the caller's identity. */
-void rpc_conn_set_data(struct rpc_conn *conn, void *data,
+void rpc_conn_set_data(struct rpc_conn *rpc, void *data,
 		       void (*free_data)(void *));
-void *rpc_conn_data(const struct rpc_conn *conn);
+void *rpc_conn_data(const struct rpc_conn *rpc);
 
 /* Sends a call; call->done runs exactly once unless rpc_forget() wins. */
-void rpc_call_start(struct rpc_conn *conn, struct rpc_call *call,
+void rpc_call_start(struct rpc_conn *rpc, struct rpc_call *call,
 		    uint32_t program, uint32_t version, uint32_t procedure,
 		    xdrproc_t xdr_args, void *args);
 
@@ -84,13 +84,13 @@
  * Withdraws an outstanding call. Returns true when done will never run, false
  * when it has run or is running.
  */
-bool rpc_forget(struct rpc_conn *conn, struct rpc_call *call);
+bool rpc_forget(struct rpc_conn *rpc, struct rpc_call *call);
 
 /* Ends the calls whose deadline has passed. */
-void rpc_conn_expire(struct rpc_conn *conn, int64_t now);
+void rpc_conn_expire(struct rpc_conn *rpc, int64_t now);
 
 /* Sends a reply; any thread. Returns false when the connection is gone. */
-bool rpc_reply(struct rpc_conn *conn, uint32_t xid, xdrproc_t xdr_result,
+bool rpc_reply(struct rpc_conn *rpc, uint32_t xid, xdrproc_t xdr_result,
 	       void *result);
 
 /* Accepts connections on a listening socket and serves them. */
--- a/lib/tree/table.c
+++ b/lib/tree/table.c
@@ -237,7 +237,7 @@
 		if (path[len] == '/' || !path[len])
 			probe(index, hash_finish(hash), method, path, len,
 			      &route);
-	} while (path[len] && len < index->prefix_len_max);
+	} while (len < index->prefix_len_max && path[len]);
 	return route;
 }
 
