Explain routes from the daemon, refresh crash entries, heed a leaving backend

- GET /explain answers from the version in force; the tree is assembled for the answer and freed, because keeping it would cost memory in every daemon.
- Crash entries carry the time left, so they are told anew each second; before, a daemon that heard of an entry late kept it too long.
- A backend server that answers Backend-Draining gets nothing for 5 s, then one request asks again; before, each new request was sent there and shed.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -177,11 +177,18 @@
 	return FAILURE_BACKEND_LOST;
 }
 
+static bool has_flag(ne_request *neon, const char *name)
+{
+	const char *value = ne_get_response_header(neon, name);
+
+	return value && !strcmp(value, "1");
+}
+
 static enum failure_reason exchange(ne_request *neon,
 				    const struct backend_call *call,
-				    struct traffic_answer *answer)
+				    struct traffic_answer *answer,
+				    bool *draining)
 {
-	const char *shed;
 	int code = ne_begin_request(neon);
 
 	if (code != NE_OK)
@@ -190,8 +197,8 @@
 	if (!read_body(neon, call->body_max, answer) ||
 	    ne_end_request(neon) != NE_OK)
 		return FAILURE_TRUNCATED;
-	shed = ne_get_response_header(neon, "Backend-Shed");
-	if (answer->status == 503 && shed && !strcmp(shed, "1"))
+	*draining = has_flag(neon, "Backend-Draining");
+	if (answer->status == 503 && has_flag(neon, "Backend-Shed"))
 		return FAILURE_BACKEND_SHED;
 	copy_response_headers(neon, answer);
 	return FAILURE_NONE;
@@ -199,7 +206,7 @@
 
 enum failure_reason backend_run(struct backend_session *session,
 				const struct backend_call *call,
-				struct traffic_answer *answer)
+				struct traffic_answer *answer, bool *draining)
 {
 	const struct traffic_request *request = call->request;
 	ne_session *neon_session = open_neon(session, call->deadline);
@@ -215,7 +222,8 @@
 	ne_set_request_body_buffer(neon, request->body.body_val,
 				   request->body.body_len);
 	add_request_headers(neon, call);
-	reason = exchange(neon, call, answer);
+	*draining = false;
+	reason = exchange(neon, call, answer, draining);
 	ne_request_destroy(neon);
 	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED)
 		close_neon(session);
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -27,11 +27,12 @@
 /*
  * Sends the request and reads the whole response into answer (status, headers
  * and body, freed with xdr_free()). Returns FAILURE_NONE when the backend
- * server answered in full.
+ * server answered in full; *draining says whether it
+ * told that it is leaving.
  */
 enum failure_reason backend_run(struct backend_session *session,
 				const struct backend_call *call,
-				struct traffic_answer *answer);
+				struct traffic_answer *answer, bool *draining);
 
 /* Whether the backend server refuses connections at this moment. */
 bool backend_refuses(const struct net_address *address);
--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -22,6 +22,8 @@
 /* How often calls and connections of peers are looked through. */
 #define SWEEP_NS (100 * NS_PER_MS)
 
+#define CRASHES_INTERVAL_NS (1 * NS_PER_SEC)
+
 /* How long an operator's question may wait for the control thread. */
 #define QUESTION_WAIT_SEC 2
 
@@ -45,6 +47,7 @@
 	int64_t host_list_deadline;
 	bool host_list_pending;
 	int64_t sweep_deadline;
+	int64_t crashes_deadline;
 	int64_t manifest_revision; /* of the source, of the last read */
 	struct tree *validated;	   /* by the last acceptance */
 	struct version_id validated_id;
@@ -125,25 +128,43 @@
 
 /* Acceptance. */
 
-static bool accept_version(void *ctx, const struct dist_version *version,
-			   struct findings *findings)
+static struct tree *assemble_version(const struct dist_version *version,
+				     struct findings *findings)
 {
-	struct control *control = ctx;
 	CLEANUP(manifest_freep)
 	struct manifest *manifest =
 		manifest_parse(version->manifest->bytes, version->manifest->len,
 			       findings);
 	g_autofree const char **parts = NULL;
 
-	if (control->validated)
-		tree_free(control->validated);
-	control->validated = NULL;
 	if (!manifest)
-		return false;
+		return NULL;
 	parts = g_new0(const char *, version->nr_parts + 1);
 	for (size_t i = 0; i < version->nr_parts; i++)
 		parts[i] = version->parts[i].blob->bytes;
-	control->validated = tree_assemble(manifest, parts, findings);
+	return tree_assemble(manifest, parts, findings);
+}
+
+/* For an accepted version, which has no errors. */
+static struct tree *assemble(const struct dist_version *version)
+{
+	struct findings findings;
+	struct tree *tree;
+
+	findings_init(&findings);
+	tree = assemble_version(version, &findings);
+	findings_release(&findings);
+	return tree;
+}
+
+static bool accept_version(void *ctx, const struct dist_version *version,
+			   struct findings *findings)
+{
+	struct control *control = ctx;
+
+	if (control->validated)
+		tree_free(control->validated);
+	control->validated = assemble_version(version, findings);
 	control->validated_id = version->id;
 	return control->validated != NULL;
 }
@@ -154,14 +175,14 @@
 
 static void apply_version(struct control *control, struct dist_version *version)
 {
-	struct findings findings;
-
-	findings_init(&findings);
 	/* Another version may have been validated since. */
-	if (!control->validated ||
-	    version_id_compare(&control->validated_id, &version->id) != 0)
-		accept_version(control, version, &findings);
-	findings_release(&findings);
+	if (control->validated &&
+	    version_id_compare(&control->validated_id, &version->id) != 0) {
+		tree_free(control->validated);
+		control->validated = NULL;
+	}
+	if (!control->validated)
+		control->validated = assemble(version);
 	if (!control->validated)
 		return;
 	control->options.ops->apply(control->options.ctx,
@@ -568,6 +589,26 @@
 	}
 }
 
+/* Crash entries of this daemon. */
+
+static void tell_crashes(void *arg)
+{
+	struct quarantine_entry entries[DIST_CRASHES_MAX];
+	struct dist_crash crashes[DIST_CRASHES_MAX];
+	struct control *control = arg;
+	size_t nr =
+		control->options.ops->tell_crashes(control->options.ctx,
+						   entries, DIST_CRASHES_MAX);
+
+	for (size_t i = 0; i < nr; i++) {
+		crashes[i].fingerprint = entries[i].fingerprint;
+		crashes[i].origin = entries[i].origin;
+		crashes[i].count = entries[i].count;
+		crashes[i].left_ms = entries[i].left_ms;
+	}
+	dist_set_crashes(control->dist, crashes, nr, clock_monotonic_ns());
+}
+
 /* Timers. */
 
 static void sweep_peers(struct control *control, int64_t now)
@@ -589,6 +630,15 @@
 	}
 }
 
+/* The time left in announced crash entries has to follow the clock. */
+static void refresh_crashes(struct control *control, int64_t now)
+{
+	if (now < control->crashes_deadline)
+		return;
+	control->crashes_deadline = now + CRASHES_INTERVAL_NS;
+	tell_crashes(control);
+}
+
 static void turn(void *ctx, int64_t now)
 {
 	struct control *control = ctx;
@@ -596,6 +646,7 @@
 
 	sweep_peers(control, now);
 	read_host_list(control, now);
+	refresh_crashes(control, now);
 	if (dist_next_deadline(control->dist) <= now)
 		dist_tick(control->dist, now);
 	while ((action = dist_next_action(control->dist))) {
@@ -625,6 +676,7 @@
 	pthread_cond_t wake;
 	bool answered;
 	json_t *answer;
+	struct dist_version *version; /* a reference */
 };
 
 static json_t *version_json(const struct version_id *id)
@@ -714,23 +766,38 @@
 	if (!g_atomic_int_dec_and_test(&question->refs))
 		return;
 	json_decref(question->answer);
+	if (question->version)
+		dist_version_unref(question->version);
 	pthread_cond_destroy(&question->wake);
 	pthread_mutex_destroy(&question->lock);
 	g_free(question);
 }
 
+static json_t *make_answer(struct question *question)
+{
+	struct control *control = question->control;
+	struct dist_version *in_force = dist_in_force(control->dist);
+
+	switch (question->what) {
+	case CONTROL_STATUS:
+		return status_json(control);
+	case CONTROL_FLEET:
+		return fleet_json(control);
+	case CONTROL_DUMP:
+		return dump_json(control);
+	case CONTROL_VERSION_IN_FORCE:
+		if (in_force)
+			question->version = dist_version_ref(in_force);
+		return NULL;
+	}
+	return NULL;
+}
+
 static void answer_question(void *arg)
 {
 	struct question *question = arg;
-	struct control *control = question->control;
-	json_t *answer;
+	json_t *answer = make_answer(question);
 
-	if (question->what == CONTROL_STATUS)
-		answer = status_json(control);
-	else if (question->what == CONTROL_FLEET)
-		answer = fleet_json(control);
-	else
-		answer = dump_json(control);
 	pthread_mutex_lock(&question->lock);
 	question->answer = answer;
 	question->answered = true;
@@ -739,10 +806,11 @@
 	question_unref(question);
 }
 
-json_t *control_ask(struct control *control, enum control_question what)
+/* Waits for the control thread; the caller drops the reference. */
+static struct question *ask(struct control *control, enum control_question what,
+			    bool *answered)
 {
 	struct question *question = g_new0(struct question, 1);
-	json_t *answer = NULL;
 	struct timespec ts;
 	int error = 0;
 
@@ -758,44 +826,58 @@
 	while (!question->answered && error != ETIMEDOUT)
 		error = pthread_cond_timedwait(&question->wake, &question->lock,
 					       &ts);
-	if (question->answered)
-		answer = json_incref(question->answer);
+	*answered = question->answered;
 	pthread_mutex_unlock(&question->lock);
+	return question;
+}
+
+json_t *control_ask(struct control *control, enum control_question what)
+{
+	bool answered;
+	struct question *question = ask(control, what, &answered);
+	json_t *answer = answered ? json_incref(question->answer) : NULL;
+
 	question_unref(question);
 	return answer;
 }
 
-/* Crash entries of this daemon. */
+static json_t *explain_version(const struct dist_version *version,
+			       const struct explain_query *query,
+			       GError **error)
+{
+	CLEANUP(explanation_freep) struct explanation *explanation = NULL;
+	CLEANUP(tree_freep) struct tree *tree = assemble(version);
 
-struct crash_news {
-	struct control *control;
-	size_t nr;
-	struct dist_crash entries[DIST_CRASHES_MAX];
-};
+	if (tree)
+		explanation = tree_explain(tree, query, error);
+	return explanation ? explanation_to_json(explanation) : NULL;
+}
 
-static void tell_crashes(void *arg)
+json_t *control_explain(struct control *control, const char *path,
+			const char *target, GError **error)
 {
-	struct crash_news *news = arg;
+	struct explain_query query = {
+		.path = path,
+		.ingress_zone = control->options.settings->zone,
+		.target_host = target,
+	};
+	bool answered;
+	struct question *question =
+		ask(control, CONTROL_VERSION_IN_FORCE, &answered);
+	json_t *answer = NULL;
 
-	dist_set_crashes(news->control->dist, news->entries, news->nr,
-			 clock_monotonic_ns());
-	g_free(news);
+	if (answered && question->version)
+		answer = explain_version(question->version, &query, error);
+	else
+		g_set_error(error, TREE_ERROR, TREE_ERROR_NOT_FOUND,
+			    "no version is in force");
+	question_unref(question);
+	return answer;
 }
 
-void control_tell_crashes(struct control *control,
-			  const struct quarantine_entry *entries, size_t nr)
+void control_tell_crashes(struct control *control)
 {
-	struct crash_news *news = g_new0(struct crash_news, 1);
-
-	news->control = control;
-	news->nr = MIN(nr, DIST_CRASHES_MAX);
-	for (size_t i = 0; i < news->nr; i++) {
-		news->entries[i].fingerprint = entries[i].fingerprint;
-		news->entries[i].origin = entries[i].origin;
-		news->entries[i].count = entries[i].count;
-		news->entries[i].left_ms = entries[i].left_ms;
-	}
-	net_loop_defer(control->loop, tell_crashes, news);
+	net_loop_defer(control->loop, tell_crashes, control);
 }
 
 /* Life. */
--- a/godwitspur/control.h
+++ b/godwitspur/control.h
@@ -23,6 +23,9 @@
 	void (*mark_leaving)(void *ctx, const char *host, bool leaving);
 	void (*merge_crashes)(void *ctx, const struct quarantine_entry *entries,
 			      size_t nr);
+	/* Fills the crash entries to announce; returns their number. */
+	size_t (*tell_crashes)(void *ctx, struct quarantine_entry *entries,
+			       size_t max);
 };
 
 struct control_options {
@@ -41,18 +44,26 @@
 void control_run(struct control *control);
 void control_stop(struct control *control);
 
-/* Crash entries to announce; any thread. */
-void control_tell_crashes(struct control *control,
-			  const struct quarantine_entry *entries, size_t nr);
+/* There are new crash entries to announce; any thread. */
+void control_tell_crashes(struct control *control);
 
 /* Questions of operators, answered on the control thread; any thread. */
 enum control_question {
 	CONTROL_STATUS,
 	CONTROL_FLEET,
 	CONTROL_DUMP,
+	CONTROL_VERSION_IN_FORCE, /* used by control_explain() */
 };
 
 /* The caller owns the reference; NULL when the control thread is stuck. */
 json_t *control_ask(struct control *control, enum control_question what);
 
+/*
+ * Explains the effective settings of a route by the version in force, as the
+ * subcommand explain does from a file; any thread. target may be NULL. NULL
+ * with an error when there is no version or no such route or target.
+ */
+json_t *control_explain(struct control *control, const char *path,
+			const char *target, GError **error);
+
 #endif
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -81,7 +81,16 @@
 	ingress_merge_crashes(daemon->ingress, entries, nr);
 }
 
+static size_t on_tell_crashes(void *ctx, struct quarantine_entry *entries,
+			      size_t max)
+{
+	struct daemon *daemon = ctx;
+
+	return target_tell_crashes(daemon->target, entries, max);
+}
+
 static const struct control_ops control_ops = {
+	.tell_crashes = on_tell_crashes,
 	.apply = on_apply,
 	.serve = on_serve,
 	.mark_leaving = on_mark_leaving,
@@ -91,16 +100,13 @@
 /* A worker saw a crash of the backend server. */
 static void on_crash(void *ctx, const struct quarantine_entry *entry)
 {
-	struct quarantine_entry entries[QUARANTINE_TELL_MAX];
 	struct daemon *daemon = ctx;
-	size_t nr;
 
 	log_event(LOG_WARNING, "backend_crashed",
 		  "fingerprint=%016" PRIx64 " count=%" PRIu32,
 		  entry->fingerprint, entry->count);
 	ingress_merge_crashes(daemon->ingress, entry, 1);
-	nr = target_tell_crashes(daemon->target, entries, QUARANTINE_TELL_MAX);
-	control_tell_crashes(daemon->control, entries, nr);
+	control_tell_crashes(daemon->control);
 }
 
 /* Callbacks of the operators' interface. */
@@ -141,6 +147,14 @@
 			 links_dump(daemon->links));
 }
 
+static json_t *on_explain(void *ctx, const char *path, const char *target,
+			  GError **error)
+{
+	struct daemon *daemon = ctx;
+
+	return control_explain(daemon->control, path, target, error);
+}
+
 static void start_drain(struct daemon *daemon)
 {
 	if (!g_atomic_int_compare_and_exchange(&daemon->draining, 0, 1))
@@ -160,6 +174,7 @@
 	.status = on_status,
 	.fleet = on_fleet,
 	.dump = on_dump,
+	.explain = on_explain,
 	.drain = on_drain,
 };
 
--- a/godwitspur/operator.c
+++ b/godwitspur/operator.c
@@ -47,7 +47,27 @@
 	return reply;
 }
 
-static struct reply get(struct operator_server *server, const char *path)
+static struct reply explain_reply(struct operator_server *server,
+				  struct MHD_Connection *connection)
+{
+	const char *path =
+		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+					    "path");
+	const char *target =
+		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+					    "target");
+	g_autoptr(GError) error = NULL;
+	json_t *answer;
+
+	if (!path)
+		return error_reply(400, "the query lacks path=");
+	answer = server->options.ops->explain(server->options.ctx, path, target,
+					      &error);
+	return answer ? json_reply(answer) : error_reply(404, error->message);
+}
+
+static struct reply get(struct operator_server *server,
+			struct MHD_Connection *connection, const char *path)
 {
 	const struct operator_ops *ops = server->options.ops;
 	void *ctx = server->options.ctx;
@@ -60,15 +80,18 @@
 		return json_reply(ops->dump(ctx));
 	if (!strcmp(path, "/metrics"))
 		return metrics_reply(server);
+	if (!strcmp(path, "/explain"))
+		return explain_reply(server, connection);
 	return error_reply(404, "no such page; there are /status, /fleet, "
-				"/dump, /metrics and POST /drain");
+				"/dump, /metrics, /explain and POST /drain");
 }
 
-static struct reply route(struct operator_server *server, const char *method,
+static struct reply route(struct operator_server *server,
+			  struct MHD_Connection *connection, const char *method,
 			  const char *path)
 {
 	if (!strcmp(method, "GET") || !strcmp(method, "HEAD"))
-		return get(server, path);
+		return get(server, connection, path);
 	if (strcmp(method, "POST") != 0)
 		return error_reply(405, "only GET, HEAD and POST are served");
 	if (strcmp(path, "/drain") != 0)
@@ -96,7 +119,7 @@
 		*upload_size = 0; /* bodies are not used */
 		return MHD_YES;
 	}
-	reply = route(ctx, method, url);
+	reply = route(ctx, connection, method, url);
 	response =
 		MHD_create_response_from_buffer(strlen(reply.text), reply.text,
 						MHD_RESPMEM_MUST_FREE);
--- a/godwitspur/operator.h
+++ b/godwitspur/operator.h
@@ -12,6 +12,8 @@
 	json_t *(*status)(void *ctx);
 	json_t *(*fleet)(void *ctx);
 	json_t *(*dump)(void *ctx);
+	json_t *(*explain)(void *ctx, const char *path, const char *target,
+			   GError **error);
 	void (*drain)(void *ctx);
 };
 
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -12,6 +12,12 @@
 #define WORKERS_MAX 1000
 #define WORKER_STACK_BYTES (256 * 1024)
 
+/*
+ * How long a backend server that said it is leaving gets nothing. Then one
+ * request asks again, so a server that stays after all returns.
+ */
+#define BACKEND_DRAIN_NS (5 * NS_PER_SEC)
+
 /* Used until the first configuration version brings settings. */
 #define TICKET_LIFE_MS_START 300000
 #define QUARANTINE_CRASHES_START 2
@@ -29,6 +35,7 @@
 	int nr_workers;
 	int nr_jobs;
 	bool draining;
+	int64_t backend_drain_deadline; /* no new work before */
 	uint64_t next_request;
 	struct counter admitted;
 	struct counter refused;
@@ -48,6 +55,12 @@
 	cds_list_add_tail(&job->node, &replies->jobs);
 }
 
+/* The daemon stops, or its backend server said that it is leaving. */
+static bool is_draining(const struct target *target, int64_t now)
+{
+	return target->draining || now < target->backend_drain_deadline;
+}
+
 static void fill_load(struct target *target, struct traffic_answer *answer)
 {
 	int64_t now = clock_monotonic_ns();
@@ -56,7 +69,7 @@
 	answer->queued = admit_queued(target->admit);
 	answer->in_flight = admit_running(target->admit);
 	answer->limit = admit_limit(target->admit, now);
-	if (target->draining)
+	if (is_draining(target, now))
 		answer->flags |= TRAFFIC_DRAINING;
 	pthread_mutex_unlock(&target->lock);
 }
@@ -362,7 +375,7 @@
 		add_reply(replies, job, reason);
 		return;
 	}
-	if (reason == FAILURE_NONE && target->draining)
+	if (reason == FAILURE_NONE && is_draining(target, now))
 		reason = FAILURE_TARGET_DRAINING;
 	if (reason == FAILURE_NONE && job->deadline <= now)
 		reason = FAILURE_TARGET_DEADLINE;
@@ -409,7 +422,8 @@
 	call.context.hops = request->hops;
 	call.context.retries = request->retries;
 	job->answer = g_new0(struct traffic_answer, 1);
-	job->reason = (int)backend_run(session, &call, job->answer);
+	job->reason = (int)backend_run(session, &call, job->answer,
+				       &job->backend_draining);
 	job->answer->service_us =
 		(clock_monotonic_ns() - job->admit.started) / NS_PER_US;
 	if (job->reason == FAILURE_TRUNCATED)
@@ -490,6 +504,8 @@
 	else if (outcome == ADMIT_ANSWERED)
 		quarantine_success(target->quarantine, job->request.fingerprint,
 				   now);
+	if (job->backend_draining)
+		target->backend_drain_deadline = now + BACKEND_DRAIN_NS;
 	admit_done(target->admit, &job->admit, outcome, now);
 	finish_record(target, job, now, replies);
 	histogram_observe(&target->service_time,
--- a/godwitspur/target.h
+++ b/godwitspur/target.h
@@ -38,6 +38,7 @@
 	struct traffic_answer *answer; /* NULL: made from the reason */
 	struct quarantine_entry crash; /* count 0: none */
 	bool waiting;
+	bool backend_draining; /* told by the backend server */
 	char request_id[48];
 };
 
