--- /dev/null
+++ b/fuzz/tree/fuzz_tree.c
@@ -0,0 +1,106 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "tree/tree.h"
+
+/*
+ * Feeds one input to each parser of the library. A tree that is accepted must
+ * be accepted in parts too, and give the same number of services and routes;
+ * otherwise a daemon would refuse what was checked before it was published.
+ */
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Fails the run. assert() is compiled out of the default build. */
+static void expect(bool condition)
+{
+	if (!condition)
+		abort();
+}
+
+static struct tree *assemble(const struct bundle *bundle,
+			     struct findings *findings)
+{
+	CLEANUP(manifest_freep)
+	struct manifest *manifest =
+		manifest_parse(bundle->manifest, bundle->manifest_len,
+			       findings);
+	g_autofree const char **data = g_new(const char *, bundle->nr_parts);
+
+	expect(manifest && manifest->nr_entries == bundle->nr_parts);
+	for (size_t i = 0; i < bundle->nr_parts; i++)
+		data[i] = bundle->parts[i].data;
+	return tree_assemble(manifest, data, findings);
+}
+
+static void compare_tables(const struct table *a, const struct table *b)
+{
+	expect(a->nr_services == b->nr_services);
+	for (size_t i = 0; i < a->nr_services; i++) {
+		const struct table_service *service = &a->services[i];
+
+		expect(service->nr_targets == b->services[i].nr_targets);
+		expect(service->nr_routes == b->services[i].nr_routes);
+		for (size_t j = 0; j < service->nr_routes; j++) {
+			const struct table_route *route = &service->routes[j];
+			enum http_method method =
+				(enum http_method)__builtin_ctz(route->methods);
+
+			expect(table_match(a, method, route->prefix) == route);
+			expect(table_match(b, method, route->prefix) ==
+			       &b->services[i].routes[j]);
+		}
+	}
+}
+
+static void check_whole_tree(const char *text, size_t size,
+			     struct findings *findings)
+{
+	CLEANUP(tree_freep)
+	struct tree *tree = tree_parse(text, size, "fuzz", findings);
+	CLEANUP(tree_freep) struct tree *again = NULL;
+	CLEANUP(bundle_freep) struct bundle *bundle = NULL;
+	CLEANUP(table_freep) struct table *table = NULL;
+	CLEANUP(table_freep) struct table *table_again = NULL;
+
+	expect(tree || findings->nr_errors);
+	if (!tree)
+		return;
+	bundle = tree_split(tree, findings);
+	expect(bundle);
+	again = assemble(bundle, findings);
+	expect(again);
+	table = table_new(tree, &bundle->id, "z1");
+	table_again = table_new(again, &bundle->id, "z1");
+	compare_tables(table, table_again);
+}
+
+/* The input as the part of a service. */
+static void check_part(const char *text, size_t size, struct findings *findings)
+{
+	char root[] = "root", service[] = "service/a";
+	struct manifest_entry entries[] = {
+		{ .name = root, .bytes = 2 },
+		{ .name = service, .bytes = size },
+	};
+	struct manifest manifest = { .id = { .number = 1 },
+				     .entries = entries,
+				     .nr_entries = 2 };
+	const char *data[] = { "{}", text };
+
+	tree_free(tree_assemble(&manifest, data, findings));
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const char *text = (const char *)data;
+	struct findings findings;
+
+	findings_init(&findings);
+	check_whole_tree(text, size, &findings);
+	check_part(text, size, &findings);
+	manifest_free(manifest_parse(text, size, &findings));
+	json_decref(findings_to_json(&findings));
+	findings_release(&findings);
+	return 0;
+}
--- a/lib/base/cleanup.h
+++ b/lib/base/cleanup.h
@@ -10,11 +10,12 @@
 #define CLEANUP(function) __attribute__((cleanup(function)))
 
 /* Defines NAMEp(), the clean-up function of a pointer freed by NAME(). */
-#define DEFINE_CLEANUP(type, name)                 \
-	static inline void name##p(type **pointer) \
-	{                                          \
-		if (*pointer)                      \
-			name(*pointer);            \
+#define DEFINE_CLEANUP(type, name)                                       \
+	static inline void name##p(                                      \
+		type **pointer) /* NOLINT(bugprone-macro-parentheses) */ \
+	{                                                                \
+		if (*pointer)                                            \
+			name(*pointer);                                  \
 	}
 
 #endif
--- a/lib/tree/check.c
+++ b/lib/tree/check.c
@@ -193,7 +193,7 @@
 void check_keys(struct checker *checker, json_t *object,
 		const char *const *known)
 {
-	g_autofree const char **keys = NULL;
+	const char **keys;
 	size_t nr_known = 0;
 	size_t nr;
 
@@ -206,6 +206,7 @@
 	for (size_t i = 0; i < nr; i++)
 		if (!is_known(keys[i], known))
 			check_error(checker, keys[i], "unknown key");
+	g_free(keys);
 }
 
 static const char *type_name(json_type type)
--- a/lib/tree/diff.c
+++ b/lib/tree/diff.c
@@ -19,9 +19,14 @@
 	GPtrArray *groups; /* struct group */
 };
 
-/* Compares one object; an item is NULL where the tree lacks it. */
-typedef void (*diff_fn)(struct diff *diff, const void *old_item,
-			const void *new_item);
+/* How objects of one kind are compared, as the trees have them. */
+struct diff_ops {
+	size_t size; /* of an element, which starts with its name */
+	void (*added)(struct diff *diff, const void *new_item);
+	void (*removed)(struct diff *diff, const void *old_item);
+	void (*kept)(struct diff *diff, const void *old_item,
+		     const void *new_item);
+};
 
 static void group_free(gpointer data)
 {
@@ -114,28 +119,31 @@
 	return pointers;
 }
 
-/* Calls fn for each name of two arrays whose elements start with a name. */
-static void diff_arrays(struct diff *diff, const void *old_base, size_t nr_old,
-			const void *new_base, size_t nr_new, size_t size,
-			diff_fn fn)
+/* Compares two arrays by name. */
+static void diff_arrays(struct diff *diff, const struct diff_ops *ops,
+			const void *old_base, size_t nr_old,
+			const void *new_base, size_t nr_new)
 {
-	g_autofree const void **old_items =
-		sorted_pointers(old_base, nr_old, size);
-	g_autofree const void **new_items =
-		sorted_pointers(new_base, nr_new, size);
+	const void **old_items = sorted_pointers(old_base, nr_old, ops->size);
+	const void **new_items = sorted_pointers(new_base, nr_new, ops->size);
 	size_t i = 0, j = 0;
 
-	while (i < nr_old || j < nr_new) {
-		int order = i == nr_old	  ? 1
-			    : j == nr_new ? -1
-					  : compare_by_name(old_items[i],
-							    new_items[j]);
+	while (i < nr_old && j < nr_new) {
+		int order = compare_by_name(old_items[i], new_items[j]);
 
-		fn(diff, order <= 0 ? old_items[i] : NULL,
-		   order >= 0 ? new_items[j] : NULL);
-		i += order <= 0;
-		j += order >= 0;
+		if (order < 0)
+			ops->removed(diff, old_items[i++]);
+		else if (order > 0)
+			ops->added(diff, new_items[j++]);
+		else
+			ops->kept(diff, old_items[i++], new_items[j++]);
 	}
+	while (i < nr_old)
+		ops->removed(diff, old_items[i++]);
+	while (j < nr_new)
+		ops->added(diff, new_items[j++]);
+	g_free(old_items);
+	g_free(new_items);
 }
 
 static char *change_text(const struct policy_key *key,
@@ -201,25 +209,30 @@
 	}
 }
 
-static void diff_target(struct diff *diff, const void *old_item,
+static void target_added(struct diff *diff, const void *new_item)
+{
+	const struct tree_target *target = new_item;
+
+	print_change(diff, "target %s/%s: added in zone %s at %s, %s service",
+		     diff->new_service->name, target->host, target->zone->name,
+		     target->traffic,
+		     target_in_service(target) ? "in" : "out of");
+}
+
+static void target_removed(struct diff *diff, const void *old_item)
+{
+	const struct tree_target *target = old_item;
+
+	print_change(diff, "target %s/%s: removed", diff->new_service->name,
+		     target->host);
+}
+
+static void target_kept(struct diff *diff, const void *old_item,
 			const void *new_item)
 {
 	const struct tree_target *o = old_item;
 	const struct tree_target *n = new_item;
 
-	if (!o) {
-		print_change(diff,
-			     "target %s/%s: added in zone %s at %s, %s service",
-			     diff->new_service->name, n->host, n->zone->name,
-			     n->traffic,
-			     target_in_service(n) ? "in" : "out of");
-		return;
-	}
-	if (!n) {
-		print_change(diff, "target %s/%s: removed",
-			     diff->new_service->name, o->host);
-		return;
-	}
 	diff_string(diff, n->host, "zone", o->zone->name, n->zone->name);
 	diff_string(diff, n->host, "region", o->zone->region, n->zone->region);
 	diff_string(diff, n->host, "traffic", o->traffic, n->traffic);
@@ -228,6 +241,13 @@
 	diff_target_policy(diff, o, n);
 }
 
+static const struct diff_ops target_ops = {
+	.size = sizeof(struct tree_target),
+	.added = target_added,
+	.removed = target_removed,
+	.kept = target_kept,
+};
+
 /* The effective policies of a route for ingresses of each common zone. */
 static struct policy *route_policies(const struct diff *diff,
 				     const struct tree *tree,
@@ -329,26 +349,33 @@
 	return g_string_free(text, FALSE);
 }
 
-static void diff_route(struct diff *diff, const void *old_item,
+static void route_added(struct diff *diff, const void *new_item)
+{
+	const struct tree_route *route = new_item;
+	g_autofree char *methods = methods_text(route->methods);
+
+	print_change(diff, "route %s/%s: added for %s %s%s",
+		     diff->new_service->name, route->name, methods,
+		     route->prefix,
+		     route->at_most_once ? ", at most once" : "");
+}
+
+static void route_removed(struct diff *diff, const void *old_item)
+{
+	const struct tree_route *route = old_item;
+
+	print_change(diff, "route %s/%s: removed", diff->new_service->name,
+		     route->name);
+}
+
+static void route_kept(struct diff *diff, const void *old_item,
 		       const void *new_item)
 {
 	const struct tree_route *o = old_item;
 	const struct tree_route *n = new_item;
-	g_autofree char *old_methods = o ? methods_text(o->methods) : NULL;
-	g_autofree char *new_methods = n ? methods_text(n->methods) : NULL;
-
-	if (!o) {
-		print_change(diff, "route %s/%s: added for %s %s%s",
-			     diff->new_service->name, n->name, new_methods,
-			     n->prefix,
-			     n->at_most_once ? ", at most once" : "");
-		return;
-	}
-	if (!n) {
-		print_change(diff, "route %s/%s: removed",
-			     diff->new_service->name, o->name);
-		return;
-	}
+	g_autofree char *old_methods = methods_text(o->methods);
+	g_autofree char *new_methods = methods_text(n->methods);
+
 	diff_string(diff, n->name, "prefix", o->prefix, n->prefix);
 	diff_string(diff, n->name, "methods", old_methods, new_methods);
 	diff_bool(diff, n->name, "at_most_once", o->at_most_once,
@@ -356,61 +383,94 @@
 	diff_route_policy(diff, o, n);
 }
 
+static const struct diff_ops route_ops = {
+	.size = sizeof(struct tree_route),
+	.added = route_added,
+	.removed = route_removed,
+	.kept = route_kept,
+};
+
 static const char *deployment_name(const struct tree_deployment *deployment)
 {
 	return deployment ? deployment->name : "none";
 }
 
-static void diff_service(struct diff *diff, const void *old_item,
+static void service_added(struct diff *diff, const void *new_item)
+{
+	const struct tree_service *service = new_item;
+
+	print_change(diff, "service %s: added, targets %zu, routes %zu",
+		     service->name, service->nr_targets, service->nr_routes);
+}
+
+static void service_removed(struct diff *diff, const void *old_item)
+{
+	const struct tree_service *service = old_item;
+
+	print_change(diff, "service %s: removed", service->name);
+}
+
+static void service_kept(struct diff *diff, const void *old_item,
 			 const void *new_item)
 {
 	const struct tree_service *o = old_item;
 	const struct tree_service *n = new_item;
 
-	if (!o) {
-		print_change(diff,
-			     "service %s: added with %zu targets and %zu "
-			     "routes",
-			     n->name, n->nr_targets, n->nr_routes);
-		return;
-	}
-	if (!n) {
-		print_change(diff, "service %s: removed", o->name);
-		return;
-	}
 	if (strcmp(deployment_name(o->deployment),
 		   deployment_name(n->deployment)) != 0)
 		print_change(diff, "service %s: deployment %s -> %s", n->name,
 			     deployment_name(o->deployment),
 			     deployment_name(n->deployment));
 	diff->new_service = n;
-	diff_arrays(diff, o->targets, o->nr_targets, n->targets, n->nr_targets,
-		    sizeof(*n->targets), diff_target);
+	diff_arrays(diff, &target_ops, o->targets, o->nr_targets, n->targets,
+		    n->nr_targets);
 	print_groups(diff, "target", n->nr_targets);
-	diff_arrays(diff, o->routes, o->nr_routes, n->routes, n->nr_routes,
-		    sizeof(*n->routes), diff_route);
+	diff_arrays(diff, &route_ops, o->routes, o->nr_routes, n->routes,
+		    n->nr_routes);
 	print_groups(diff, "route", n->nr_routes);
 }
 
-static void diff_zone(struct diff *diff, const void *old_item,
+static const struct diff_ops service_ops = {
+	.size = sizeof(struct tree_service),
+	.added = service_added,
+	.removed = service_removed,
+	.kept = service_kept,
+};
+
+static void zone_added(struct diff *diff, const void *new_item)
+{
+	const struct tree_zone *zone = new_item;
+
+	print_change(diff, "zone %s: added", zone->name);
+}
+
+static void zone_removed(struct diff *diff, const void *old_item)
+{
+	const struct tree_zone *zone = old_item;
+
+	print_change(diff, "zone %s: removed", zone->name);
+}
+
+static void zone_kept(struct diff *diff, const void *old_item,
 		      const void *new_item)
 {
 	const struct tree_zone *o = old_item;
 	const struct tree_zone *n = new_item;
 
-	if (!o) {
-		print_change(diff, "zone %s: added", n->name);
-	} else if (!n) {
-		print_change(diff, "zone %s: removed", o->name);
-	} else {
-		g_ptr_array_add(diff->zones, n->name);
-		if (o->in_service != n->in_service)
-			print_change(diff, "zone %s: in_service %s -> %s",
-				     n->name, bool_name(o->in_service),
-				     bool_name(n->in_service));
-	}
+	g_ptr_array_add(diff->zones, n->name);
+	if (o->in_service != n->in_service)
+		print_change(diff, "zone %s: in_service %s -> %s", n->name,
+			     bool_name(o->in_service),
+			     bool_name(n->in_service));
 }
 
+static const struct diff_ops zone_ops = {
+	.size = sizeof(struct tree_zone),
+	.added = zone_added,
+	.removed = zone_removed,
+	.kept = zone_kept,
+};
+
 size_t tree_diff(const struct tree *old_tree, const struct tree *new_tree,
 		 GString *out)
 {
@@ -421,14 +481,14 @@
 			     .groups = g_ptr_array_new_with_free_func(
 				     group_free) };
 
-	diff_arrays(&diff, old_tree->zones, old_tree->nr_zones, new_tree->zones,
-		    new_tree->nr_zones, sizeof(*new_tree->zones), diff_zone);
+	diff_arrays(&diff, &zone_ops, old_tree->zones, old_tree->nr_zones,
+		    new_tree->zones, new_tree->nr_zones);
 	/* Without a common zone, compare without zone overrides. */
 	if (!diff.zones->len)
 		g_ptr_array_add(diff.zones, NULL);
-	diff_arrays(&diff, old_tree->services, old_tree->nr_services,
-		    new_tree->services, new_tree->nr_services,
-		    sizeof(*new_tree->services), diff_service);
+	diff_arrays(&diff, &service_ops, old_tree->services,
+		    old_tree->nr_services, new_tree->services,
+		    new_tree->nr_services);
 	g_ptr_array_unref(diff.zones);
 	g_ptr_array_unref(diff.groups);
 	return diff.nr_changes;
--- a/lib/tree/table.c
+++ b/lib/tree/table.c
@@ -126,8 +126,10 @@
 		index->nr_routes += tree->services[i].nr_routes;
 		index->nr_targets += tree->services[i].nr_targets;
 	}
-	index->routes = g_new0(struct table_route, index->nr_routes);
-	index->targets = g_new0(struct table_target, index->nr_targets);
+	/* One more, as g_new0() gives NULL for none and no offset of NULL is
+	 * defined, not even 0. */
+	index->routes = g_new0(struct table_route, index->nr_routes + 1);
+	index->targets = g_new0(struct table_target, index->nr_targets + 1);
 	return index;
 }
 
@@ -237,7 +239,7 @@
 		if (path[len] == '/' || !path[len])
 			probe(index, hash_finish(hash), method, path, len,
 			      &route);
-	} while (path[len] && len < index->prefix_len_max);
+	} while (len < index->prefix_len_max && path[len]);
 	return route;
 }
 
