--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -118,7 +118,8 @@
 static void turn_end(struct admit_class *class, struct admit_caller *caller)
 {
 	caller->in_turn = false;
-	cds_list_move(&caller->node, class->callers.prev);
+	cds_list_del(&caller->node);
+	cds_list_add_tail(&caller->node, &class->callers);
 }
 
 /*
