--- /dev/null
+++ b/tests/balance/test_balance.cc
@@ -0,0 +1,461 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "balance/balance.h"
+#include "base/clock.h"
+}
+
+namespace
+{
+
+/* One ingress in zone z0 and one service "s" with index 0. */
+class Ingress
+{
+      public:
+	explicit Ingress(const struct balance_policy *policy = nullptr,
+			 const std::string &name = "ingress")
+	{
+		struct balance_options options = {};
+
+		rng_init(&rng, 11);
+		options.host = name.c_str();
+		options.zone = "z0";
+		options.region = "r0";
+		options.policy = policy;
+		options.rng = &rng;
+		balance = balance_new(&options);
+	}
+	~Ingress()
+	{
+		balance_free(balance);
+	}
+
+	/* Adds a target; update() makes it known. */
+	void add(const std::string &host, const std::string &zone,
+		 const std::string &region = "r0", uint32_t cold = 10)
+	{
+		hosts.push_back({ host, zone, region, host + ":1", cold });
+	}
+
+	void update(int eject_percent = 34, int overflow_percent = 80)
+	{
+		struct balance_service service = { "s", eject_percent,
+						   overflow_percent };
+		std::vector<struct balance_target> targets;
+
+		for (const Host &h : hosts)
+			targets.push_back({ h.host.c_str(), h.zone.c_str(),
+					    h.region.c_str(), h.traffic.c_str(),
+					    10, h.cold,
+					    out.count(h.host) == 0 });
+		balance_update_begin(balance);
+		EXPECT_EQ(balance_update(balance, &service, targets.data(),
+					 targets.size(), now),
+			  0);
+		balance_update_end(balance, now);
+	}
+
+	/* Picks and starts; an empty host when there is no target. */
+	struct balance_choice send(bool retryable = true)
+	{
+		struct balance_request request = { 0, nullptr, 0, retryable };
+		struct balance_choice choice = {};
+
+		if (balance_pick(balance, &request, now, &choice)) {
+			EXPECT_TRUE(balance_start(balance, choice.target, now));
+		}
+		return choice;
+	}
+
+	void end(const struct balance_choice &choice,
+		 enum failure_reason reason, int64_t latency = NS_PER_MS)
+	{
+		struct balance_result result = {};
+
+		result.reason = reason;
+		result.latency_ns = latency;
+		balance_finish(balance, choice.target, &result, now);
+	}
+
+	/* An answer with a report. */
+	void tell(const std::string &host, uint32_t in_flight, uint32_t queue,
+		  uint32_t limit, int64_t latency = NS_PER_MS)
+	{
+		struct balance_choice choice;
+		struct balance_result result = {};
+
+		ASSERT_TRUE(balance_find(balance, 0, host.c_str(), &choice));
+		ASSERT_TRUE(balance_start(balance, choice.target, now));
+		result.latency_ns = latency;
+		result.reported = true;
+		result.in_flight = in_flight;
+		result.queue = queue;
+		result.limit = limit;
+		balance_finish(balance, choice.target, &result, now);
+	}
+
+	/* Answered sends for each host. */
+	std::map<std::string, int> spread(int n)
+	{
+		std::map<std::string, int> counts;
+
+		for (int i = 0; i < n; i++) {
+			struct balance_choice choice = send();
+
+			counts[choice.host]++;
+			end(choice, FAILURE_NONE);
+		}
+		return counts;
+	}
+
+	/* The hosts for which the dump shows a flag. */
+	std::set<std::string> flagged(const char *name)
+	{
+		json_t *dump = balance_dump(balance, now), *entry;
+		json_t *targets = json_object_get(
+			json_object_get(json_object_get(dump, "services"), "s"),
+			"targets");
+		std::set<std::string> found;
+		size_t i;
+
+		json_array_foreach (targets, i, entry) {
+			if (json_is_true(json_object_get(entry, name)))
+				found.insert(json_string_value(
+					json_object_get(entry, "host")));
+		}
+		json_decref(dump);
+		return found;
+	}
+
+	bool flag(const std::string &host, const char *name)
+	{
+		return flagged(name).count(host) == 1;
+	}
+
+	struct Host {
+		std::string host, zone, region, traffic;
+		uint32_t cold;
+	};
+
+	std::vector<Host> hosts;
+	std::set<std::string> out;
+	struct rng rng;
+	struct balance *balance;
+	int64_t now = 1000 * NS_PER_SEC;
+};
+
+/* Guards against a policy that prefers the more loaded or slower target. */
+TEST(Policy, ChoosesByItsOwnRule)
+{
+	const struct {
+		const char *name;
+		std::vector<struct balance_candidate> candidates;
+		size_t want;
+	} rows[] = {
+		{ "least-in-flight", { { 3, 10, 1 }, { 2, 10, 9 } }, 1 },
+		{ "least-in-flight", { { 3, 10, 1 }, { 2, 1, 1 } }, 0 },
+		{ "two-choices", { { 0, 10, 9 }, { 0, 10, 8 } }, 1 },
+		{ "two-choices", { { 0, 10, 9 }, { 1, 10, 5 } }, 0 },
+		{ "two-choices", { { 2, 1, 9 }, { 2, 10, 9 } }, 1 },
+		{ "two-choices", { { 4, 1, 9 } }, 0 },
+	};
+	struct rng rng;
+
+	rng_init(&rng, 3);
+	for (const auto &row : rows) {
+		const auto *policy = balance_policy_find(row.name);
+		uint64_t cursor = 0;
+
+		ASSERT_NE(policy, nullptr);
+		for (int i = 0; i < 20; i++)
+			EXPECT_EQ(policy->choose(row.candidates.data(),
+						 row.candidates.size(), &cursor,
+						 &rng),
+				  row.want)
+				<< row.name;
+	}
+	EXPECT_EQ(balance_policy_find("random"), nullptr);
+}
+
+/* Guards against a turn that leaves targets out. */
+TEST(Policy, RoundRobinIsEven)
+{
+	Ingress in(&balance_round_robin);
+
+	for (int i = 0; i < 4; i++)
+		in.add("h" + std::to_string(i), "z0");
+	in.update();
+	for (const auto &entry : in.spread(400))
+		EXPECT_EQ(entry.second, 100) << entry.first;
+}
+
+/* Guards against leaving the own zone without need, or staying in it at need.
+ */
+TEST(Zones, OwnFirstThenRegionThenAll)
+{
+	Ingress in;
+
+	in.add("own", "z0");
+	in.add("near", "z1");
+	in.add("far", "z9", "r1");
+	in.update();
+	EXPECT_EQ(in.spread(100)["own"], 100);
+	in.tell("own", 9, 0, 10);
+	EXPECT_GT(in.spread(100)["near"], 30);
+	EXPECT_EQ(in.spread(100).count("far"), 0u);
+	in.tell("near", 9, 0, 10);
+	in.tell("own", 9, 0, 10);
+	EXPECT_GT(in.spread(100)["far"], 30);
+	/* A report counts for a second. */
+	in.now += NS_PER_SEC;
+	EXPECT_EQ(in.spread(100)["own"], 100);
+	in.out = { "own" };
+	in.update();
+	EXPECT_EQ(in.spread(100)["near"], 100);
+	in.out = { "own", "near" };
+	in.update();
+	EXPECT_EQ(in.spread(100)["far"], 100);
+	in.out = { "own", "near", "far" };
+	in.update();
+	EXPECT_STREQ(in.send().host, "");
+}
+
+/* Guards against full load for a cold target (P4). */
+TEST(Ramp, ColdTargetGetsItsShare)
+{
+	Ingress in;
+
+	for (int i = 0; i < 9; i++)
+		in.add("h" + std::to_string(i), "z0");
+	in.add("cold", "z0", "r0", 1);
+	in.update();
+	int cold = 0;
+
+	for (int i = 0; i < 82; i++)
+		cold += !strcmp(in.send().host, "cold");
+	/* 82 in flight over 91 slots; 8 of them would be a tenth. */
+	EXPECT_LE(cold, 2);
+	in.tell("cold", 1, 0, 10);
+	cold = 0;
+	for (int i = 0; i < 20; i++)
+		cold += !strcmp(in.send().host, "cold");
+	EXPECT_GE(cold, 2);
+}
+
+/* Guards against a told limit or load that draws more work than the settings.
+ */
+TEST(Reports, LiesAreBounded)
+{
+	Ingress in;
+
+	in.add("liar", "z0");
+	in.add("honest", "z0");
+	in.update();
+	in.tell("liar", 0, 0, 1000000);
+	in.tell("honest", 0, 0, 10);
+	std::map<std::string, int> counts;
+
+	for (int i = 0; i < 20; i++)
+		counts[in.send().host]++;
+	EXPECT_EQ(counts["liar"], 10);
+	in.tell("liar", 0, 0, 0);
+	EXPECT_STRNE(in.send().host, "");
+}
+
+/* Guards against ejection that never ends, is too long or does not double. */
+TEST(Ejection, BacksOffAndTriesAgain)
+{
+	Ingress in;
+
+	in.add("sick", "z0");
+	in.add("well", "z0");
+	in.update();
+	for (int i = 0; i < 200 && !in.flag("sick", "ejected"); i++) {
+		struct balance_choice c = in.send();
+
+		in.end(c, !strcmp(c.host, "sick") ? FAILURE_LINK_LOST
+						  : FAILURE_NONE);
+	}
+	ASSERT_TRUE(in.flag("sick", "ejected"));
+	int64_t wait = NS_PER_SEC;
+
+	for (int trial = 0; trial < 8; trial++) {
+		in.now += wait - 1;
+		EXPECT_EQ(in.spread(20).count("sick"), 0u) << trial;
+		in.now += 1;
+		struct balance_choice c = in.send();
+
+		ASSERT_STREQ(c.host, "sick") << trial;
+		EXPECT_TRUE(c.trial);
+		/* One trial at a time. */
+		EXPECT_EQ(in.spread(20).count("sick"), 0u) << trial;
+		in.end(c, FAILURE_LINK_LOST);
+		wait = std::min(2 * wait, 30 * NS_PER_SEC);
+	}
+	in.now += wait;
+	in.end(in.send(), FAILURE_NONE);
+	EXPECT_FALSE(in.flag("sick", "ejected"));
+	EXPECT_GT(in.spread(200)["sick"], 0);
+}
+
+/* Guards against a trial by a request that must not fail, while others come. */
+TEST(Ejection, TrialsPreferRequestsThatMayBeRetried)
+{
+	Ingress in;
+
+	in.add("sick", "z0");
+	in.add("well", "z0");
+	in.update();
+	for (int i = 0; i < 200 && !in.flag("sick", "ejected"); i++) {
+		struct balance_choice c = in.send();
+
+		in.end(c, !strcmp(c.host, "sick") ? FAILURE_LINK_LOST
+						  : FAILURE_NONE);
+	}
+	in.now += NS_PER_SEC;
+	struct balance_choice c = in.send(false);
+
+	EXPECT_STREQ(c.host, "well");
+	in.end(c, FAILURE_NONE);
+	in.now += NS_PER_SEC;
+	EXPECT_STREQ(in.send(false).host, "sick");
+}
+
+/* Guards against failing all requests when every target is sick. */
+TEST(Ejection, AllEjectedAreStillTried)
+{
+	Ingress in;
+
+	for (int i = 0; i < 4; i++)
+		in.add("h" + std::to_string(i), "z0");
+	in.update(100);
+	for (int i = 0; i < 200; i++) {
+		struct balance_choice c = in.send();
+
+		ASSERT_STRNE(c.host, "");
+		in.end(c, FAILURE_BACKEND_REFUSED);
+	}
+	EXPECT_TRUE(in.flag("h0", "ejected"));
+	EXPECT_TRUE(in.send().trial);
+}
+
+/* Guards against ejecting the only target, or any with the share set to 0. */
+TEST(Ejection, ShareOfFewTargets)
+{
+	const struct {
+		int n, percent, want;
+	} rows[] = {
+		{ 1, 100, 0 }, { 2, 1, 1 },  { 2, 0, 0 },   { 3, 34, 1 },
+		{ 9, 34, 3 },  { 3, 67, 2 }, { 3, 100, 3 },
+	};
+
+	for (const auto &row : rows) {
+		Ingress in;
+
+		for (int i = 0; i < row.n; i++)
+			in.add("h" + std::to_string(i), "z0");
+		in.update(row.percent);
+		for (int i = 0; i < 300; i++)
+			in.end(in.send(), FAILURE_LINK_LOST);
+		EXPECT_EQ((int)in.flagged("ejected").size(), row.want)
+			<< row.n << " " << row.percent;
+	}
+}
+
+/* Guards against a ticket that cannot reach the record of its first copy. */
+TEST(Find, ReachesTargetsThatGetNoNewWork)
+{
+	Ingress in;
+	struct balance_choice choice;
+
+	in.add("h0", "z0");
+	in.update();
+	balance_mark_leaving(in.balance, "h0", true, in.now);
+	EXPECT_STREQ(in.send().host, "");
+	ASSERT_TRUE(balance_find(in.balance, 0, "h0", &choice));
+	EXPECT_FALSE(choice.accepts_new_work);
+	EXPECT_STREQ(choice.traffic, "h0:1");
+	EXPECT_FALSE(balance_find(in.balance, 0, "h1", &choice));
+	EXPECT_FALSE(balance_find(in.balance, 5, "h0", &choice));
+}
+
+/* Guards against new work for a target between its pick and its removal. */
+TEST(Update, StartFailsAfterRemoval)
+{
+	Ingress in;
+	struct balance_choice choice;
+
+	in.add("h0", "z0");
+	in.update();
+	struct balance_choice flying = in.send();
+
+	in.hosts.clear();
+	in.update();
+	EXPECT_FALSE(balance_start(in.balance, flying.target, in.now));
+	EXPECT_EQ(balance_in_flight(in.balance, flying.target), 1u);
+	in.end(flying, FAILURE_NONE);
+	EXPECT_EQ(balance_in_flight(in.balance, flying.target), 0u);
+	EXPECT_FALSE(balance_find(in.balance, 0, "h0", &choice));
+	EXPECT_EQ(balance_service_index(in.balance, "s"), 0);
+	EXPECT_EQ(balance_service_index(in.balance, "t"), -1);
+}
+
+/* The subset of an ingress of a service with per_zone targets in each zone. */
+std::set<std::string> subset(const std::string &ingress, int per_zone,
+			     const std::string &out)
+{
+	Ingress in(nullptr, ingress);
+
+	for (int i = 0; i < 3 * per_zone; i++)
+		in.add("h" + std::to_string(i), "z" + std::to_string(i % 3));
+	in.out = { out };
+	in.update();
+	return in.flagged("in_subset");
+}
+
+/*
+ * Guards against a subset that misses a zone, changes more than it must, or
+ * gives one target many more links than the arithmetic in the header.
+ */
+TEST(Subset, CoversZonesIsStableAndBounded)
+{
+	constexpr int per_zone = 30, ingresses = 300;
+	std::map<std::string, int> links;
+
+	for (int i = 0; i < ingresses; i++) {
+		std::string name = "ingress" + std::to_string(i);
+		auto before = subset(name, per_zone, "");
+		std::string gone = *before.begin();
+		auto after = subset(name, per_zone, gone);
+		int zones[3] = {}, same = 0;
+
+		for (const auto &h : before) {
+			zones[std::stoi(h.substr(1)) % 3]++;
+			same += (int)after.count(h);
+			links[h]++;
+		}
+		EXPECT_EQ(zones[0], 10);
+		EXPECT_EQ(zones[1], 4);
+		EXPECT_EQ(zones[2], 4);
+		EXPECT_EQ(after.size(), before.size());
+		EXPECT_EQ(same, (int)before.size() - 1);
+		EXPECT_EQ(after.count(gone), 0u);
+	}
+	/* Every ingress is in zone z0 here: 300 x 10/30 and 300 x 4/30. */
+	for (const auto &entry : links) {
+		bool own = std::stoi(entry.first.substr(1)) % 3 == 0;
+		double mean = ingresses * (own ? 10.0 : 4.0) / per_zone;
+
+		EXPECT_LT(entry.second, mean + 4 * std::sqrt(mean));
+	}
+}
+
+} // namespace
