Free the dump when a check of the model fails

RC_ASSERT leaves by an exception before the reference was released, which LeakSanitizer reported for the mutants.

--- a/tests/balance/test_balance_state.cc
+++ b/tests/balance/test_balance_state.cc
@@ -138,13 +138,14 @@
 	/* Invariants that hold after every event. */
 	void check()
 	{
-		json_t *dump = balance_dump(balance.get(), now);
-		json_t *services = json_object_get(dump, "services");
+		/* Freed by its destructor, since RC_ASSERT throws. */
+		std::unique_ptr<json_t, decltype(&json_decref)> dump(
+			balance_dump(balance.get(), now), json_decref);
+		json_t *services = json_object_get(dump.get(), "services");
 
 		for (int s = 0; s < NR_SERVICES; s++)
 			check_service(s, json_object_get(services,
 							 key(s).c_str()));
-		json_decref(dump);
 		for (const Flight &flight : flights)
 			RC_ASSERT(balance_in_flight(balance.get(),
 						    flight.handle) ==
