Add a model that compares the policies of choice

bench_balance_policies runs lib/balance and lib/retry in an event-driven model of the two deployments.

--- /dev/null
+++ b/bench/balance_policies/model.h
@@ -0,0 +1,66 @@
+#ifndef BENCH_MODEL_H
+#define BENCH_MODEL_H
+
+#include <stdint.h>
+
+#include "balance/balance.h"
+
+/*
+ * An event-driven model of ingresses and targets in three zones, which uses
+ * lib/balance and lib/retry as they are. Every host is an ingress and, for one
+ * of the services, a target. Requests arrive as a Poisson process at random
+ * ingresses; service times are exponential above a floor of a quarter of the
+ * mean. Times are nanoseconds.
+ */
+
+#define MODEL_ZONES 3
+#define MODEL_SERVICES 2
+
+struct deployment {
+	const char *name;
+	int64_t zone_delay; /* one way between zones */
+	uint32_t slots;
+	int targets[MODEL_SERVICES];
+	int64_t service_time[MODEL_SERVICES]; /* mean */
+};
+
+enum scenario {
+	SCENARIO_STEADY,
+	/* Zone z2 is marked out at 1/4 of the run and in again at 5/8. */
+	SCENARIO_ZONE_MARKED,
+	/* The hosts of z2 die at 1/4 of the run and start cold at 5/8. */
+	SCENARIO_ZONE_DIES,
+	/* Target 0 takes five times as long. */
+	SCENARIO_SLOW,
+	/* Target 0 takes three times as long and tells no load and no limit. */
+	SCENARIO_LIAR,
+	/* Target 0 refuses all requests at once as if its queue were full. */
+	SCENARIO_REFUSER,
+	NR_SCENARIOS
+};
+
+extern const char *const scenario_names[NR_SCENARIOS];
+
+struct model_options {
+	const struct deployment *deployment;
+	const struct balance_policy *policy;
+	enum scenario scenario;
+	int load_percent; /* of the slots of all targets */
+	int64_t duration;
+	uint64_t seed;
+};
+
+struct model_result {
+	uint64_t requests;
+	uint64_t successes;
+	uint64_t attempts;
+	uint64_t cross_zone; /* attempts that left the zone */
+	int64_t median;	     /* of successes, from arrival at the ingress */
+	int64_t p99;
+	int64_t p999;
+};
+
+void model_run(const struct model_options *options,
+	       struct model_result *result);
+
+#endif
