--- a/godwitspur/cmd_render.c
+++ b/godwitspur/cmd_render.c
@@ -6,7 +6,7 @@
 #include "cmd_tree.h"
 
 /*
- * Versions never go down, so a number far too high by a slip of the hand
+ * Versions never go down, so a number that is far too high by mistake
  * leaves no room for corrections. 2^40 lasts for millions of years at 1,300
  * changes a day.
  */
