bench: fix a lint finding in bench_tree

Cause: clang-tidy takes the index of the median for a loss of precision. Change: convert nanoseconds in a function.

--- a/bench/tree/bench_tree.c
+++ b/bench/tree/bench_tree.c
@@ -83,13 +83,17 @@
 	return (x > y) - (x < y);
 }
 
+static double to_ms(int64_t ns)
+{
+	return (double)ns / (double)NS_PER_MS;
+}
+
 static void print_times(const char *what, int64_t times[RUNS])
 {
 	qsort(times, RUNS, sizeof(*times), compare_times);
 	printf("%s_ms median=%.2f min=%.2f max=%.2f runs=%d\n", what,
-	       (double)times[RUNS / 2] / NS_PER_MS,
-	       (double)times[0] / NS_PER_MS,
-	       (double)times[RUNS - 1] / NS_PER_MS, RUNS);
+	       to_ms(times[RUNS / 2]), to_ms(times[0]), to_ms(times[RUNS - 1]),
+	       RUNS);
 }
 
 static struct tree *measure_parse(const GString *text,
