Fix a busy loop of readers while their watch is in flight

Cause: the next deadline of a reader was always now, so its control loop turned without a pause while a watch waited. Change: the time from which a daemon watches counts only while no read of the manifest is in flight.

--- a/lib/dist/source.c
+++ b/lib/dist/source.c
@@ -130,8 +130,9 @@
 	int64_t ready = MAX(dist->next_token, dist->backoff_until);
 	bool manifest = wants_manifest(dist, now);
 
-	dist->wake = manifest ? DEADLINE_NEVER
-			      : dist->policy->watches_from(dist, now);
+	dist->wake = DEADLINE_NEVER;
+	if (!manifest && !dist->manifest_in_flight)
+		dist->wake = dist->policy->watches_from(dist, now);
 	if (!dist->rules->has_token(dist->next_token, now) ||
 	    now < dist->backoff_until) {
 		dist->wake = ready;
--- /dev/null
+++ b/tests/dist/fleet.h
@@ -0,0 +1,145 @@
+#ifndef TESTS_DIST_FLEET_H
+#define TESTS_DIST_FLEET_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "dist/dist.h"
+#include "dist/dist_rules.h"
+#include "member/member.h"
+}
+
+/*
+ * A handful of dist instances joined by a list of messages, with a source and
+ * faults, in model time. The oracle knows only what was published and checks
+ * every accepted version and every call against it.
+ */
+
+/* One step of a generated history: what happens, and two free numbers. */
+struct Step {
+	int op;
+	uint32_t a, b;
+};
+
+enum Op {
+	OP_RUN,	      /* a ms pass */
+	OP_PUBLISH,   /* see Fleet::publish() */
+	OP_FILL,      /* parts that were withheld appear at the source */
+	OP_DELAY,     /* message a arrives b ms later */
+	OP_DROP,      /* message a is lost */
+	OP_DOUBLE,    /* message a arrives twice */
+	OP_CORRUPT,   /* message a carries other bytes */
+	OP_CRASH,     /* daemon a dies; it starts again after b ms */
+	OP_PAUSE,     /* daemon a does not run for b ms */
+	OP_PARTITION, /* the daemons in the bits of a are cut off */
+	OP_HEAL,
+	OP_SOURCE, /* the source is up, down, or shows an old manifest */
+	OP_COUNT
+};
+
+struct Published {
+	std::string manifest;
+	std::map<std::string, std::string> parts; /* hex digest -> bytes */
+	bool valid = true;
+};
+
+struct Message {
+	enum Kind {
+		CALL,
+		ANSWER,
+		SOURCE_CALL,
+		SOURCE_ANSWER
+	} kind;
+	size_t from, to;
+	uint64_t life; /* of the daemon that made the call */
+	uint64_t call;
+	dist_procedure procedure;
+	dist_announce announce;
+	version_id id;
+	std::string key; /* of the source: "manifest" or a hex digest */
+	std::string known;
+	int64_t deadline;
+	dist_outcome outcome = DIST_FAILED;
+	std::string bytes;
+};
+
+struct Faults {
+	const dist_rules *rules = &dist_rules_default;
+	const dist_policy *policy = &dist_policy_gossip;
+	bool unmute = false; /* undo the silence after a pause */
+	/* False: faults end, but the source stays down. */
+	bool source_returns = true;
+};
+
+class Fleet
+{
+      public:
+	Fleet(size_t nr, const Faults &faults, uint64_t seed);
+	~Fleet();
+	/* Runs the history and waits for convergence; "" or what was broken. */
+	std::string check(const std::vector<Step> &steps);
+	void step(const Step &step);
+	void publish(uint32_t kind, uint32_t variant);
+	void run(int64_t ns);
+	void crash(size_t index, int64_t down_for);
+	const version_id *in_force(size_t index) const;
+	std::string broken;
+
+	struct Node {
+		std::string host, zone, control;
+		::rng rng;
+		::member *member = nullptr;
+		::dist *dist = nullptr;
+		uint64_t life = 0;
+		int64_t started = 0, resumes = 0, restarts = 0;
+		int64_t last_source_call = INT64_MIN / 2;
+		version_id accepted = {}, told = {};
+		std::set<std::string> refused;
+		bool serving = false, silent = false, cut_off = false;
+		size_t accepts = 0;
+	};
+	std::vector<Node> nodes;
+	int64_t now = NS_PER_SEC;
+	bool source_up = true;
+	size_t source_age = 0; /* how many manifests behind the source is */
+
+      private:
+	void start(Node &node);
+	void stop(Node &node);
+	void drain(size_t index);
+	void deliver(Message message);
+	void deliver_call(const Message &message);
+	void deliver_answer(const Message &message);
+	void deliver_source_call(Message message);
+	void send(Message message, int64_t delay);
+	void send_peer(size_t index, const dist_peer_call &call);
+	void send_source(size_t index, const dist_source_call &call);
+	void wake_watches();
+	std::string source_manifest() const;
+	void accepted(Node &node, const dist_version *version);
+	void check_refusals(Node &node);
+	void note_told(Node &node, const dist_announce &announce);
+	void fail(const std::string &what);
+	void settle();
+	std::multimap<int64_t, Message>::iterator pick(uint32_t index);
+
+	Faults faults;
+	uint64_t seed, lives = 0;
+	std::multimap<int64_t, Message> messages;
+	std::vector<Message> watches;
+	std::map<std::string, Published> published; /* by manifest digest */
+	std::map<std::string, std::string> source_parts, withheld;
+	std::vector<std::string> manifests; /* digests, in order of time */
+	int64_t number = 0;
+	host_list *list = nullptr;
+};
+
+std::string hex_of(const std::string &bytes);
+
+#endif
