Fuzz admission against bounds on limit, waiting and places

The fuzz found that a new version with a shorter ramp_ms counted time that had passed in the old, longer ramp; the step begins anew now.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -67,9 +67,17 @@
 void admit_set_policy(struct admit *admit, const struct admit_options *options,
 		      int64_t now)
 {
+	const struct admit_ramp old = admit->ramp;
+	struct admit_ramp *ramp = &admit->ramp;
+
+	admit_limit(admit, now);
 	take_options(admit, options);
-	admit->ramp.limit = CLAMP(admit->ramp.limit, admit->ramp.cold_slots,
-				  admit->ramp.slots);
+	ramp->limit = CLAMP(ramp->limit, ramp->cold_slots, ramp->slots);
+	/* Time that passed in a slower ramp must not count as a faster one's.
+	 */
+	if (ramp->slots != old.slots || ramp->cold_slots != old.cold_slots ||
+	    ramp->ramp_ns != old.ramp_ns)
+		ramp->step_start = admit->latest;
 	admit_limit(admit, now);
 }
 
--- a/tests/support/ops.h
+++ b/tests/support/ops.h
@@ -38,12 +38,13 @@
 };
 } // namespace rc
 
-constexpr std::size_t kSteps = 400;
+/* Sequences of 400 steps on average. */
+constexpr int kStepsMax = 800;
 
 inline rc::Gen<std::vector<Op>> genOps()
 {
-	return rc::gen::container<std::vector<Op>>(kSteps,
-						   rc::gen::arbitrary<Op>());
+	return rc::gen::resize(kStepsMax,
+			       rc::gen::arbitrary<std::vector<Op>>());
 }
 
 /* A run is what World(args...) makes of the steps; "" or a violation. */
@@ -87,7 +88,7 @@
 	constexpr int kTries = 300;
 
 	for (int seed = 0; seed < kTries; seed++) {
-		auto ops = genOps()(rc::Random(seed), 100).value();
+		auto ops = genOps()(rc::Random(seed), kStepsMax).value();
 		std::string violation = runWorld<World>(ops, args...);
 
 		if (!violation.empty() &&
