Fuzz quarantine against the crashes that really were

Guards against killers that start again, neighbours that are refused, crashes counted twice, quarantines that peers keep alive and entries that are crowded out.

The fuzz found two faults. A slow report of an older crash counted again after a newer one. Entries told by peers could take the place of a count below the limit that the daemon had seen itself; they no longer can.

--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -149,26 +149,37 @@
 	return NULL;
 }
 
-/*
- * Frees the place of the entry that matters least: one that is not suspect
- * before one that is, one of a fingerprint not quarantined before one that
- * is, then the one that ends first.
- */
+/* How much an entry matters: what was told must not crowd out what was seen. */
+enum entry_rank {
+	RANK_NOT_SUSPECT,
+	RANK_TOLD,
+	RANK_SEEN, /* by the own daemon */
+	RANK_QUARANTINED
+};
+
+static enum entry_rank rank_of(const struct quarantine *quarantine,
+			       const struct entry *entry, int64_t now)
+{
+	if (!is_suspect(entry, now))
+		return RANK_NOT_SUSPECT;
+	if (quarantine_check(quarantine, entry->fingerprint, now, NULL))
+		return RANK_QUARANTINED;
+	return entry->origin == quarantine->origin ? RANK_SEEN : RANK_TOLD;
+}
+
+/* Frees the place of the entry of least rank that ends first. */
 static void evict(struct quarantine *quarantine, int64_t now)
 {
 	struct entry *entry = NULL, *victim = NULL;
-	int victim_rank = 0;
+	enum entry_rank least = RANK_QUARANTINED;
 
 	cds_list_for_each_entry (entry, &quarantine->tell, tell_node) {
-		int rank = is_suspect(entry, now);
+		enum entry_rank rank = rank_of(quarantine, entry, now);
 
-		if (rank &&
-		    quarantine_check(quarantine, entry->fingerprint, now, NULL))
-			rank = 2;
-		if (!victim || rank < victim_rank ||
-		    (rank == victim_rank && entry->end < victim->end)) {
+		if (!victim || rank < least ||
+		    (rank == least && entry->end < victim->end)) {
 			victim = entry;
-			victim_rank = rank;
+			least = rank;
 		}
 	}
 	if (victim)
@@ -233,7 +244,7 @@
 
 	if (!own->count)
 		own->count = quarantine->own_count;
-	if (!own->end || own->last_life != life) {
+	if (life > own->last_life) {
 		forget_ended(own, now);
 		own->count++;
 		quarantine->own_count = MAX(quarantine->own_count, own->count);
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -14,10 +14,10 @@
  *
  * A crash is counted against each fingerprint that was in flight on the
  * crashed backend server, once for each crash however many copies were. At
- * `crashes` crashes, on any hosts, within quarantine_ns of each other the
- * fingerprint is refused until quarantine_ns after the last one. A request
- * that was merely in flight during one crash stays below that number, and
- * its next success resets its count.
+ * `crashes` crashes, on any hosts and each within quarantine_ns of the one
+ * before, the fingerprint is refused until quarantine_ns after the last one. A
+ * request that was merely in flight during one crash stays below that number,
+ * and its next success resets its count.
  *
  * Counts are kept for each origin (a run of a daemon) and merged by maximum,
  * the number of those cleared by a success likewise, so that entries told
@@ -72,9 +72,9 @@
 
 /*
  * The own backend server crashed while the fingerprint was in flight. life
- * numbers the crashes (admit_request.life); a second report of the same life
- * and fingerprint changes nothing. *entry, unless NULL, is what to tell the
- * ingress in the answer.
+ * is that of the request (admit_request.life, from 1); a second report of a
+ * life and fingerprint, or one of an older life, changes nothing. *entry,
+ * unless NULL, is what to tell the ingress in the answer.
  */
 void quarantine_crash(struct quarantine *quarantine, uint64_t fingerprint,
 		      uint64_t life, int64_t now,
--- /dev/null
+++ b/tests/quarantine/ward.cc
@@ -0,0 +1,291 @@
+#include "ward.h"
+
+#include <algorithm>
+#include <set>
+
+namespace
+{
+constexpr int64_t kMs = 1000000;
+constexpr unsigned kNodes = 4;
+constexpr int kCrashes = 3;
+constexpr int64_t kQuarantine = 1000 * kMs;
+constexpr uint64_t kKillers = 2; /* fingerprints 0 and 1 */
+constexpr uint64_t kFingerprints = 6;
+constexpr std::size_t kEntries = 64;
+} // namespace
+
+Ward::Ward(Spread spread) : spread_(spread), nodes_(kNodes)
+{
+	for (unsigned i = 0; i < kNodes; i++)
+		boot(i);
+}
+
+Ward::~Ward()
+{
+	for (Node &node : nodes_)
+		quarantine_free(node.quarantine);
+}
+
+void Ward::violate(const std::string &what)
+{
+	if (violation.empty())
+		violation = what;
+}
+
+/* Starts a daemon, in place of the one that was there. */
+void Ward::boot(unsigned n)
+{
+	struct quarantine_options options = {};
+	std::string host = "h" + std::to_string(n);
+
+	if (nodes_[n].quarantine)
+		quarantine_free(nodes_[n].quarantine);
+	nodes_[n] = Node();
+	nodes_[n].incarnation = ++nr_incarnations_;
+	options.origin = quarantine_origin(host.c_str(), nodes_[n].incarnation);
+	options.crashes = kCrashes;
+	options.quarantine_ns = kQuarantine;
+	options.max_entries = kEntries;
+	nodes_[n].quarantine = quarantine_new(&options);
+	for (unsigned from = 0; from < kNodes && spread_ == Spread::Prompt;
+	     from++)
+		for (std::size_t i = 0; i < kEntries; i += QUARANTINE_TELL_MAX)
+			if (nodes_[from].quarantine && from != n)
+				tell(from, n);
+}
+
+bool Ward::refused(unsigned node, uint64_t fingerprint) const
+{
+	return quarantine_check(nodes_[node].quarantine, fingerprint, now_,
+				nullptr);
+}
+
+void Ward::start(unsigned n, uint64_t fingerprint)
+{
+	const auto &crashes = crashes_[fingerprint];
+	long recent =
+		std::count_if(crashes.begin(), crashes.end(), [&](int64_t at) {
+			return at > now_ - kQuarantine;
+		});
+
+	if (refused(n, fingerprint)) {
+		if (crashes.size() < kCrashes)
+			violate("refused after too few crashes");
+		return;
+	}
+	if (spread_ == Spread::Prompt && fingerprint < kKillers &&
+	    recent >= kCrashes)
+		violate("a killer starts again after enough crashes");
+	nodes_[n].running.push_back(fingerprint);
+}
+
+void Ward::finish(unsigned n, unsigned which)
+{
+	Node &node = nodes_[n];
+
+	if (node.running.empty())
+		return;
+	uint64_t fingerprint = node.running[which % node.running.size()];
+	if (fingerprint < kKillers) {
+		crash(n, which % 2 || spread_ == Spread::Prompt);
+		return;
+	}
+	node.running.erase(node.running.begin() + which % node.running.size());
+	quarantine_success(node.quarantine, fingerprint, now_);
+	if (refused(n, fingerprint))
+		violate("refused just after a success");
+}
+
+void Ward::crash(unsigned n, bool all_at_once)
+{
+	Node &node = nodes_[n];
+	std::set<uint64_t> in_flight(node.running.begin(), node.running.end());
+	bool first = true;
+
+	for (uint64_t fingerprint : in_flight) {
+		crashes_[fingerprint].push_back(now_);
+		node.crashes[fingerprint]++;
+	}
+	for (uint64_t fingerprint : node.running) {
+		Report each = { n, node.incarnation, fingerprint, node.life };
+
+		if (first || all_at_once)
+			report(each);
+		else
+			late_.push_back(each);
+		first = false;
+	}
+	node.running.clear();
+	node.life++;
+}
+
+void Ward::report(const Report &r)
+{
+	Node &node = nodes_[r.node];
+	struct quarantine_entry entry;
+
+	if (node.incarnation != r.incarnation)
+		return;
+	quarantine_crash(node.quarantine, r.fingerprint, r.life, now_, &entry);
+	if (r.life > node.last_life[r.fingerprint]) {
+		if (now_ - node.last_seen[r.fingerprint] >= kQuarantine)
+			node.seen[r.fingerprint] = 0;
+		node.seen[r.fingerprint]++;
+		node.last_seen[r.fingerprint] = now_;
+		node.last_life[r.fingerprint] = r.life;
+	}
+	checkCounts(r.node);
+	for (unsigned to = 0; to < kNodes; to++)
+		network_.push_back({ to, entry });
+	if (spread_ == Spread::Prompt)
+		deliverAll();
+}
+
+void Ward::tell(unsigned from, unsigned to)
+{
+	struct quarantine_entry entries[QUARANTINE_TELL_MAX];
+	size_t n = quarantine_tell(nodes_[from].quarantine, now_, entries,
+				   QUARANTINE_TELL_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		if (entries[i].left_ms == 0 ||
+		    entries[i].left_ms > kQuarantine / kMs)
+			violate("told a time left outside the quarantine");
+		network_.push_back({ to, entries[i] });
+	}
+	if (spread_ == Spread::Prompt)
+		deliverAll();
+}
+
+void Ward::deliver(unsigned at)
+{
+	News news = network_[at];
+
+	network_.erase(network_.begin() + at);
+	quarantine_merge(nodes_[news.to].quarantine, &news.entry, now_);
+}
+
+void Ward::deliverAll()
+{
+	while (!network_.empty())
+		deliver(network_.size() - 1);
+}
+
+/* Crashes of many other requests, told by some daemon. */
+void Ward::crowd(unsigned n)
+{
+	for (std::size_t i = 0; i < 2 * kEntries; i++) {
+		struct quarantine_entry entry = { 1000 + nr_crowd_++, 5, 1, 0,
+						  1000 };
+
+		quarantine_merge(nodes_[n].quarantine, &entry, now_);
+	}
+	if (quarantine_expire(nodes_[n].quarantine, now_) > kEntries)
+		violate("more entries than max_entries");
+}
+
+void Ward::check()
+{
+	for (unsigned n = 0; n < kNodes; n++)
+		for (uint64_t killer = 0; killer < kKillers; killer++)
+			if (nodes_[n].seen[killer] >= kCrashes &&
+			    now_ - nodes_[n].last_seen[killer] < kQuarantine &&
+			    !refused(n, killer))
+				violate("not refused after enough crashes");
+}
+
+/* A daemon never counts more crashes than its backend server had. */
+void Ward::checkCounts(unsigned n)
+{
+	json_t *dump = quarantine_dump(nodes_[n].quarantine, now_);
+	json_t *suspect;
+	size_t i;
+
+	json_array_foreach (json_object_get(dump, "suspects"), i, suspect) {
+		uint64_t fingerprint =
+			std::stoull(json_string_value(
+					    json_object_get(suspect,
+							    "fingerprint")),
+				    nullptr, 16);
+
+		if (json_is_true(json_object_get(suspect, "own")) &&
+		    json_integer_value(json_object_get(suspect, "crashes")) >
+			    nodes_[n].crashes[fingerprint])
+			violate("one crash counted twice");
+	}
+	json_decref(dump);
+}
+
+void Ward::apply(const Op &op)
+{
+	unsigned node = op.a % kNodes;
+
+	switch (op.kind % 32) {
+	case 1 ... 10:
+		start(node, op.b % kFingerprints);
+		break;
+	case 11 ... 16:
+		finish(node, op.b);
+		break;
+	case 17 ... 19:
+		tell(node, op.b % kNodes);
+		break;
+	case 20 ... 23:
+		if (network_.empty())
+			break;
+		if (op.b % 4 == 0)
+			network_.push_back(network_[op.a % network_.size()]);
+		if (op.b % 8 == 1)
+			network_.erase(network_.begin() +
+				       op.a % network_.size());
+		else
+			deliver(op.a % network_.size());
+		break;
+	case 24 ... 25:
+		if (late_.empty())
+			break;
+		report(late_[op.a % late_.size()]);
+		late_.erase(late_.begin() + op.a % late_.size());
+		break;
+	case 26 ... 27:
+		now_ += op.b % (op.c % 8 ? 100 : 1500) * kMs;
+		break;
+	case 28: /* a crash that no request caused */
+		if (op.b % 4 == 0)
+			crash(node, op.c % 2 || spread_ == Spread::Prompt);
+		break;
+	case 29:
+		if (op.b % 8 == 0)
+			boot(node);
+		break;
+	case 30:
+		quarantine_expire(nodes_[node].quarantine, now_);
+		break;
+	case 31:
+		if (spread_ == Spread::Crowded && op.b % 4 == 0)
+			crowd(node);
+		break;
+	}
+	check();
+}
+
+void Ward::settle()
+{
+	constexpr int kRounds = 40;
+
+	/* Each round delivers what the round before told. */
+	for (int i = 0; i < kRounds; i++) {
+		deliverAll();
+		for (unsigned from = 0; from < kNodes; from++)
+			for (unsigned to = 0; to < kNodes; to++)
+				tell(from, to);
+		now_ += kQuarantine / 8;
+	}
+	for (unsigned n = 0; n < kNodes; n++) {
+		for (uint64_t f = 0; f < kFingerprints; f++)
+			if (refused(n, f))
+				violate("a quarantine does not end");
+		if (quarantine_expire(nodes_[n].quarantine, now_))
+			violate("entries are left");
+	}
+}
