Avoid targets that refuse

A target that refuses at once keeps an empty queue, so the load told and seen drew the work to it. It is now passed over for 10 ms after a refusal, doubling to 1 s until it answers, unless all others are avoided as well.

--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -3,6 +3,9 @@
 /* Latencies are smoothed with weight 1/8 for a new value, as TCP does. */
 #define LATENCY_SHIFT 3
 
+#define AVOID_FIRST (10 * NS_PER_MS)
+#define AVOID_LONGEST (1 * NS_PER_SEC)
+
 bool balance_start(struct balance *balance, balance_handle handle, int64_t now)
 {
 	struct target *target = balance_target_at(balance, handle);
@@ -55,6 +58,22 @@
 	target->trial_at = now + target->back_off;
 }
 
+/*
+ * Avoids a target that refused. The first time is short, since a full queue
+ * empties in a few service times; it doubles while nothing is answered, because
+ * a target that refuses everything at once looks idle and would draw the work.
+ */
+static void count_refusal(struct target *target, int64_t now)
+{
+	/* Refusals of requests that were sent before count once. */
+	if (now < target->avoid_until)
+		return;
+	target->avoid_for = target->avoid_for
+				    ? MIN(2 * target->avoid_for, AVOID_LONGEST)
+				    : AVOID_FIRST;
+	target->avoid_until = now + target->avoid_for;
+}
+
 static void judge(const struct balance *balance, struct target *target,
 		  const struct balance_result *result, int64_t now)
 {
@@ -65,8 +84,12 @@
 		count_failure(balance, target, now);
 		return;
 	}
-	if (result->reason == FAILURE_NONE)
+	if (result->reason == FAILURE_NONE) {
 		target->failures = 0;
+		target->avoid_for = 0;
+	} else if (failure_get(result->reason)->another_may_help) {
+		count_refusal(target, now);
+	}
 	/* A refusal is an answer as well: the target is reachable. */
 	if (target_is_held(target) && target->trial_pending)
 		target_release(target, now);
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -41,12 +41,32 @@
 	balance->candidate_targets[n] = target;
 }
 
+/* Reasons to pass a target over, by which the next pass is more lenient. */
+enum pass {
+	PASS_USUAL,   /* neither held nor avoided after refusals */
+	PASS_AVOIDED, /* not held */
+	PASS_ALL,
+	NR_PASSES
+};
+
+static bool passes(const struct target *target,
+		   const struct balance_request *request, enum pass pass,
+		   int64_t now)
+{
+	if (is_excluded(request, target))
+		return false;
+	if (pass < PASS_ALL && target_is_held(target))
+		return false;
+	return pass > PASS_USUAL || now >= target->avoid_until;
+}
+
 /*
- * Collects the targets that get work as usual: of the own zone, and while that
- * is over its share of use or has none, of the region, then of all.
+ * Collects the targets of a pass: of the own zone, and while that is over its
+ * share of use or has none, of the region, then of all.
  */
 static size_t collect(struct balance *balance, const struct service *service,
-		      const struct balance_request *request, int64_t now)
+		      const struct balance_request *request, enum pass pass,
+		      int64_t now)
 {
 	uint64_t load = 0, limit = 0;
 	size_t n = 0, i = 0;
@@ -55,8 +75,7 @@
 		for (; i < service->tier_end[tier]; i++) {
 			struct target *target = service->subset[i];
 
-			if (target_is_held(target) ||
-			    is_excluded(request, target))
+			if (!passes(target, request, pass, now))
 				continue;
 			add_candidate(balance, target, n, now);
 			load += balance->candidates[n].load;
@@ -71,24 +90,6 @@
 	return n;
 }
 
-/* Collects the targets that otherwise get only trials. */
-static size_t collect_held(struct balance *balance,
-			   const struct service *service,
-			   const struct balance_request *request, int64_t now)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < service->nr_subset; i++) {
-		struct target *target = service->subset[i];
-
-		if (!target_is_held(target) || is_excluded(request, target))
-			continue;
-		add_candidate(balance, target, n, now);
-		n++;
-	}
-	return n;
-}
-
 static void fill_choice(struct balance_choice *choice,
 			const struct target *target, bool trial)
 {
@@ -107,7 +108,7 @@
 	struct service *service = balance_service_at(balance, request->service);
 	const struct balance_policy *policy = balance->options.policy;
 	struct target *target;
-	size_t n;
+	size_t n = 0;
 
 	if (!service)
 		return false;
@@ -115,9 +116,9 @@
 		service_refresh_subset(balance, service, now);
 	target = due_trial(service, request, now);
 	if (!target) {
-		n = collect(balance, service, request, now);
-		if (!n)
-			n = collect_held(balance, service, request, now);
+		for (int pass = 0; pass < NR_PASSES && !n; pass++)
+			n = collect(balance, service, request, (enum pass)pass,
+				    now);
 		if (!n)
 			return false;
 		target = balance->candidate_targets[policy->choose(
--- a/lib/balance/state.h
+++ b/lib/balance/state.h
@@ -39,6 +39,9 @@
 	int64_t trial_at;
 	int64_t back_off;
 	int64_t returned_at; /* from the last ejection */
+	/* After refusals it gets work only if all others refuse as well. */
+	int64_t avoid_until;
+	int64_t avoid_for;
 
 	uint32_t in_flight;
 	uint32_t told_in_flight;
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -329,6 +329,35 @@
 	EXPECT_STREQ(in.send(false).host, "sick");
 }
 
+/* Guards against work drawn by a target that refuses it all and looks idle. */
+TEST(Refusals, AreAvoidedForLongerAndLonger)
+{
+	Ingress in;
+	int refused = 0;
+
+	for (int i = 0; i < 4; i++)
+		in.add("h" + std::to_string(i), "z0");
+	in.update();
+	/* 2 s at 1,000 requests a second: 10 + 20 + 40 ms and so on. */
+	for (int i = 0; i < 2000; i++) {
+		struct balance_choice c = in.send();
+		bool refuses = !strcmp(c.host, "h0");
+
+		refused += refuses;
+		in.end(c, refuses ? FAILURE_QUEUE_FULL : FAILURE_NONE);
+		in.now += NS_PER_MS;
+	}
+	EXPECT_GE(refused, 2);
+	EXPECT_LE(refused, 10);
+	/* Refusal by all is no reason to send nothing. */
+	for (int i = 0; i < 100; i++) {
+		struct balance_choice c = in.send();
+
+		ASSERT_STRNE(c.host, "");
+		in.end(c, FAILURE_QUEUE_FULL);
+	}
+}
+
 /* Guards against failing all requests when every target is sick. */
 TEST(Ejection, AllEjectedAreStillTried)
 {
