Revert "Try: avoid targets after failures as well as after refusals"

Avoidance also delayed the ejection of a sick target among two, so that two tests of the ejection failed.

--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -40,28 +40,10 @@
 	service->nr_held++;
 }
 
-/*
- * Avoids a target that refused or failed. The first time is short, since a full
- * queue empties in a few service times; it doubles while nothing is answered,
- * because a target that refuses everything at once looks idle and would draw
- * the work.
- */
-static void avoid(struct target *target, int64_t now)
-{
-	/* Refusals of requests that were sent before count once. */
-	if (now < target->avoid_until)
-		return;
-	target->avoid_for = target->avoid_for
-				    ? MIN(2 * target->avoid_for, AVOID_LONGEST)
-				    : AVOID_FIRST;
-	target->avoid_until = now + target->avoid_for;
-}
-
 static void count_failure(const struct balance *balance, struct target *target,
 			  int64_t now)
 {
 	target->failures++;
-	avoid(target, now);
 	if (!target_is_held(target)) {
 		if (target->failures >= balance->options.eject_failures)
 			eject(balance, target, now);
@@ -76,6 +58,22 @@
 	target->trial_at = now + target->back_off;
 }
 
+/*
+ * Avoids a target that refused. The first time is short, since a full queue
+ * empties in a few service times; it doubles while nothing is answered, because
+ * a target that refuses everything at once looks idle and would draw the work.
+ */
+static void count_refusal(struct target *target, int64_t now)
+{
+	/* Refusals of requests that were sent before count once. */
+	if (now < target->avoid_until)
+		return;
+	target->avoid_for = target->avoid_for
+				    ? MIN(2 * target->avoid_for, AVOID_LONGEST)
+				    : AVOID_FIRST;
+	target->avoid_until = now + target->avoid_for;
+}
+
 static void judge(const struct balance *balance, struct target *target,
 		  const struct balance_result *result, int64_t now)
 {
@@ -90,7 +88,7 @@
 		target->failures = 0;
 		target->avoid_for = 0;
 	} else if (failure_get(result->reason)->another_may_help) {
-		avoid(target, now);
+		count_refusal(target, now);
 	}
 	/* A refusal is an answer as well: the target is reachable. */
 	if (target_is_held(target) && target->trial_pending)
