Overflow to other zones in proportion to the excess

Above zone_overflow_percent every request chose among all zones, so that at 80% load four in ten attempts left the zone. A request now overflows with a probability that grows from 0 at the threshold to 1 at full use.

--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -61,8 +61,29 @@
 }
 
 /*
- * Collects the targets of a pass: of the own zone, and while that is over its
- * share of use or has none, of the region, then of all.
+ * Whether a request goes beyond the tiers that have load in use of limit.
+ * Above the threshold it does so with a probability that grows to 1 at full
+ * use. If all requests did, the own zone would be left far more than its excess
+ * of load needs, and ingresses would swing between the zones together.
+ */
+static bool overflows(const struct balance *balance,
+		      const struct service *service, uint64_t load,
+		      uint64_t limit)
+{
+	uint64_t percent = (uint64_t)service->zone_overflow_percent;
+	uint64_t above;
+
+	if (load * 100 <= limit * percent)
+		return false;
+	if (load >= limit)
+		return true;
+	above = load * 100 - limit * percent;
+	return rng_below(balance->options.rng, limit * (100 - percent)) < above;
+}
+
+/*
+ * Collects the targets of a pass: of the own zone, and while that has none or
+ * overflows, of the region, then of all.
  */
 static size_t collect(struct balance *balance, const struct service *service,
 		      const struct balance_request *request, enum pass pass,
@@ -82,9 +103,7 @@
 			limit += balance->candidates[n].limit;
 			n++;
 		}
-		if (n &&
-		    load * 100 <=
-			    limit * (uint64_t)service->zone_overflow_percent)
+		if (n && !overflows(balance, service, load, limit))
 			break;
 	}
 	return n;
