Weigh the latency twice in the choice of two

The weakest figure was the tail with one slow or lying target: its share fell with its latency only in inverse proportion, though it also keeps its slots for longer.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -61,7 +61,7 @@
 extern const struct balance_policy balance_round_robin;
 /* The lowest load per limit of all. */
 extern const struct balance_policy balance_least_in_flight;
-/* The better of two random ones by (load + 1) x latency / limit. */
+/* The better of two random ones by (load + 1) x latency^2 / limit. */
 extern const struct balance_policy balance_two_choices;
 
 /* "round-robin", "least-in-flight" or "two-choices"; NULL for other names. */
--- a/lib/balance/policy.c
+++ b/lib/balance/policy.c
@@ -38,9 +38,16 @@
 	return best;
 }
 
+/*
+ * The latency counts twice: a target that takes k times as long also keeps its
+ * slots for k times as long, and one that tells too low a load is known by its
+ * latency alone.
+ */
 static double cost(const struct balance_candidate *candidate)
 {
-	return ((double)candidate->load + 1) * (double)candidate->latency_ns /
+	double latency = (double)candidate->latency_ns;
+
+	return ((double)candidate->load + 1) * latency * latency /
 	       candidate->limit;
 }
 
