Send retries to another zone than that of the failure

When a zone dies, the one retry that a request has after an unknown outcome was often spent at another dead host of that zone. A retry now leaves out the zones of tried targets whose last result is a failure, as long as others remain; refusals do not count.

--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "balance/state.h"
 
 /* A due trial waits this long for a request that may be retried. */
@@ -43,13 +45,33 @@
 
 /* Reasons to pass a target over, by which the next pass is more lenient. */
 enum pass {
+	PASS_RETRY,   /* nor in a zone where the request failed */
 	PASS_USUAL,   /* neither held nor avoided after refusals */
 	PASS_AVOIDED, /* not held */
 	PASS_ALL,
 	NR_PASSES
 };
 
-static bool passes(const struct target *target,
+/*
+ * Whether the request failed at a target in the zone of this one. Hosts of a
+ * zone fail together, and a second failure there would use up the retries.
+ */
+static bool in_failed_zone(const struct balance *balance,
+			   const struct target *target,
+			   const struct balance_request *request)
+{
+	for (size_t i = 0; i < request->nr_excluded; i++) {
+		const struct target *tried =
+			balance_target_at(balance, request->excluded[i]);
+
+		if (tried && tried->failures &&
+		    !strcmp(tried->zone, target->zone))
+			return true;
+	}
+	return false;
+}
+
+static bool passes(const struct balance *balance, const struct target *target,
 		   const struct balance_request *request, enum pass pass,
 		   int64_t now)
 {
@@ -57,7 +79,9 @@
 		return false;
 	if (pass < PASS_ALL && target_is_held(target))
 		return false;
-	return pass > PASS_USUAL || now >= target->avoid_until;
+	if (pass < PASS_AVOIDED && now < target->avoid_until)
+		return false;
+	return pass > PASS_RETRY || !in_failed_zone(balance, target, request);
 }
 
 /*
@@ -96,7 +120,7 @@
 		for (; i < service->tier_end[tier]; i++) {
 			struct target *target = service->subset[i];
 
-			if (!passes(target, request, pass, now))
+			if (!passes(balance, target, request, pass, now))
 				continue;
 			add_candidate(balance, target, n, now);
 			load += balance->candidates[n].load;
@@ -135,7 +159,9 @@
 		service_refresh_subset(balance, service, now);
 	target = due_trial(service, request, now);
 	if (!target) {
-		for (int pass = 0; pass < NR_PASSES && !n; pass++)
+		int pass = request->nr_excluded ? PASS_RETRY : PASS_USUAL;
+
+		for (; pass < NR_PASSES && !n; pass++)
 			n = collect(balance, service, request, (enum pass)pass,
 				    now);
 		if (!n)
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -234,6 +234,29 @@
 	EXPECT_STREQ(in.send().host, "");
 }
 
+/* Guards against retries that are spent in the zone that has just failed. */
+TEST(Zones, RetryLeavesTheZoneOfTheFailure)
+{
+	Ingress in;
+
+	for (int i = 0; i < 3; i++)
+		in.add("own" + std::to_string(i), "z0");
+	in.add("near", "z1");
+	in.update();
+	for (int i = 0; i < 4; i++) {
+		struct balance_choice first = in.send(), second;
+		struct balance_request retry = { 0, &first.target, 1, true };
+
+		ASSERT_TRUE(first.own_zone);
+		in.end(first, i % 2 ? FAILURE_LINK_LOST : FAILURE_QUEUE_FULL);
+		ASSERT_TRUE(balance_pick(in.balance, &retry, in.now, &second));
+		EXPECT_EQ(!strcmp(second.host, "near"), i % 2 == 1);
+		/* Resets the failures. */
+		in.tell(first.host, 0, 0, 10);
+		in.now += NS_PER_SEC;
+	}
+}
+
 /* Guards against full load for a cold target (P4). */
 TEST(Ramp, ColdTargetGetsItsShare)
 {
