--- a/bench/balance_policies/model.c
+++ b/bench/balance_policies/model.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "model.h"
+#include "quantiles/quantiles.h"
 
 #define HOSTS_MAX 32
 #define QUEUE_MAX 20
@@ -24,10 +25,6 @@
 #define SLOW_FACTOR 5
 #define LIAR_FACTOR 3
 
-/* Latencies in buckets of 1/64 of their size. */
-#define BUCKETS_PER_OCTAVE 64
-#define NR_BUCKETS (64 * BUCKETS_PER_OCTAVE)
-
 const char *const scenario_names[NR_SCENARIOS] = {
 	"steady", "zone-marked", "zone-dies", "slow", "liar", "refuser",
 };
@@ -95,7 +92,7 @@
 	struct host hosts[HOSTS_MAX];
 	int nr_hosts;
 	bool marked;
-	uint64_t buckets[NR_BUCKETS];
+	struct quantiles latencies; /* of successes */
 };
 
 /* The event queue: a binary heap. */
@@ -139,30 +136,6 @@
 	return first;
 }
 
-/* Figures. */
-
-static void observe(struct model *model, int64_t latency)
-{
-	double octaves = log2((double)MAX(latency, 1));
-
-	model->buckets[(size_t)(octaves * BUCKETS_PER_OCTAVE)]++;
-}
-
-static int64_t quantile(const struct model *model, double share)
-{
-	uint64_t want =
-		(uint64_t)ceil(share * (double)model->result->successes);
-	uint64_t seen = 0;
-
-	for (size_t i = 0; i < NR_BUCKETS; i++) {
-		seen += model->buckets[i];
-		if (seen && seen >= want)
-			return (int64_t)exp2((double)(i + 1) /
-					     BUCKETS_PER_OCTAVE);
-	}
-	return 0;
-}
-
 /* Random times. */
 
 static double uniform(struct model *model)
@@ -396,7 +369,8 @@
 	if (result->reason == FAILURE_NONE) {
 		if (model->now <= request->arrived + DEADLINE) {
 			model->result->successes++;
-			observe(model, model->now - request->arrived);
+			quantiles_add(&model->latencies,
+				      model->now - request->arrived);
 		}
 		g_free(request);
 		return;
@@ -538,9 +512,9 @@
 		model->now = event.at;
 		dispatch(model, &event);
 	}
-	result->median = quantile(model, 0.5);
-	result->p99 = quantile(model, 0.99);
-	result->p999 = quantile(model, 0.999);
+	result->median = quantiles_get(&model->latencies, 0.5);
+	result->p99 = quantiles_get(&model->latencies, 0.99);
+	result->p999 = quantiles_get(&model->latencies, 0.999);
 	for (int i = 0; i < model->nr_hosts; i++)
 		balance_free(model->hosts[i].balance);
 	g_free(model->heap);
