--- a/tests/load/test_load.cc
+++ b/tests/load/test_load.cc
@@ -192,6 +192,7 @@
 	EXPECT_EQ(result->ends[LOAD_SUCCESS], 200u);
 	EXPECT_EQ(result->success.count, 200u);
 	EXPECT_EQ(result->bytes, 800u);
+	std::lock_guard<std::mutex> lock(server.mutex);
 	EXPECT_EQ(server.requests, 200);
 	EXPECT_LE(result->connections, 4u);
 	EXPECT_EQ(server.callers, std::set<std::string>{ "supplier" });
@@ -206,7 +207,10 @@
 
 	options.rate = 500;
 	EXPECT_EQ(run(options)->requests, 50u);
-	EXPECT_EQ(server.requests, 50);
+	{
+		std::lock_guard<std::mutex> lock(server.mutex);
+		EXPECT_EQ(server.requests, 50);
+	}
 	/* Ends by time alone. */
 	options.count = 0;
 	options.seconds = 1;
@@ -226,6 +230,7 @@
 	options.body_bytes = 1000;
 	auto result = run(options);
 	EXPECT_EQ(result->ends[LOAD_SUCCESS], 40u);
+	std::lock_guard<std::mutex> lock(server.mutex);
 	EXPECT_EQ(server.given, 40);
 	EXPECT_EQ(server.keys.size(), 40u);
 	for (const auto &key : server.keys)
@@ -246,6 +251,7 @@
 	auto result = run(options);
 	EXPECT_EQ(result->ends[LOAD_SUCCESS], 20u);
 	EXPECT_EQ(result->resends, 20u);
+	std::lock_guard<std::mutex> lock(server.mutex);
 	EXPECT_EQ(server.keys.size(), 20u);
 	for (const auto &key : server.keys)
 		EXPECT_EQ(key.second, 2) << key.first;
