Model ingresses that are no targets

At fleet size each ingress sends a few requests a second to a service and knows little of its targets by itself. bench_balance_policies -i 857 models that.

--- a/bench/balance_policies/main.c
+++ b/bench/balance_policies/main.c
@@ -1,4 +1,5 @@
 #include <argtable2.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -75,12 +76,17 @@
 		arg_str0("p", "policy", "NAME", "only this policy");
 	struct arg_int *seconds =
 		arg_int0("t", "seconds", "N", "simulated time (20)");
+	struct arg_int *ingresses =
+		arg_int0("i", "ingresses", "N",
+			 "hosts that are no targets, 0..900 (0)");
 	struct arg_int *seed = arg_int0("r", "seed", "N", "random seed (1)");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { deployment, scenario, policy, seconds, seed, end };
+	void *table[] = { deployment, scenario, policy, seconds,
+			  ingresses,  seed,	end };
 	struct model_options options = { 0 };
 
 	seconds->ival[0] = DEFAULT_SECONDS;
+	ingresses->ival[0] = 0;
 	seed->ival[0] = DEFAULT_SEED;
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, argv[0]);
@@ -88,6 +94,7 @@
 		return 2;
 	}
 	options.duration = seconds->ival[0] * NS_PER_SEC;
+	options.ingresses = CLAMP(ingresses->ival[0], 0, MODEL_INGRESSES_MAX);
 	options.seed = (uint64_t)seed->ival[0];
 	printf("%-10s %-11s %5s %-15s %9s %7s %8s %8s %7s %7s\n", "deployment",
 	       "scenario", "load", "policy", "success", "median", "p99",
--- a/bench/balance_policies/model.c
+++ b/bench/balance_policies/model.c
@@ -8,7 +8,8 @@
 #include "model.h"
 #include "quantiles/quantiles.h"
 
-#define HOSTS_MAX 32
+#define TARGETS_MAX 32
+#define HOSTS_MAX (TARGETS_MAX + MODEL_INGRESSES_MAX)
 #define QUEUE_MAX 20
 #define DEADLINE (2 * NS_PER_SEC)
 #define RAMP (10 * NS_PER_SEC)
@@ -67,7 +68,7 @@
 	char zone[8];
 	char traffic[24];
 	int zone_index;
-	int service; /* that it is a target of */
+	int service; /* that it is a target of; -1: an ingress only */
 	bool alive;
 	uint64_t incarnation;
 	int64_t started; /* cold at this time; INT64_MIN: warm */
@@ -271,7 +272,7 @@
 static void update(struct model *model, int ingress)
 {
 	struct host *host = &model->hosts[ingress];
-	struct balance_target targets[HOSTS_MAX];
+	struct balance_target targets[TARGETS_MAX];
 
 	balance_update_begin(host->balance);
 	for (int s = 0; s < MODEL_SERVICES; s++) {
@@ -496,6 +497,8 @@
 		for (int i = 0; i < options->deployment->targets[s]; i++)
 			add_host(model, s);
 	}
+	for (int i = 0; i < options->ingresses; i++)
+		add_host(model, -1);
 	for (int i = 0; i < model->nr_hosts; i++)
 		update(model, i);
 	for (int s = 0; s < MODEL_SERVICES; s++)
--- a/bench/balance_policies/model.h
+++ b/bench/balance_policies/model.h
@@ -15,6 +15,7 @@
 
 #define MODEL_ZONES 3
 #define MODEL_SERVICES 2
+#define MODEL_INGRESSES_MAX 900
 
 struct deployment {
 	const char *name;
@@ -46,6 +47,7 @@
 	const struct balance_policy *policy;
 	enum scenario scenario;
 	int load_percent; /* of the slots of all targets */
+	int ingresses;	  /* hosts beside the targets, 0..MODEL_INGRESSES_MAX */
 	int64_t duration;
 	uint64_t seed;
 };
