Avoid targets that refuse for up to 5 s

At fleet size an ingress sends a few requests a second to a service, so that a target avoided for at most 1 s still took a retry from one request in ten, the whole retry budget. The longest time is now 5 s.

--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -4,7 +4,7 @@
 #define LATENCY_SHIFT 3
 
 #define AVOID_FIRST (10 * NS_PER_MS)
-#define AVOID_LONGEST (1 * NS_PER_SEC)
+#define AVOID_LONGEST (5 * NS_PER_SEC)
 
 bool balance_start(struct balance *balance, balance_handle handle, int64_t now)
 {
