--- a/bench/balance_policies/model.c
+++ b/bench/balance_policies/model.c
@@ -6,8 +6,10 @@
 
 #include "base/clock.h"
 #include "model.h"
+#include "quantiles/quantiles.h"
 
-#define HOSTS_MAX 32
+#define TARGETS_MAX 32
+#define HOSTS_MAX (TARGETS_MAX + MODEL_INGRESSES_MAX)
 #define QUEUE_MAX 20
 #define DEADLINE (2 * NS_PER_SEC)
 #define RAMP (10 * NS_PER_SEC)
@@ -24,10 +26,6 @@
 #define SLOW_FACTOR 5
 #define LIAR_FACTOR 3
 
-/* Latencies in buckets of 1/64 of their size. */
-#define BUCKETS_PER_OCTAVE 64
-#define NR_BUCKETS (64 * BUCKETS_PER_OCTAVE)
-
 const char *const scenario_names[NR_SCENARIOS] = {
 	"steady", "zone-marked", "zone-dies", "slow", "liar", "refuser",
 };
@@ -70,7 +68,7 @@
 	char zone[8];
 	char traffic[24];
 	int zone_index;
-	int service; /* that it is a target of */
+	int service; /* that it is a target of; -1: an ingress only */
 	bool alive;
 	uint64_t incarnation;
 	int64_t started; /* cold at this time; INT64_MIN: warm */
@@ -95,7 +93,7 @@
 	struct host hosts[HOSTS_MAX];
 	int nr_hosts;
 	bool marked;
-	uint64_t buckets[NR_BUCKETS];
+	struct quantiles latencies; /* of successes */
 };
 
 /* The event queue: a binary heap. */
@@ -139,30 +137,6 @@
 	return first;
 }
 
-/* Figures. */
-
-static void observe(struct model *model, int64_t latency)
-{
-	double octaves = log2((double)MAX(latency, 1));
-
-	model->buckets[(size_t)(octaves * BUCKETS_PER_OCTAVE)]++;
-}
-
-static int64_t quantile(const struct model *model, double share)
-{
-	uint64_t want =
-		(uint64_t)ceil(share * (double)model->result->successes);
-	uint64_t seen = 0;
-
-	for (size_t i = 0; i < NR_BUCKETS; i++) {
-		seen += model->buckets[i];
-		if (seen && seen >= want)
-			return (int64_t)exp2((double)(i + 1) /
-					     BUCKETS_PER_OCTAVE);
-	}
-	return 0;
-}
-
 /* Random times. */
 
 static double uniform(struct model *model)
@@ -298,7 +272,7 @@
 static void update(struct model *model, int ingress)
 {
 	struct host *host = &model->hosts[ingress];
-	struct balance_target targets[HOSTS_MAX];
+	struct balance_target targets[TARGETS_MAX];
 
 	balance_update_begin(host->balance);
 	for (int s = 0; s < MODEL_SERVICES; s++) {
@@ -396,7 +370,8 @@
 	if (result->reason == FAILURE_NONE) {
 		if (model->now <= request->arrived + DEADLINE) {
 			model->result->successes++;
-			observe(model, model->now - request->arrived);
+			quantiles_add(&model->latencies,
+				      model->now - request->arrived);
 		}
 		g_free(request);
 		return;
@@ -522,6 +497,8 @@
 		for (int i = 0; i < options->deployment->targets[s]; i++)
 			add_host(model, s);
 	}
+	for (int i = 0; i < options->ingresses; i++)
+		add_host(model, -1);
 	for (int i = 0; i < model->nr_hosts; i++)
 		update(model, i);
 	for (int s = 0; s < MODEL_SERVICES; s++)
@@ -538,9 +515,9 @@
 		model->now = event.at;
 		dispatch(model, &event);
 	}
-	result->median = quantile(model, 0.5);
-	result->p99 = quantile(model, 0.99);
-	result->p999 = quantile(model, 0.999);
+	result->median = quantiles_get(&model->latencies, 0.5);
+	result->p99 = quantiles_get(&model->latencies, 0.99);
+	result->p999 = quantiles_get(&model->latencies, 0.999);
 	for (int i = 0; i < model->nr_hosts; i++)
 		balance_free(model->hosts[i].balance);
 	g_free(model->heap);
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "balance/state.h"
 
 /* A due trial waits this long for a request that may be retried. */
@@ -41,12 +43,75 @@
 	balance->candidate_targets[n] = target;
 }
 
+/* Reasons to pass a target over, by which the next pass is more lenient. */
+enum pass {
+	PASS_RETRY,   /* nor in a zone where the request failed */
+	PASS_USUAL,   /* neither held nor avoided after refusals */
+	PASS_AVOIDED, /* not held */
+	PASS_ALL,
+	NR_PASSES
+};
+
 /*
- * Collects the targets that get work as usual: of the own zone, and while that
- * is over its share of use or has none, of the region, then of all.
+ * Whether the request failed at a target in the zone of this one. Hosts of a
+ * zone fail together, and a second failure there would use up the retries.
+ */
+static bool in_failed_zone(const struct balance *balance,
+			   const struct target *target,
+			   const struct balance_request *request)
+{
+	for (size_t i = 0; i < request->nr_excluded; i++) {
+		const struct target *tried =
+			balance_target_at(balance, request->excluded[i]);
+
+		if (tried && tried->failures &&
+		    !strcmp(tried->zone, target->zone))
+			return true;
+	}
+	return false;
+}
+
+static bool passes(const struct balance *balance, const struct target *target,
+		   const struct balance_request *request, enum pass pass,
+		   int64_t now)
+{
+	if (is_excluded(request, target))
+		return false;
+	if (pass < PASS_ALL && target_is_held(target))
+		return false;
+	if (pass < PASS_AVOIDED && now < target->avoid_until)
+		return false;
+	return pass > PASS_RETRY || !in_failed_zone(balance, target, request);
+}
+
+/*
+ * Whether a request goes beyond the tiers that have load in use of limit.
+ * Above the threshold it does so with a probability that grows to 1 at full
+ * use. If all requests did, the own zone would be left far more than its excess
+ * of load needs, and ingresses would swing between the zones together.
+ */
+static bool overflows(const struct balance *balance,
+		      const struct service *service, uint64_t load,
+		      uint64_t limit)
+{
+	uint64_t percent = (uint64_t)service->zone_overflow_percent;
+	uint64_t above;
+
+	if (load * 100 <= limit * percent)
+		return false;
+	if (load >= limit)
+		return true;
+	above = load * 100 - limit * percent;
+	return rng_below(balance->options.rng, limit * (100 - percent)) < above;
+}
+
+/*
+ * Collects the targets of a pass: of the own zone, and while that has none or
+ * overflows, of the region, then of all.
  */
 static size_t collect(struct balance *balance, const struct service *service,
-		      const struct balance_request *request, int64_t now)
+		      const struct balance_request *request, enum pass pass,
+		      int64_t now)
 {
 	uint64_t load = 0, limit = 0;
 	size_t n = 0, i = 0;
@@ -55,40 +120,19 @@
 		for (; i < service->tier_end[tier]; i++) {
 			struct target *target = service->subset[i];
 
-			if (target_is_held(target) ||
-			    is_excluded(request, target))
+			if (!passes(balance, target, request, pass, now))
 				continue;
 			add_candidate(balance, target, n, now);
 			load += balance->candidates[n].load;
 			limit += balance->candidates[n].limit;
 			n++;
 		}
-		if (n &&
-		    load * 100 <=
-			    limit * (uint64_t)service->zone_overflow_percent)
+		if (n && !overflows(balance, service, load, limit))
 			break;
 	}
 	return n;
 }
 
-/* Collects the targets that otherwise get only trials. */
-static size_t collect_held(struct balance *balance,
-			   const struct service *service,
-			   const struct balance_request *request, int64_t now)
-{
-	size_t n = 0;
-
-	for (size_t i = 0; i < service->nr_subset; i++) {
-		struct target *target = service->subset[i];
-
-		if (!target_is_held(target) || is_excluded(request, target))
-			continue;
-		add_candidate(balance, target, n, now);
-		n++;
-	}
-	return n;
-}
-
 static void fill_choice(struct balance_choice *choice,
 			const struct target *target, bool trial)
 {
@@ -107,7 +151,7 @@
 	struct service *service = balance_service_at(balance, request->service);
 	const struct balance_policy *policy = balance->options.policy;
 	struct target *target;
-	size_t n;
+	size_t n = 0;
 
 	if (!service)
 		return false;
@@ -115,9 +159,11 @@
 		service_refresh_subset(balance, service, now);
 	target = due_trial(service, request, now);
 	if (!target) {
-		n = collect(balance, service, request, now);
-		if (!n)
-			n = collect_held(balance, service, request, now);
+		int pass = request->nr_excluded ? PASS_RETRY : PASS_USUAL;
+
+		for (; pass < NR_PASSES && !n; pass++)
+			n = collect(balance, service, request, (enum pass)pass,
+				    now);
 		if (!n)
 			return false;
 		target = balance->candidate_targets[policy->choose(
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -163,7 +163,8 @@
 		{ "least-in-flight", { { 3, 10, 1 }, { 2, 10, 9 } }, 1 },
 		{ "least-in-flight", { { 3, 10, 1 }, { 2, 1, 1 } }, 0 },
 		{ "two-choices", { { 0, 10, 9 }, { 0, 10, 8 } }, 1 },
-		{ "two-choices", { { 0, 10, 9 }, { 1, 10, 5 } }, 0 },
+		{ "two-choices", { { 0, 10, 9 }, { 1, 10, 7 } }, 0 },
+		{ "two-choices", { { 0, 10, 9 }, { 1, 10, 6 } }, 1 },
 		{ "two-choices", { { 2, 1, 9 }, { 2, 10, 9 } }, 1 },
 		{ "two-choices", { { 4, 1, 9 } }, 0 },
 	};
@@ -208,11 +209,16 @@
 	in.add("far", "z9", "r1");
 	in.update();
 	EXPECT_EQ(in.spread(100)["own"], 100);
+	/* Half way from 80% to full use: half of the requests overflow. */
 	in.tell("own", 9, 0, 10);
+	int near = in.spread(400)["near"];
+	EXPECT_GT(near, 160);
+	EXPECT_LT(near, 240);
+	in.tell("own", 10, 0, 10);
 	EXPECT_GT(in.spread(100)["near"], 30);
 	EXPECT_EQ(in.spread(100).count("far"), 0u);
-	in.tell("near", 9, 0, 10);
-	in.tell("own", 9, 0, 10);
+	in.tell("near", 10, 0, 10);
+	in.tell("own", 10, 0, 10);
 	EXPECT_GT(in.spread(100)["far"], 30);
 	/* A report counts for a second. */
 	in.now += NS_PER_SEC;
@@ -228,6 +234,29 @@
 	EXPECT_STREQ(in.send().host, "");
 }
 
+/* Guards against retries that are spent in the zone that has just failed. */
+TEST(Zones, RetryLeavesTheZoneOfTheFailure)
+{
+	Ingress in;
+
+	for (int i = 0; i < 3; i++)
+		in.add("own" + std::to_string(i), "z0");
+	in.add("near", "z1");
+	in.update();
+	for (int i = 0; i < 4; i++) {
+		struct balance_choice first = in.send(), second;
+		struct balance_request retry = { 0, &first.target, 1, true };
+
+		ASSERT_TRUE(first.own_zone);
+		in.end(first, i % 2 ? FAILURE_LINK_LOST : FAILURE_QUEUE_FULL);
+		ASSERT_TRUE(balance_pick(in.balance, &retry, in.now, &second));
+		EXPECT_EQ(!strcmp(second.host, "near"), i % 2 == 1);
+		/* Resets the failures. */
+		in.tell(first.host, 0, 0, 10);
+		in.now += NS_PER_SEC;
+	}
+}
+
 /* Guards against full load for a cold target (P4). */
 TEST(Ramp, ColdTargetGetsItsShare)
 {
@@ -329,6 +358,35 @@
 	EXPECT_STREQ(in.send(false).host, "sick");
 }
 
+/* Guards against work drawn by a target that refuses it all and looks idle. */
+TEST(Refusals, AreAvoidedForLongerAndLonger)
+{
+	Ingress in;
+	int refused = 0;
+
+	for (int i = 0; i < 4; i++)
+		in.add("h" + std::to_string(i), "z0");
+	in.update();
+	/* 2 s at 1,000 requests a second: 10 + 20 + 40 ms and so on. */
+	for (int i = 0; i < 2000; i++) {
+		struct balance_choice c = in.send();
+		bool refuses = !strcmp(c.host, "h0");
+
+		refused += refuses;
+		in.end(c, refuses ? FAILURE_QUEUE_FULL : FAILURE_NONE);
+		in.now += NS_PER_MS;
+	}
+	EXPECT_GE(refused, 2);
+	EXPECT_LE(refused, 10);
+	/* Refusal by all is no reason to send nothing. */
+	for (int i = 0; i < 100; i++) {
+		struct balance_choice c = in.send();
+
+		ASSERT_STRNE(c.host, "");
+		in.end(c, FAILURE_QUEUE_FULL);
+	}
+}
+
 /* Guards against failing all requests when every target is sick. */
 TEST(Ejection, AllEjectedAreStillTried)
 {
