--- a/standins/backend.c
+++ b/standins/backend.c
@@ -283,7 +283,7 @@
 	while (standin.fault.mode == FAULT_HANG && !run->reset &&
 	       standin_wait(clock_monotonic_ns() + NS_PER_SEC))
 		;
-	if (run->reset || standin.fault.mode == FAULT_RESET)
+	if (run->reset || standin.stopping || standin.fault.mode == FAULT_RESET)
 		return "reset";
 	if (run->cancelled)
 		return "cancelled";
--- a/tests/standins/test_backend.cc
+++ b/tests/standins/test_backend.cc
@@ -1,3 +1,6 @@
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <fstream>
 #include <thread>
 
@@ -167,16 +170,21 @@
 	EXPECT_EQ(WEXITSTATUS(status), 3);
 }
 
-/* Guards against a soft crash that ends the process or spares a request. */
+/* Guards against a soft crash that spares a request or an idle connection. */
 TEST(Backend, SoftCrashResetsAndTurnsCold)
 {
 	Standin backend(STANDIN_BACKEND,
 			{ "--cold-ms", "600000", "--service-ms", "600000",
 			  "--soft-crash" });
+	int idle = connect_to(backend.address.c_str());
 	Running first(backend, "GET", "/a");
+	char byte;
 
 	EXPECT_EQ(call(backend.address, "GET", "/b").status, 0);
 	EXPECT_EQ(first.wait().status, 0);
+	EXPECT_EQ(recv(idle, &byte, 1, 0), -1);
+	EXPECT_EQ(errno, ECONNRESET);
+	close(idle);
 	EXPECT_EQ(state(backend, "crashes"), 1);
 	EXPECT_EQ(state(backend, "running"), 0);
 }
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -33,20 +33,36 @@
 	return inet_pton(AF_INET, ip, &result->sin_addr) == 1;
 }
 
-/* Opens a socket and applies bind() or connect(); false when that fails. */
-static bool try_socket(const char *address,
+/* A socket after bind() or connect(); -1 when that fails. */
+static int open_socket(const char *address,
 		       int (*apply)(int, const struct sockaddr *, socklen_t))
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct sockaddr_in parsed;
 	int one = 1;
-	bool done;
 
+	if (fd < 0)
+		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	done = parse_address(address, &parsed) &&
-	       !apply(fd, (const struct sockaddr *)&parsed, sizeof(parsed));
+	if (parse_address(address, &parsed) &&
+	    !apply(fd, (const struct sockaddr *)&parsed, sizeof(parsed)))
+		return fd;
 	close(fd);
-	return done;
+	return -1;
+}
+
+int connect_to(const char *address)
+{
+	return open_socket(address, connect);
+}
+
+static bool is_free(const char *address)
+{
+	int fd = open_socket(address, bind);
+
+	if (fd >= 0)
+		close(fd);
+	return fd >= 0;
 }
 
 void free_address_at(const char *ip, char address[ADDRESS_CHARS])
@@ -58,7 +74,7 @@
 		n = __atomic_fetch_add(&next, 1, __ATOMIC_RELAXED);
 		snprintf(address, ADDRESS_CHARS, "%s:%d", ip,
 			 FIRST_PORT + (getpid() / 250 * 97 + n) % NR_PORTS);
-	} while (!try_socket(address, bind) && n < NR_PORTS);
+	} while (!is_free(address) && n < NR_PORTS);
 }
 
 void free_address(char address[ADDRESS_CHARS])
@@ -99,10 +115,14 @@
 			    int timeout_ms)
 {
 	int64_t until = clock_monotonic_ns() + timeout_ms * NS_PER_MS;
+	int fd;
 
 	while (process->pid && clock_monotonic_ns() < until) {
-		if (try_socket(address, connect))
+		fd = connect_to(address);
+		if (fd >= 0) {
+			close(fd);
 			return true;
+		}
 		if (process_wait(process, 0, NULL))
 			return false;
 		usleep(POLL_US);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -25,6 +25,9 @@
 /* The same at an IP number of the caller's choice. */
 void free_address_at(const char *ip, char address[ADDRESS_CHARS]);
 
+/* Opens a TCP connection; -1 when it is refused. The caller closes it. */
+int connect_to(const char *address);
+
 /*
  * Starts argv[0] with arguments up to NULL. Standard error goes to the end of
  * the file log, or stays the test's when log is NULL. The program is killed
