--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -888,6 +888,7 @@
 		.host = options->host,
 		.zone = options->zone,
 		.region = options->region,
+		.policy = options->policy,
 		.rng = &ingress->rng,
 	};
 	struct quarantine_options quarantine = {
--- a/godwitspur/ingress.h
+++ b/godwitspur/ingress.h
@@ -22,6 +22,7 @@
 	const char *zone;
 	const char *region;
 	uint64_t incarnation;
+	const struct balance_policy *policy;
 	uint64_t seed; /* of the choice of target */
 	struct net_address listen;
 	struct links *links;
--- a/godwitspur/settings.c
+++ b/godwitspur/settings.c
@@ -108,13 +108,45 @@
 	return json_integer_value(value);
 }
 
+static const struct balance_policy *read_balance_policy(struct reader *reader)
+{
+	const char *name = read_text(reader, "balance_policy", false);
+	const struct balance_policy *policy =
+		name ? balance_policy_find(name) : &balance_two_choices;
+
+	if (!policy)
+		add_error(reader, "balance_policy",
+			  "must be round-robin, least-in-flight or "
+			  "two-choices");
+	return policy;
+}
+
+static const struct admit_limit_policy *read_limit_policy(struct reader *reader)
+{
+	static const struct admit_limit_policy *const policies[] = {
+		&admit_limit_observed,
+		&admit_limit_time,
+		&admit_limit_fixed,
+	};
+	const char *name = read_text(reader, "limit_policy", false);
+
+	if (!name)
+		return &admit_limit_observed;
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++)
+		if (!strcmp(policies[i]->name, name))
+			return policies[i];
+	add_error(reader, "limit_policy", "must be observed, time or fixed");
+	return NULL;
+}
+
 static void check_keys(struct reader *reader)
 {
 	static const char *const known[] = {
-		"host",	   "zone",	"region",   "caller",
-		"traffic", "control",	"operator", "backend",
-		"source",  "host_list", "seeds",    "source_interval_ms",
-		NULL,
+		"host",		  "zone",	  "region",
+		"caller",	  "traffic",	  "control",
+		"operator",	  "backend",	  "source",
+		"host_list",	  "seeds",	  "source_interval_ms",
+		"balance_policy", "limit_policy", NULL,
 	};
 	json_t *value;
 	const char *key;
@@ -145,6 +177,8 @@
 	settings->seeds = read_seeds(reader);
 	settings->source_interval_ms =
 		read_interval(reader, "source_interval_ms");
+	settings->balance_policy = read_balance_policy(reader);
+	settings->limit_policy = read_limit_policy(reader);
 	return settings;
 }
 
--- a/godwitspur/settings.h
+++ b/godwitspur/settings.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "admit/admit.h"
+#include "balance/balance.h"
 #include "base/cleanup.h"
 #include "base/findings.h"
 #include "net/address.h"
@@ -25,6 +27,8 @@
 	struct net_address host_list; /* HTTP, list of hosts */
 	char **seeds;		      /* NULL-terminated control addresses */
 	int64_t source_interval_ms;
+	const struct balance_policy *balance_policy;
+	const struct admit_limit_policy *limit_policy;
 };
 
 /*
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -595,6 +595,7 @@
 		.slots = 1,
 		.cold_slots = 1,
 		.queue_max = 1,
+		.limit_policy = options->limit_policy,
 	};
 	struct once_options once = {
 		.host = options->host,
@@ -657,6 +658,7 @@
 				 .queue_max = policy->queue_max,
 				 .cold_slots = policy->cold_slots,
 				 .ramp_ns = policy->ramp_ms * NS_PER_MS,
+				 .limit_policy = target->options.limit_policy,
 			 },
 			 now);
 	once_set_ticket_life(target->once,
--- a/godwitspur/target.h
+++ b/godwitspur/target.h
@@ -47,6 +47,7 @@
 	uint64_t incarnation;
 	bool has_backend;
 	struct net_address backend;
+	const struct admit_limit_policy *limit_policy;
 	struct net_loop *loop; /* runs target_tick() */
 	struct metrics *metrics;
 	/* Called without locks held when there is a crash to tell. */
