--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -24,9 +24,9 @@
  * of which orders get up to 16, lookups 4 and background 1, in this order. A
  * strict order would let a permanent load of a higher priority hold up a
  * lower one until its deadline; so each waiting priority moves on in each
- * round. Within a priority
- * the callers take turns by deficit round robin: with n callers waiting, each
- * gets 1/n of the cost that is started, however many requests another has.
+ * round. Within a priority the callers take turns by deficit round robin: with
+ * n callers waiting, each gets 1/n of the cost that is started, however many
+ * requests another has.
  *
  * A full queue. Each priority has an eighth of the places guaranteed. An
  * arrival displaces a request of a lower priority above its guarantee; when
--- a/tests/admit/test_admit.cc
+++ b/tests/admit/test_admit.cc
@@ -113,6 +113,20 @@
 	admit_free(admit);
 }
 
+/* Guards against a dump that is empty for a fault in its format. */
+TEST(Admit, DumpsItsState)
+{
+	struct admit_options options = fixedOptions(3, 10);
+	struct admit *admit = admit_new(&options, 0);
+	json_t *dump = admit_dump(admit);
+
+	EXPECT_EQ(json_integer_value(json_object_get(dump, "limit")), 3);
+	EXPECT_EQ(json_object_size(json_object_get(dump, "queued")), 3u);
+	json_decref(dump);
+	admit_free(admit);
+	EXPECT_STREQ(admit_verdict_name(ADMIT_REFUSED_DRAINING), "draining");
+}
+
 /* Guards against overload, starvation, lost requests and a stuck limit. */
 TEST(Fuzz, Gate)
 {
