--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -24,9 +24,9 @@
  * of which orders get up to 16, lookups 4 and background 1, in this order. A
  * strict order would let a permanent load of a higher priority hold up a
  * lower one until its deadline; so each waiting priority moves on in each
- * round. Within a priority
- * the callers take turns by deficit round robin: with n callers waiting, each
- * gets 1/n of the cost that is started, however many requests another has.
+ * round. Within a priority the callers take turns by deficit round robin: with
+ * n callers waiting, each gets 1/n of the cost that is started, however many
+ * requests another has.
  *
  * A full queue. Each priority has an eighth of the places guaranteed. An
  * arrival displaces a request of a lower priority above its guarantee; when
@@ -112,6 +112,7 @@
 	int limit;
 	int64_t step_start;  /* when the limit last changed */
 	int good;	     /* answers in good time since then */
+	int backoff;	     /* doublings of time and answers for a step */
 	int64_t best_median; /* of service time in ns; 0: not known */
 	int nr_window;
 	int64_t window[ADMIT_WINDOW]; /* last service times in ns */
