--- a/lib/dist/candidate.c
+++ b/lib/dist/candidate.c
@@ -16,14 +16,14 @@
 }
 
 /*
- * The wait before the next peer is asked in vain again grows with the age of
- * the candidate: short while a fleet loads a version, long when a part never
- * appears.
+ * The wait before the next peer is asked in vain again grows with the time
+ * since something arrived: short while a fleet loads a version, long when a
+ * part never appears.
  */
 int64_t peer_backoff(struct dist *dist, const struct candidate *candidate,
 		     int64_t now)
 {
-	int64_t base = CLAMP((now - candidate->since) / 4, PEER_RETRY_MIN,
+	int64_t base = CLAMP((now - candidate->progress) / 4, PEER_RETRY_MIN,
 			     PEER_RETRY_MAX);
 
 	return base / 2 + (int64_t)rng_below(dist->rng, (uint64_t)base);
@@ -127,6 +127,7 @@
 	cds_list_for_each_entry_safe (candidate, next, candidates, node) {
 		dist_version_unref(candidate->version);
 		g_free(candidate->states);
+		g_free(candidate->custody.order);
 		g_free(candidate);
 	}
 	CDS_INIT_LIST_HEAD(candidates);
@@ -215,7 +216,7 @@
 	if (!candidate) {
 		candidate = g_new0(struct candidate, 1);
 		candidate->id = *id;
-		candidate->since = now;
+		candidate->since = candidate->progress = now;
 		cds_list_add_tail(&candidate->node, &dist->candidates);
 	}
 	if (holder && holder->control[0])
@@ -242,7 +243,7 @@
 }
 
 void candidate_take_manifest(struct dist *dist, struct candidate *candidate,
-			     struct dist_version *version)
+			     struct dist_version *version, int64_t now)
 {
 	struct candidate *other;
 
@@ -257,22 +258,24 @@
 			reuse_parts(version, other->version);
 	}
 	candidate->version = version;
+	candidate->progress = now;
 	candidate->states = g_new0(struct part_state, version->nr_parts);
 	/* Daemons start at different parts, so that they can exchange them. */
 	candidate->first_part = rng_below(dist->rng, version->nr_parts);
 	if (dist->policy->uses_peers && version->nr_missing > 1 &&
 	    !candidate->whole.nr)
-		dist->policy->spread(dist, dist->last_turn);
+		dist->policy->spread(dist, now);
 }
 
 void candidates_take_part(struct dist *dist, const struct digest *digest,
-			  struct blob *blob)
+			  struct blob *blob, int64_t now)
 {
 	struct candidate *candidate;
 
 	cds_list_for_each_entry (candidate, &dist->candidates, node) {
-		if (candidate->version)
-			version_put(candidate->version, digest, blob);
+		if (candidate->version &&
+		    version_put(candidate->version, digest, blob))
+			candidate->progress = now;
 	}
 }
 
@@ -341,22 +344,30 @@
 		forget_refusals(dist);
 }
 
-uint64_t custody_key(const struct digest *digest)
-{
-	uint64_t key;
-
-	memcpy(&key, digest->bytes, sizeof(key));
-	return GUINT64_FROM_LE(key);
-}
-
 /*
  * A zone with at least as many members as parts loads the version by itself;
  * a smaller one shares the work with the whole fleet.
  */
-bool custody_is_zonal(const struct dist *dist,
-		      const struct dist_version *version, int64_t now)
+const struct custody *custody_view(struct dist *dist,
+				   struct candidate *candidate, int64_t now)
 {
-	return member_count_zone(dist->member, now) >= version->nr_parts;
+	struct custody *custody = &candidate->custody;
+	uint64_t epoch = member_epoch(dist->member);
+	uint64_t key;
+	bool zone_only;
+
+	if (custody->order && custody->epoch == epoch && now < custody->until)
+		return custody;
+	zone_only = member_count_zone(dist->member, now) >=
+		    candidate->version->nr_parts;
+	memcpy(&key, candidate->id.digest.bytes, sizeof(key));
+	g_free(custody->order);
+	custody->nr =
+		member_order(dist->member, GUINT64_FROM_LE(key), zone_only,
+			     &custody->order, &custody->self, now);
+	custody->epoch = epoch;
+	custody->until = now + CUSTODY_LIFE;
+	return custody;
 }
 
 /* Any member, for a version whose holders are all gone. */
@@ -407,20 +418,17 @@
  * part's custodians and a peer that fetches the same version.
  */
 static bool choose_part_peer(struct dist *dist, struct candidate *candidate,
-			     const struct dist_part *part, unsigned int tries,
-			     struct holder *peer, int64_t now)
+			     size_t index, struct holder *peer, int64_t now)
 {
 	const struct holder *known = holders_draw(&candidate->whole, dist->rng);
-	const struct member_host *host;
-	unsigned int turn = tries % (NR_CUSTODIANS + 1);
-
-	if (!known && turn < NR_CUSTODIANS) {
-		host = member_by_key(dist->member, custody_key(&part->digest),
-				     custody_is_zonal(dist, candidate->version,
-						      now),
-				     turn, now);
-		if (host && host != member_self(dist->member)) {
-			holder_of(peer, host);
+	const struct custody *custody = custody_view(dist, candidate, now);
+	size_t turn = candidate->states[index].peer_tries % (NR_CUSTODIANS + 1);
+
+	if (!known && turn < MIN(NR_CUSTODIANS, custody->nr)) {
+		size_t position = (index + turn) % custody->nr;
+
+		if (position != custody->self) {
+			holder_of(peer, custody->order[position]);
 			return true;
 		}
 	}
@@ -441,8 +449,7 @@
 	struct holder peer;
 	struct call *call;
 
-	if (!choose_part_peer(dist, candidate, part, state->peer_tries, &peer,
-			      now)) {
+	if (!choose_part_peer(dist, candidate, index, &peer, now)) {
 		state->peer_retry = now + peer_backoff(dist, candidate, now);
 		candidate->wake = MIN(candidate->wake, state->peer_retry);
 		return;
@@ -464,6 +471,26 @@
 	return first != &version->parts[index];
 }
 
+/*
+ * Custodians read their parts in order, one for each token. While no peer
+ * holds everything, only the first missing part of each is asked for, as the
+ * later ones would be asked for in vain.
+ */
+static bool is_too_early(struct dist *dist, struct candidate *candidate,
+			 size_t index, int64_t now)
+{
+	size_t nr, before;
+
+	if (candidate->whole.nr)
+		return false;
+	nr = custody_view(dist, candidate, now)->nr;
+	if (!nr || index < nr)
+		return false;
+	before = index - nr;
+	return !candidate->version->parts[before].blob &&
+	       candidate->states[before].peer_tries < TRIES_IN_ORDER;
+}
+
 static void fetch_parts(struct dist *dist, struct candidate *candidate,
 			int64_t now)
 {
@@ -476,7 +503,8 @@
 		if (candidate->nr_pending >= PARTS_IN_FLIGHT)
 			return;
 		if (version->parts[index].blob || state->peer_pending ||
-		    is_twin(version, index))
+		    is_twin(version, index) ||
+		    is_too_early(dist, candidate, index, now))
 			continue;
 		if (now < state->peer_retry)
 			candidate->wake =
--- a/lib/dist/dist.c
+++ b/lib/dist/dist.c
@@ -142,6 +142,7 @@
 		(int64_t)rng_below(dist->rng,
 				   (uint64_t)dist->source_interval / 2);
 	dist->wants_read = true;
+	dist->spread_again = DEADLINE_NEVER;
 	dist->deadline = options->now;
 	gate_plan(dist, options->now);
 	return dist;
@@ -195,6 +196,7 @@
 		   version->id.number, hex, version->nr_parts, old,
 		   old && version->id.number > old + 1);
 	dist->policy->spread(dist, now);
+	dist->spread_again = now + SPREAD_AGAIN;
 }
 
 static void resume(struct dist *dist, int64_t now)
@@ -234,6 +236,7 @@
 	const struct candidate *candidate;
 	const struct call *call;
 
+	deadline = MIN(deadline, dist->spread_again);
 	deadline = MIN(deadline, gate_wake(dist, now));
 	cds_list_for_each_entry (candidate, &dist->candidates, node)
 		deadline = MIN(deadline, candidate->wake);
@@ -251,6 +254,10 @@
 	calls_expire(dist, now);
 	candidates_settle(dist, now);
 	gate_drive(dist, now);
+	if (now >= dist->spread_again) {
+		dist->spread_again = DEADLINE_NEVER;
+		dist->policy->spread(dist, now);
+	}
 	exchange(dist, now);
 	candidates_drive(dist, now);
 	source_drive(dist, now);
--- a/lib/dist/dist_internal.h
+++ b/lib/dist/dist_internal.h
@@ -43,14 +43,28 @@
 #define SOURCE_PART_BACKOFF_MAX (8 * NS_PER_SEC)
 
 /*
- * Members that fetch a part for the others when no peer holds the whole
- * version: the first two by rendezvous hash of its digest. Others read the
- * source only when these did not help for CUSTODIAN_PATIENCE.
+ * Custodians are the members that fetch a part for the others when no peer
+ * holds the whole version. The members are ordered by the rendezvous hash of
+ * the version, and part i belongs to the members i and i + 1 of that order, so
+ * that each has the same share; a hash of each part left the busiest of 13
+ * with twice the mean. Others read the source only when these did not help
+ * for CUSTODIAN_PATIENCE.
  */
 #define NR_CUSTODIANS 2
 #define CUSTODIAN_PATIENCE NS_PER_SEC
 
+/* A view of the members is used this long, as suspicions end with time. */
+#define CUSTODY_LIFE NS_PER_SEC
+
+/*
+ * A version is announced a second time after this. Four announcements of each
+ * daemon leave e^-4, 2 in 100 daemons, to anti-entropy, which takes 1 s more.
+ */
+#define SPREAD_AGAIN (150 * NS_PER_MS)
+
 #define PARTS_IN_FLIGHT 8
+/* Tries of a part after which the later parts of its custodian are asked. */
+#define TRIES_IN_ORDER 12
 #define HOLDERS_MAX 8
 #define REFUSALS_MAX 64
 /* Hosts outside the host list are remembered this long. */
@@ -76,16 +90,27 @@
 	bool peer_pending;
 };
 
+/* The members in the order in which they fetch the parts of a version. */
+struct custody {
+	const struct member_host **order;
+	size_t nr;
+	size_t self; /* position of the own host; nr when it is leaving */
+	uint64_t epoch;
+	int64_t until;
+};
+
 /* A version above the one in force that is being fetched. */
 struct candidate {
 	struct cds_list_head node;
 	struct version_id id;
 	struct dist_version *version; /* NULL until the manifest is there */
 	struct part_state *states;    /* one for each part */
-	struct holders whole;	      /* peers with the complete version */
-	struct holders partial;	      /* peers that know it as candidate */
-	bool from_source;	      /* the source showed its manifest here */
+	struct custody custody;
+	struct holders whole;	/* peers with the complete version */
+	struct holders partial; /* peers that know it as candidate */
+	bool from_source;	/* the source showed its manifest here */
 	int64_t since;
+	int64_t progress; /* when a part or the manifest last arrived */
 	size_t nr_pending;
 	bool manifest_pending;
 	int64_t manifest_retry;
@@ -151,6 +176,7 @@
 	struct gate gate;
 	GHashTable *fleet; /* host -> struct fleet_entry */
 	int64_t next_exchange;
+	int64_t spread_again; /* second announcement of the version in force */
 	size_t nr_crashes;
 	struct dist_crash crashes[DIST_CRASHES_MAX];
 
@@ -201,17 +227,16 @@
 				  const struct holder *holder, bool whole,
 				  int64_t now);
 void candidate_take_manifest(struct dist *dist, struct candidate *candidate,
-			     struct dist_version *version);
+			     struct dist_version *version, int64_t now);
 void candidate_drop(struct dist *dist, struct candidate *candidate);
 void candidates_release(struct cds_list_head *candidates);
 void candidates_take_part(struct dist *dist, const struct digest *digest,
-			  struct blob *blob);
+			  struct blob *blob, int64_t now);
 void candidates_settle(struct dist *dist, int64_t now);
 void candidates_drive(struct dist *dist, int64_t now);
 void holders_remove(struct holders *holders, const char *control);
-bool custody_is_zonal(const struct dist *dist,
-		      const struct dist_version *version, int64_t now);
-uint64_t custody_key(const struct digest *digest);
+const struct custody *custody_view(struct dist *dist,
+				   struct candidate *candidate, int64_t now);
 void refuse(struct dist *dist, const struct version_id *id,
 	    struct findings *findings);
 bool is_refused(const struct dist *dist, const struct version_id *id);
--- a/lib/dist/peer.c
+++ b/lib/dist/peer.c
@@ -122,7 +122,7 @@
 		version = NULL;
 	}
 	if (version) {
-		candidate_take_manifest(dist, candidate, version);
+		candidate_take_manifest(dist, candidate, version, now);
 	} else {
 		candidate_drop(dist, candidate);
 		refuse(dist, &call->candidate, &findings);
@@ -139,7 +139,7 @@
 		return;
 	}
 	end_part(candidate_find(dist, &call->candidate), call);
-	candidates_take_part(dist, &call->digest, blob);
+	candidates_take_part(dist, &call->digest, blob, now);
 }
 
 void peer_failed(struct dist *dist, const struct call *call, int64_t now)
--- a/lib/dist/source.c
+++ b/lib/dist/source.c
@@ -43,23 +43,31 @@
 	       !dist->policy->uses_peers;
 }
 
+/* How many members are asked for the part before this one. */
+static size_t own_rank(const struct custody *custody, size_t index)
+{
+	if (custody->self >= custody->nr)
+		return custody->nr;
+	return (custody->self + custody->nr - index % custody->nr) %
+	       custody->nr;
+}
+
 /*
- * The missing part for which this daemon ranks first, so that members read
- * different parts. Sets *wake to the time when a part becomes due.
+ * The first missing part of those for which this daemon ranks highest, so that
+ * members read different parts. Sets *wake to the time when a part becomes due.
  */
 static struct dist_part *choose_part(struct dist *dist,
 				     struct candidate *candidate, int64_t now,
 				     int64_t *wake)
 {
 	struct dist_version *version = candidate->version;
-	bool zonal = custody_is_zonal(dist, version, now);
+	const struct custody *custody = custody_view(dist, candidate, now);
 	struct dist_part *best = NULL;
 	size_t best_rank = SIZE_MAX;
 
 	for (size_t i = 0; i < version->nr_parts; i++) {
-		size_t index = (candidate->first_part + i) % version->nr_parts;
-		struct dist_part *part = &version->parts[index];
-		struct part_state *state = &candidate->states[index];
+		struct dist_part *part = &version->parts[i];
+		struct part_state *state = &candidate->states[i];
 		size_t rank;
 
 		if (part->blob)
@@ -68,11 +76,7 @@
 			*wake = MIN(*wake, state->source_retry);
 			continue;
 		}
-		rank = dist->policy->uses_peers
-			       ? member_rank_by_key(dist->member,
-						    custody_key(&part->digest),
-						    zonal, now)
-			       : 0;
+		rank = own_rank(custody, i);
 		if (!is_due(dist, candidate, rank, now)) {
 			*wake = MIN(*wake,
 				    candidate->since + CUSTODIAN_PATIENCE);
@@ -205,7 +209,7 @@
 		refuse(dist, &id, &findings);
 	if (candidate) {
 		candidate->from_source = true;
-		candidate_take_manifest(dist, candidate, version);
+		candidate_take_manifest(dist, candidate, version, now);
 	} else {
 		dist_version_unref(version);
 	}
@@ -246,7 +250,7 @@
 	    !dist->rules->matches(&call->digest, blob))
 		part_missing(dist, call, now);
 	else
-		candidates_take_part(dist, &call->digest, blob);
+		candidates_take_part(dist, &call->digest, blob, now);
 }
 
 void dist_source_result(struct dist *dist, uint64_t id,
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -19,6 +19,7 @@
 	size_t nr_seeds;
 	struct host_list *list;
 	struct view *views;
+	uint64_t epoch;
 	int lower_reads; /* reads in a row of a lower revision */
 };
 
@@ -126,6 +127,7 @@
 	g_free(member->views);
 	member->list = list;
 	member->views = views;
+	member->epoch++;
 	return true;
 }
 
@@ -142,6 +144,8 @@
 	if (!view)
 		return;
 	view->unanswered = 0;
+	if (view->suspected_until)
+		member->epoch++;
 	view->suspected_until = 0;
 }
 
@@ -155,6 +159,7 @@
 		return;
 	view->unanswered = 0;
 	view->suspected_until = now + MEMBER_SUSPECT_NS;
+	member->epoch++;
 }
 
 bool member_is_suspected(const struct member *member, const char *host,
@@ -219,14 +224,13 @@
 	return strcmp(a->host, b->host) < 0;
 }
 
-size_t member_rank_by_key(const struct member *member, uint64_t key,
-			  bool zone_only, int64_t now)
+size_t member_rank(const struct member *member, int64_t now)
 {
+	uint64_t key = hash_string(member->self.zone);
 	size_t rank = 0;
 
 	for (size_t i = 0; i < nr_entries(member); i++) {
-		if (!is_peer(member, i, now) ||
-		    (zone_only && !member->views[i].own_zone))
+		if (!member->views[i].own_zone || !is_peer(member, i, now))
 			continue;
 		rank += member->self.leaving ||
 			ranks_before(key, &member->list->hosts[i],
@@ -235,41 +239,43 @@
 	return rank;
 }
 
-size_t member_rank(const struct member *member, int64_t now)
+static int compare_ranks(const void *a, const void *b, void *data)
 {
-	return member_rank_by_key(member, hash_string(member->self.zone), true,
-				  now);
+	const struct member_host *left = *(const struct member_host *const *)a;
+	const struct member_host *right = *(const struct member_host *const *)b;
+	uint64_t key = *(const uint64_t *)data;
+
+	if (left == right)
+		return 0;
+	return ranks_before(key, left, right) ? -1 : 1;
 }
 
-const struct member_host *member_by_key(const struct member *member,
-					uint64_t key, bool zone_only,
-					size_t rank, int64_t now)
+size_t member_order(const struct member *member, uint64_t key, bool zone_only,
+		    const struct member_host ***out, size_t *self, int64_t now)
 {
-	const struct member_host *previous = NULL;
-
-	for (size_t round = 0; round <= rank; round++) {
-		const struct member_host *best = NULL;
-
-		if (!member->self.leaving &&
-		    (!previous || ranks_before(key, previous, &member->self)))
-			best = &member->self;
-		for (size_t i = 0; i < nr_entries(member); i++) {
-			const struct member_host *host =
-				&member->list->hosts[i];
-
-			if (!is_peer(member, i, now) ||
-			    (zone_only && !member->views[i].own_zone))
-				continue;
-			if (previous && !ranks_before(key, previous, host))
-				continue;
-			if (!best || ranks_before(key, host, best))
-				best = host;
-		}
-		if (!best)
-			return NULL;
-		previous = best;
+	const struct member_host **order =
+		g_new(const struct member_host *, nr_entries(member) + 1);
+	size_t nr = 0;
+
+	if (!member->self.leaving)
+		order[nr++] = &member->self;
+	for (size_t i = 0; i < nr_entries(member); i++) {
+		if (is_peer(member, i, now) &&
+		    (!zone_only || member->views[i].own_zone))
+			order[nr++] = &member->list->hosts[i];
+	}
+	g_qsort_with_data(order, (gint)nr, sizeof(*order), compare_ranks, &key);
+	for (*self = 0; *self < nr; (*self)++) {
+		if (order[*self] == &member->self)
+			break;
 	}
-	return previous;
+	*out = order;
+	return nr;
+}
+
+uint64_t member_epoch(const struct member *member)
+{
+	return member->epoch;
 }
 
 static bool is_in_scope(const struct member *member, size_t index,
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -113,16 +113,16 @@
 size_t member_rank(const struct member *member, int64_t now);
 
 /*
- * The member of the given rank by rendezvous hash of key, over the own zone or
- * the whole fleet, the own host included. NULL when there are fewer members.
+ * The members of the own zone or of the whole fleet in the rendezvous order of
+ * key. The own host takes part unless it is leaving; *self is its position, or
+ * the number of members. The caller frees *out with g_free(); the entries are
+ * valid until the next host list.
  */
-const struct member_host *member_by_key(const struct member *member,
-					uint64_t key, bool zone_only,
-					size_t rank, int64_t now);
+size_t member_order(const struct member *member, uint64_t key, bool zone_only,
+		    const struct member_host ***out, size_t *self, int64_t now);
 
-/* Rank of the own host for key, as in member_by_key(). */
-size_t member_rank_by_key(const struct member *member, uint64_t key,
-			  bool zone_only, int64_t now);
+/* Changes with every new host list and every new or withdrawn suspicion. */
+uint64_t member_epoch(const struct member *member);
 
 enum member_scope {
 	MEMBER_OWN_ZONE,
--- a/tests/dist/fleet.h
+++ b/tests/dist/fleet.h
@@ -72,7 +72,8 @@
 struct Faults {
 	const dist_rules *rules = &dist_rules_default;
 	const dist_policy *policy = &dist_policy_gossip;
-	bool unmute = false; /* undo the silence after a pause */
+	bool unmute = false;	  /* undo the silence after a pause */
+	bool source_lies = false; /* its manifests are corrupted too */
 	/* False: faults end, but the source stays down. */
 	bool source_returns = true;
 };
--- a/tests/dist/test_dist_fleet.cc
+++ b/tests/dist/test_dist_fleet.cc
@@ -151,6 +151,14 @@
 	rules.matches = [](const digest *, const blob *) { return true; };
 	faults.rules = &rules;
 	EXPECT_TRUE(finds(faults, "accepted other bytes than published"));
+}
+
+/* Also shows the limit: what the source itself tells cannot be verified. */
+TEST(DistOracle, FindsVersionThatWasNotPublished)
+{
+	Faults faults;
+
+	faults.source_lies = true;
 	EXPECT_TRUE(finds(faults, "accepted a version that was not published"));
 }
 
