Make the tests of ejection independent of the order of targets

They drew requests until one reached the wanted host, which depended on the order in which equal targets stand. They now start requests at a host. The comment of balance_pick() names what it passes over.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -169,8 +169,11 @@
 
 /*
  * Picks a target that may get new work: the own zone first, then the region,
- * then all, as the load needs it. When every such target is ejected, the
- * policy chooses among them as trials, rather than failing all requests.
+ * then all, as far as its share of use is above the threshold or it has none.
+ * Passed over as long as others remain are targets that are ejected or were
+ * draining, except for their trials; targets that refused shortly before; and,
+ * for a retry, the zones of excluded targets whose last result is a failure.
+ * So when every target is ejected they are tried, rather than failing all.
  * False, and choice unchanged, when there is none (FAILURE_NO_TARGET).
  */
 bool balance_pick(struct balance *balance,
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -89,11 +89,9 @@
 	void tell(const std::string &host, uint32_t in_flight, uint32_t queue,
 		  uint32_t limit, int64_t latency = NS_PER_MS)
 	{
-		struct balance_choice choice;
+		struct balance_choice choice = send_to(host);
 		struct balance_result result = {};
 
-		ASSERT_TRUE(balance_find(balance, 0, host.c_str(), &choice));
-		ASSERT_TRUE(balance_start(balance, choice.target, now));
 		result.latency_ns = latency;
 		result.reported = true;
 		result.in_flight = in_flight;
@@ -116,14 +114,22 @@
 		return counts;
 	}
 
-	/* Fails all requests to a host until it is ejected. */
-	void make_sick(const std::string &host)
+	/* Starts a request at a host, whatever the policy would choose. */
+	struct balance_choice send_to(const std::string &host)
 	{
-		for (int i = 0; i < 200 && !flag(host, "ejected"); i++) {
-			struct balance_choice c = send();
+		struct balance_choice choice = {};
+
+		EXPECT_TRUE(balance_find(balance, 0, host.c_str(), &choice));
+		EXPECT_TRUE(balance_start(balance, choice.target, now));
+		return choice;
+	}
 
-			end(c,
-			    host == c.host ? FAILURE_LINK_LOST : FAILURE_NONE);
+	/* Fails as many requests to a host as an ejection takes. */
+	void make_sick(const std::string &host)
+	{
+		for (int i = 0; i < 5; i++) {
+			EXPECT_FALSE(flag(host, "ejected"));
+			end(send_to(host), FAILURE_LINK_LOST);
 		}
 		ASSERT_TRUE(flag(host, "ejected"));
 	}
@@ -302,12 +308,7 @@
 	in.update();
 	for (const char *host : { "restarted", "warm" })
 		in.tell(host, 0, 0, 10);
-	for (bool lost = false; !lost;) {
-		struct balance_choice c = in.send();
-
-		lost = !strcmp(c.host, "restarted");
-		in.end(c, lost ? FAILURE_LINK_LOST : FAILURE_NONE);
-	}
+	in.end(in.send_to("restarted"), FAILURE_LINK_LOST);
 	for (int i = 0; i < 10; i++)
 		restarted += !strcmp(in.send().host, "restarted");
 	EXPECT_LE(restarted, 1);
@@ -373,12 +374,8 @@
 	in.add("sick", "z0");
 	in.add("well", "z0");
 	in.update();
-	while (old.size() < 3) {
-		struct balance_choice c = in.send();
-
-		if (!strcmp(c.host, "sick"))
-			old.push_back(c);
-	}
+	while (old.size() < 3)
+		old.push_back(in.send_to("sick"));
 	in.make_sick("sick");
 	in.now += NS_PER_SEC;
 	struct balance_choice trial = in.send();
@@ -434,12 +431,8 @@
 	for (const char *host : { "leaver", "sick", "well" })
 		in.add(host, "z0");
 	in.update();
-	while (flying.size() < 5) {
-		struct balance_choice c = in.send();
-
-		if (!strcmp(c.host, "leaver"))
-			flying.push_back(c);
-	}
+	while (flying.size() < 5)
+		flying.push_back(in.send_to("leaver"));
 	balance_mark_leaving(in.balance, "leaver", true, in.now);
 	for (const auto &c : flying)
 		in.end(c, FAILURE_LINK_LOST);
@@ -454,14 +447,7 @@
 	in.add("drains", "z0");
 	in.add("other", "z0");
 	in.update();
-	for (;;) {
-		struct balance_choice c = in.send();
-		bool drains = !strcmp(c.host, "drains");
-
-		in.end(c, drains ? FAILURE_TARGET_DRAINING : FAILURE_NONE);
-		if (drains)
-			break;
-	}
+	in.end(in.send_to("drains"), FAILURE_TARGET_DRAINING);
 	in.now += 5 * NS_PER_SEC - 1;
 	EXPECT_EQ(in.spread(20).count("drains"), 0u);
 	in.now += 1;
@@ -539,12 +525,7 @@
 	/* An answer makes the next time short again. */
 	in.tell("h0", 0, 0, 10);
 	in.now += 5 * NS_PER_SEC;
-	for (bool refused_once = false; !refused_once;) {
-		struct balance_choice c = in.send();
-
-		refused_once = !strcmp(c.host, "h0");
-		in.end(c, refused_once ? FAILURE_QUEUE_FULL : FAILURE_NONE);
-	}
+	in.end(in.send_to("h0"), FAILURE_QUEUE_FULL);
 	EXPECT_EQ(in.spread(50).count("h0"), 0u);
 	in.now += 10 * NS_PER_MS;
 	EXPECT_GT(in.spread(50)["h0"], 0);
