--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,130 @@
+#ifndef STANDINS_STANDIN_H
+#define STANDINS_STANDIN_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * What the stand-ins (test doubles of the platform) share: HTTP servers with
+ * one thread for each connection, one lock for the state of the process, and
+ * the fault that a test sets on the control address. The protocols are in
+ * docs/platform.md.
+ */
+
+/* One HTTP request with its whole body. */
+struct request {
+	struct MHD_Connection *connection;
+	char *target; /* as received, with the query */
+	const char *method;
+	const char *path; /* decoded, without the query */
+	GByteArray *body; /* the first body_max bytes */
+	size_t body_len;  /* received, also beyond body_max */
+};
+
+/* What a program does on one of its two addresses. */
+struct server {
+	size_t body_max; /* a longer body is answered with 413 */
+	/* May block; it runs in its connection's thread. */
+	enum MHD_Result (*handle)(struct request *request);
+	MHD_AcceptPolicyCallback accept;     /* or NULL */
+	MHD_NotifyConnectionCallback notify; /* or NULL */
+};
+
+/* An option of the command line besides --listen and --control. */
+struct setting {
+	const char *name;
+	const char *unit; /* "N" for a number, NULL for a flag, else a text */
+	const char *help;
+	int number;	  /* default, then the value; never negative */
+	const char *text; /* default, then the value */
+};
+
+struct fault {
+	int mode; /* index into the modes of the program; 0 is none */
+	int64_t ms;
+	bool hang;
+};
+
+/* The state that all threads share; everything else in it is the program's. */
+struct standin {
+	pthread_mutex_t lock;
+	pthread_cond_t changed; /* any change that a waiting request must see */
+	bool stopping;
+	struct fault fault;
+	const char *common[2]; /* header of every answer; NULL for none */
+};
+
+extern struct standin standin;
+
+/*
+ * Parses the command line, calls init(), which may be NULL, and serves until
+ * SIGTERM or SIGINT. The result is the exit status of the program: 2 for wrong
+ * usage. settings ends with an entry without name.
+ */
+int standin_main(int argc, char **argv, struct setting *settings,
+		 void (*init)(void), const struct server *listen,
+		 const struct server *control);
+
+/*
+ * Waits with the lock held until a change or the deadline (monotonic ns).
+ * False when the deadline has passed or the program stops.
+ */
+bool standin_wait(int64_t deadline);
+
+/* Wakes all waiting requests; call with the lock held. */
+void standin_notify(void);
+
+/* True when the request has this method and path. */
+bool request_is(const struct request *request, const char *method,
+		const char *path);
+
+/* A header or a parameter of the query; NULL when absent. */
+const char *request_header(const struct request *request, const char *name);
+const char *request_query(const struct request *request, const char *name);
+
+/*
+ * Reads a number from the query; fallback when the parameter is absent. False
+ * when it is not a whole number in [0, max].
+ */
+bool request_number(const struct request *request, const char *name,
+		    int64_t max, int64_t fallback, int64_t *value);
+
+/* Parses a whole number in [0, max]. */
+bool parse_number(const char *text, int64_t max, int64_t *value);
+
+/* Queues a response and releases it. */
+enum MHD_Result reply_with(const struct request *request, unsigned int status,
+			   struct MHD_Response *response);
+
+/* Answers with a copy of the body and one header; name may be NULL. */
+enum MHD_Result reply(const struct request *request, unsigned int status,
+		      const void *body, size_t len, const char *name,
+		      const char *value);
+
+/* Answers with a text. */
+enum MHD_Result reply_text(const struct request *request, unsigned int status,
+			   const char *text);
+
+/* Answers with a JSON document and releases it. */
+enum MHD_Result reply_json(const struct request *request, unsigned int status,
+			   json_t *json);
+
+/* A JSON string; bytes that are not UTF-8 are replaced. null for NULL. */
+json_t *json_text(const char *text);
+
+/*
+ * Answers POST /fault?mode=M&ms=N&hang=1. modes ends with NULL; changed() is
+ * called with the lock held and may be NULL.
+ */
+enum MHD_Result fault_control(const struct request *request,
+			      const char *const *modes, void (*changed)(void));
+
+/* Waits fault.ms with the lock held; a change of the fault ends the wait. */
+void fault_delay(void);
+
+#endif
