Carry cleared crash counts and name the verdicts of refused tickets

A refused ticket was reported as target-draining and a ticket of another request as bad-request, not-run, although the daemon cannot know that about the other request. Requests with a time left above 600 s are refused, since their deadline would overflow.

--- a/godwitspur/links.c
+++ b/godwitspur/links.c
@@ -9,6 +9,9 @@
 
 #define OUTPUT_MAX (2 * (size_t)WIRE_TRAFFIC_RECORD_MAX)
 
+/* The longest deadline_ms that the tree allows. */
+#define TIME_LEFT_MS_MAX 600000
+
 /* How long an ingress waits before it connects again to a silent daemon. */
 #define RECONNECT_NS (50 * NS_PER_MS)
 
@@ -314,7 +317,8 @@
 	struct remote_job *remote = g_new0(struct remote_job, 1);
 
 	if (!xdr_traffic_request(args, &remote->job.request) ||
-	    remote->job.request.time_left_ms < 0) {
+	    remote->job.request.time_left_ms < 0 ||
+	    remote->job.request.time_left_ms > TIME_LEFT_MS_MAX) {
 		xdr_free((xdrproc_t)xdr_traffic_request, &remote->job.request);
 		g_free(remote);
 		return false;
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -85,6 +85,7 @@
 		answer->crash.fingerprint = job->crash.fingerprint;
 		answer->crash.origin = job->crash.origin;
 		answer->crash.count = job->crash.count;
+		answer->crash.cleared = job->crash.cleared;
 		answer->crash.left_ms = job->crash.left_ms;
 	}
 	fill_load(target, answer);
@@ -263,9 +264,9 @@
 	case ONCE_RAN:
 		return FAILURE_TICKET_RAN;
 	case ONCE_REFUSED:
-		return FAILURE_TARGET_DRAINING;
+		return FAILURE_TICKET_REFUSED;
 	case ONCE_OTHER_REQUEST:
-		return FAILURE_BAD_REQUEST;
+		return FAILURE_TICKET_OTHER_REQUEST;
 	case ONCE_OTHER_INCARNATION:
 		return FAILURE_TICKET_INCARNATION;
 	case ONCE_EXPIRED:
--- a/lib/dist/announce.c
+++ b/lib/dist/announce.c
@@ -130,7 +130,9 @@
 		const struct dist_crash *old = &dist->crashes[i];
 
 		if (old->fingerprint == crash->fingerprint &&
-		    old->count >= crash->count && old->origin == crash->origin)
+		    old->origin == crash->origin &&
+		    old->count >= crash->count &&
+		    old->cleared >= crash->cleared)
 			return false;
 	}
 	return true;
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -69,11 +69,13 @@
 	FAILURE_TICKET_NEEDED,
 	FAILURE_TICKET_TOO_FAR, /* expiry beyond the life of tickets */
 	FAILURE_TICKET_RECORDS, /* the table of records is full */
+	FAILURE_TICKET_REFUSED, /* answered not-run before, stays so */
 	FAILURE_TICKET_EXPIRED,
-	FAILURE_TICKET_INCARNATION, /* issued by another incarnation */
-	FAILURE_TICKET_UNREACHABLE, /* its host cannot be reached */
-	FAILURE_TICKET_RUNNING,	    /* the first copy has not ended */
-	FAILURE_TICKET_RAN,	    /* ran; the answer is not stored */
+	FAILURE_TICKET_INCARNATION,   /* issued by another incarnation */
+	FAILURE_TICKET_UNREACHABLE,   /* its host cannot be reached */
+	FAILURE_TICKET_RUNNING,	      /* the first copy has not ended */
+	FAILURE_TICKET_OTHER_REQUEST, /* it belongs to another request */
+	FAILURE_TICKET_RAN,	      /* ran; the answer is not stored */
 
 	FAILURE_REASONS /* the number of reasons */
 };
