status: fail when a version is refused or in conflict

Cause: a version that every daemon refused left 'status' with exit status 0, so a script that published it took it as in force. Errors of the client commands began with the name of the subcommand only, and wrong arguments printed no usage line. Change: refused versions and conflicts are counted, printed when there are any, and give exit status 1; all commands parse arguments by cmd_parse_args(), and errors begin with 'godwitspur:'.

--- a/godwitspur/cmd_client.c
+++ b/godwitspur/cmd_client.c
@@ -1,10 +1,9 @@
-#include <argtable2.h>
 #include <ne_request.h>
 #include <ne_session.h>
 #include <stdio.h>
 
 #include "client.h"
-#include "commands.h"
+#include "cmd_tree.h"
 #include "net/address.h"
 
 #define CONNECT_TIMEOUT_SEC 2
@@ -56,36 +55,33 @@
 	return answer;
 }
 
+static int print_answer(const char *address, const char *method,
+			const char *path)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *answer = client_call(address, method, path, &error);
+
+	if (!answer) {
+		fprintf(stderr, "godwitspur: %s\n", error->message);
+		return CMD_FAILED;
+	}
+	printf("%s\n", g_strchomp(answer));
+	return CMD_OK;
+}
+
 /* One call with the address as the only argument; prints the answer. */
 static int run_call(int argc, char **argv, const char *method, const char *path,
 		    const char *summary)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_str *address = arg_str1(NULL, NULL, "ADDRESS",
 					   "operator address of the daemon");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, address, end };
-	int errors = arg_parse(argc, argv, table);
-	g_autoptr(GError) error = NULL;
-	g_autofree char *answer = NULL;
-	int status = CMD_OK;
+	int status;
 
-	if (help->count) {
-		printf("usage: godwitspur %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		printf("%s\n\n", summary);
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-	} else if (errors) {
-		arg_print_errors(stderr, end, argv[0]);
-		status = CMD_USAGE;
-	} else {
-		answer = client_call(address->sval[0], method, path, &error);
-		if (answer)
-			printf("%s\n", g_strchomp(answer));
-		else
-			fprintf(stderr, "%s: %s\n", argv[0], error->message);
-		status = answer ? CMD_OK : CMD_FAILED;
-	}
+	if (cmd_parse_args(argc, argv, table, help, end, summary, &status))
+		status = print_answer(address->sval[0], method, path);
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return status;
 }
--- a/godwitspur/cmd_run.c
+++ b/godwitspur/cmd_run.c
@@ -1,10 +1,9 @@
-#include <argtable2.h>
 #include <stdio.h>
 
-#include "commands.h"
+#include "cmd_tree.h"
 #include "daemon.h"
 
-static int run(const char *name, const char *file)
+static int run(const char *file)
 {
 	CLEANUP(settings_freep) struct settings *settings = NULL;
 	g_autoptr(GError) error = NULL;
@@ -18,30 +17,22 @@
 		return CMD_FAILED;
 	if (daemon_run(settings, &error))
 		return CMD_OK;
-	fprintf(stderr, "%s: %s\n", name, error->message);
+	fprintf(stderr, "godwitspur: %s\n", error->message);
 	return CMD_FAILED;
 }
 
 int cmd_run(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_file *file =
 		arg_file1(NULL, NULL, "FILE", "settings of the daemon");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, file, end };
-	int errors = arg_parse(argc, argv, table);
-	int status = CMD_OK;
+	int status;
 
-	if (help->count) {
-		printf("usage: godwitspur %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-	} else if (errors) {
-		arg_print_errors(stderr, end, argv[0]);
-		status = CMD_USAGE;
-	} else {
-		status = run(argv[0], file->filename[0]);
-	}
+	if (cmd_parse_args(argc, argv, table, help, end,
+			   "Runs the daemon until a planned stop.", &status))
+		status = run(file->filename[0]);
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return status;
 }
--- a/godwitspur/cmd_status.c
+++ b/godwitspur/cmd_status.c
@@ -1,11 +1,10 @@
-#include <argtable2.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "client.h"
-#include "commands.h"
+#include "cmd_tree.h"
 
 #define ADDRESSES_MAX 4096
 #define DIGEST_CHARS_SHOWN 12
@@ -16,6 +15,8 @@
 	json_int_t newest; /* highest version number in force anywhere */
 	int nr_behind;
 	int nr_unreachable;
+	int nr_refused;	 /* daemons that refuse a version newer than theirs */
+	int nr_conflict; /* daemons that saw one number with two contents */
 };
 
 static json_int_t version_number(json_t *daemon)
@@ -38,6 +39,10 @@
 	}
 	json_object_set_new(daemon, "operator", json_string(address));
 	report->newest = MAX(report->newest, version_number(daemon));
+	report->nr_refused +=
+		json_array_size(json_object_get(daemon, "refused")) > 0;
+	report->nr_conflict +=
+		json_is_true(json_object_get(daemon, "conflict"));
 	json_array_append_new(report->daemons, daemon);
 }
 
@@ -119,17 +124,24 @@
 			printf("    %s\n", text_of(daemon, "error"));
 		print_refusals(daemon);
 	}
-	printf("%zu daemons, %d behind, %d unreachable\n",
+	printf("%zu daemons, %d behind, %d unreachable",
 	       json_array_size(report->daemons), report->nr_behind,
 	       report->nr_unreachable);
+	if (report->nr_refused)
+		printf(", %d refused a version", report->nr_refused);
+	if (report->nr_conflict)
+		printf(", %d with a conflict", report->nr_conflict);
+	putchar('\n');
 }
 
 static void print_json(const struct report *report)
 {
 	json_t *json =
-		json_pack("{s:O, s:I, s:i, s:i}", "daemons", report->daemons,
-			  "newest", report->newest, "behind", report->nr_behind,
-			  "unreachable", report->nr_unreachable);
+		json_pack("{s:O, s:I, s:i, s:i, s:i, s:i}", "daemons",
+			  report->daemons, "newest", report->newest, "behind",
+			  report->nr_behind, "unreachable",
+			  report->nr_unreachable, "refused", report->nr_refused,
+			  "conflict", report->nr_conflict);
 	char *text = json_dumps(json, JSON_INDENT(2));
 
 	printf("%s\n", text);
@@ -140,7 +152,7 @@
 static int run(const char **addresses, int nr, int as_json)
 {
 	struct report report = { .daemons = json_array() };
-	int status;
+	bool ok;
 
 	for (int i = 0; i < nr; i++)
 		ask(&report, addresses[i]);
@@ -149,36 +161,29 @@
 		print_json(&report);
 	else
 		print_table(&report);
-	status =
-		report.nr_behind || report.nr_unreachable ? CMD_FAILED : CMD_OK;
+	ok = !report.nr_behind && !report.nr_unreachable &&
+	     !report.nr_refused && !report.nr_conflict;
 	json_decref(report.daemons);
-	return status;
+	return ok ? CMD_OK : CMD_FAILED;
 }
 
 int cmd_status(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_str *addresses =
 		arg_strn(NULL, NULL, "ADDRESS", 1, ADDRESSES_MAX,
 			 "operator addresses of daemons");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, json, addresses, end };
-	int errors = arg_parse(argc, argv, table);
-	int status = CMD_OK;
-
-	if (help->count) {
-		printf("usage: godwitspur %s", argv[0]);
-		arg_print_syntax(stdout, table, "\n");
-		printf("Exit status 1 when a daemon is behind or "
-		       "unreachable.\n\n");
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-	} else if (errors) {
-		arg_print_errors(stderr, end, argv[0]);
-		status = CMD_USAGE;
-	} else {
+	int status;
+
+	if (cmd_parse_args(argc, argv, table, help, end,
+			   "Prints which version each daemon runs. Exit status "
+			   "1 when a daemon is\nunreachable, behind, refuses a "
+			   "newer version or has seen a conflict.",
+			   &status))
 		status = run(addresses->sval, addresses->count, json->count);
-	}
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return status;
 }
