Let /explain select the method; stamp the dump line

Cause: /explain of a daemon had no method, so of two routes with one prefix only the first could be explained, other than by the subcommand. The line that SIGUSR1 writes had no ts field, unlike all other lines. Change: the parameter method=, passed on as struct operator_explain; the dump is written by log_event().

--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -853,21 +853,16 @@
 	return explanation ? explanation_to_json(explanation) : NULL;
 }
 
-json_t *control_explain(struct control *control, const char *path,
-			const char *target, GError **error)
+json_t *control_explain(struct control *control,
+			const struct explain_query *query, GError **error)
 {
-	struct explain_query query = {
-		.path = path,
-		.ingress_zone = control->options.settings->zone,
-		.target_host = target,
-	};
 	bool answered;
 	struct question *question =
 		ask(control, CONTROL_VERSION_IN_FORCE, &answered);
 	json_t *answer = NULL;
 
 	if (answered && question->version)
-		answer = explain_version(question->version, &query, error);
+		answer = explain_version(question->version, query, error);
 	else
 		g_set_error(error, TREE_ERROR, TREE_ERROR_NOT_FOUND,
 			    "no version is in force");
--- a/godwitspur/control.h
+++ b/godwitspur/control.h
@@ -60,10 +60,10 @@
 
 /*
  * Explains the effective settings of a route by the version in force, as the
- * subcommand explain does from a file; any thread. target may be NULL. NULL
- * with an error when there is no version or no such route or target.
+ * subcommand explain does from a file; any thread. NULL with an error when
+ * there is no version or no such route or target.
  */
-json_t *control_explain(struct control *control, const char *path,
-			const char *target, GError **error);
+json_t *control_explain(struct control *control,
+			const struct explain_query *query, GError **error);
 
 #endif
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 #include <pthread.h>
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
 #include <time.h>
@@ -147,12 +146,18 @@
 			 links_dump(daemon->links));
 }
 
-static json_t *on_explain(void *ctx, const char *path, const char *target,
+static json_t *on_explain(void *ctx, const struct operator_explain *question,
 			  GError **error)
 {
 	struct daemon *daemon = ctx;
+	struct explain_query query = {
+		.path = question->path,
+		.method = question->method,
+		.ingress_zone = daemon->settings->zone,
+		.target_host = question->target,
+	};
 
-	return control_explain(daemon->control, path, target, error);
+	return control_explain(daemon->control, &query, error);
 }
 
 static void start_drain(struct daemon *daemon)
@@ -315,7 +320,7 @@
 	json_t *dump = on_dump(daemon);
 	char *text = json_dumps(dump, JSON_COMPACT);
 
-	fprintf(stderr, "<6>event=dump state=%s\n", text);
+	log_event(LOG_INFO, "dump", "state=%s", text);
 	free(text);
 	json_decref(dump);
 }
--- a/godwitspur/operator.c
+++ b/godwitspur/operator.c
@@ -47,21 +47,26 @@
 	return reply;
 }
 
+static const char *argument(struct MHD_Connection *connection, const char *name)
+{
+	return MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+					   name);
+}
+
 static struct reply explain_reply(struct operator_server *server,
 				  struct MHD_Connection *connection)
 {
-	const char *path =
-		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
-					    "path");
-	const char *target =
-		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
-					    "target");
+	struct operator_explain query = {
+		.path = argument(connection, "path"),
+		.method = argument(connection, "method"),
+		.target = argument(connection, "target"),
+	};
 	g_autoptr(GError) error = NULL;
 	json_t *answer;
 
-	if (!path)
+	if (!query.path)
 		return error_reply(400, "the query lacks path=");
-	answer = server->options.ops->explain(server->options.ctx, path, target,
+	answer = server->options.ops->explain(server->options.ctx, &query,
 					      &error);
 	return answer ? json_reply(answer) : error_reply(404, error->message);
 }
--- a/godwitspur/operator.h
+++ b/godwitspur/operator.h
@@ -8,11 +8,18 @@
 
 /* The operators' HTTP interface of a daemon. */
 
+/* A question about the effective settings of a path. */
+struct operator_explain {
+	const char *path;
+	const char *method; /* NULL: the first that has a route */
+	const char *target; /* host of a target; NULL: none */
+};
+
 struct operator_ops {
 	json_t *(*status)(void *ctx);
 	json_t *(*fleet)(void *ctx);
 	json_t *(*dump)(void *ctx);
-	json_t *(*explain)(void *ctx, const char *path, const char *target,
+	json_t *(*explain)(void *ctx, const struct operator_explain *query,
 			   GError **error);
 	void (*drain)(void *ctx);
 };
