status: fail while a daemon is starting

Cause: in a fleet without a version, and while daemons wait at the start gate, 'status' ended with status 0, so a script that waits for it went on before anything served. Change: daemons that do not serve yet are counted, printed and give exit status 1.

--- a/godwitspur/cmd_status.c
+++ b/godwitspur/cmd_status.c
@@ -15,6 +15,7 @@
 	json_int_t newest; /* highest version number in force anywhere */
 	int nr_behind;
 	int nr_unreachable;
+	int nr_starting; /* daemons that do not serve yet */
 	int nr_refused;	 /* daemons that refuse a version newer than theirs */
 	int nr_conflict; /* daemons that saw one number with two contents */
 };
@@ -39,6 +40,8 @@
 	}
 	json_object_set_new(daemon, "operator", json_string(address));
 	report->newest = MAX(report->newest, version_number(daemon));
+	report->nr_starting +=
+		json_is_false(json_object_get(daemon, "serving"));
 	report->nr_refused +=
 		json_array_size(json_object_get(daemon, "refused")) > 0;
 	report->nr_conflict +=
@@ -127,6 +130,8 @@
 	printf("%zu daemons, %d behind, %d unreachable",
 	       json_array_size(report->daemons), report->nr_behind,
 	       report->nr_unreachable);
+	if (report->nr_starting)
+		printf(", %d starting", report->nr_starting);
 	if (report->nr_refused)
 		printf(", %d refused a version", report->nr_refused);
 	if (report->nr_conflict)
@@ -137,10 +142,11 @@
 static void print_json(const struct report *report)
 {
 	json_t *json =
-		json_pack("{s:O, s:I, s:i, s:i, s:i, s:i}", "daemons",
+		json_pack("{s:O, s:I, s:i, s:i, s:i, s:i, s:i}", "daemons",
 			  report->daemons, "newest", report->newest, "behind",
 			  report->nr_behind, "unreachable",
-			  report->nr_unreachable, "refused", report->nr_refused,
+			  report->nr_unreachable, "starting",
+			  report->nr_starting, "refused", report->nr_refused,
 			  "conflict", report->nr_conflict);
 	char *text = json_dumps(json, JSON_INDENT(2));
 
@@ -162,7 +168,7 @@
 	else
 		print_table(&report);
 	ok = !report.nr_behind && !report.nr_unreachable &&
-	     !report.nr_refused && !report.nr_conflict;
+	     !report.nr_starting && !report.nr_refused && !report.nr_conflict;
 	json_decref(report.daemons);
 	return ok ? CMD_OK : CMD_FAILED;
 }
@@ -180,7 +186,8 @@
 
 	if (cmd_parse_args(argc, argv, table, help, end,
 			   "Prints which version each daemon runs. Exit status "
-			   "1 when a daemon is\nunreachable, behind, refuses a "
+			   "1 when a daemon is\nunreachable, behind, starting, "
+			   "refuses a "
 			   "newer version or has seen a conflict.",
 			   &status))
 		status = run(addresses->sval, addresses->count, json->count);
