--- a/tests/support/standin.hh
+++ b/tests/support/standin.hh
@@ -25,7 +25,10 @@
 struct Answer {
 	int status; /* 0 when no whole answer arrived */
 	std::string body;
-	std::string revision, shed, draining, name; /* headers, "" if absent */
+	bool refused; /* the connection was refused */
+	/* Headers, "" if absent. */
+	std::string revision, shed, draining, name;
+	std::string outcome, reason, ticket, replayed;
 
 	/* The member of a JSON object; -1 when there is none. */
 	json_int_t number(const char *key) const
@@ -68,6 +71,11 @@
 	answer.shed = header("backend-shed");
 	answer.draining = header("backend-draining");
 	answer.name = header("backend-name");
+	answer.refused = response.refused;
+	answer.outcome = header("godwitspur-outcome");
+	answer.reason = header("godwitspur-reason");
+	answer.ticket = header("godwitspur-ticket");
+	answer.replayed = header("godwitspur-replayed");
 	http_response_release(&response);
 	return answer;
 }
