Count control traffic and let settings choose the distribution policy

Cause: the bytes that a daemon sends and receives for its control work were not visible, and the baseline policy of lib/dist could not be run by a real daemon. Change: counters of bytes and records on control connections and of bytes read from the source and the host list in /metrics; the setting "distribution" selects "gossip" (default) or "direct"; threads of the control side have names, so that their CPU time can be told apart.

--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -36,6 +36,10 @@
 
 struct control {
 	struct control_options options;
+	struct net_traffic traffic;  /* of the control connections */
+	struct counter source_bytes; /* bodies read from the source */
+	struct counter hosts_bytes;  /* bodies of the host list */
+	struct counter source_calls;
 	struct net_loop *loop;
 	struct rng rng;
 	struct member *member;
@@ -200,6 +204,8 @@
 					struct blob **blob)
 {
 	*blob = NULL;
+	if (fetch->body)
+		counter_add(&control->source_bytes, fetch->body->len);
 	if (fetch->status == 304)
 		return DIST_UNCHANGED;
 	if (fetch->status == 404)
@@ -266,6 +272,7 @@
 		SOURCE_TIMEOUT_SEC + (int)(call->wait_ms / 1000);
 	fetch->done = source_done;
 	fetch->ctx = read;
+	counter_add(&control->source_calls, 1);
 	fetch_start(control->fetches, fetch);
 }
 
@@ -286,6 +293,8 @@
 	struct findings findings;
 
 	control->host_list_pending = false;
+	if (fetch->body)
+		counter_add(&control->hosts_bytes, fetch->body->len);
 	findings_init(&findings);
 	if (fetch->status == 200)
 		list = host_list_parse((const char *)fetch->body->data,
@@ -342,6 +351,7 @@
 		.loop = control->loop,
 		.record_max = WIRE_CONTROL_RECORD_MAX,
 		.output_max = CONTROL_OUTPUT_MAX,
+		.traffic = &control->traffic,
 	};
 }
 
@@ -909,6 +919,42 @@
 	control->dist = dist_new(&dist);
 }
 
+static void add_counter(struct control *control, struct counter *counter,
+			const char *name, const char *help)
+{
+	counter->name = name;
+	counter->help = help;
+	metrics_add_counter(control->options.metrics, counter);
+}
+
+static void add_counters(struct control *control)
+{
+	static const char bytes[] = "Bytes on the control connections.";
+	static const char records[] = "Messages on the control connections.";
+	struct net_traffic *traffic = &control->traffic;
+
+	add_counter(control, &traffic->bytes_sent,
+		    "godwitspur_control_bytes_total{direction=\"sent\"}",
+		    bytes);
+	add_counter(control, &traffic->bytes_received,
+		    "godwitspur_control_bytes_total{direction=\"received\"}",
+		    bytes);
+	add_counter(control, &traffic->records_sent,
+		    "godwitspur_control_records_total{direction=\"sent\"}",
+		    records);
+	add_counter(control, &traffic->records_received,
+		    "godwitspur_control_records_total{direction=\"received\"}",
+		    records);
+	add_counter(control, &control->source_calls,
+		    "godwitspur_source_calls_total", "Calls of the source.");
+	add_counter(control, &control->source_bytes,
+		    "godwitspur_source_bytes_total",
+		    "Bytes of bodies read from the source.");
+	add_counter(control, &control->hosts_bytes,
+		    "godwitspur_host_list_bytes_total",
+		    "Bytes of bodies of the host list.");
+}
+
 struct control *control_new(const struct control_options *options,
 			    GError **error)
 {
@@ -939,6 +985,7 @@
 		g_free(control);
 		return NULL;
 	}
+	add_counters(control);
 	make_libraries(control);
 	control->fetches = fetch_pool_new(control->loop, FETCH_THREADS);
 	return control;
--- a/godwitspur/control.h
+++ b/godwitspur/control.h
@@ -1,6 +1,7 @@
 #ifndef GODWITSPUR_CONTROL_H
 #define GODWITSPUR_CONTROL_H
 
+#include "base/counters.h"
 #include "dist/dist.h"
 #include "quarantine/quarantine.h"
 #include "settings.h"
@@ -33,6 +34,7 @@
 	uint64_t incarnation;
 	uint64_t seed;
 	const struct dist_policy *policy; /* NULL: the default */
+	struct metrics *metrics;	  /* borrowed */
 	const struct control_ops *ops;
 	void *ctx;
 };
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -205,6 +205,8 @@
 {
 	struct daemon *daemon = arg;
 
+	/* Names let operators and benches tell the threads' CPU time apart. */
+	pthread_setname_np(pthread_self(), "links");
 	net_loop_run(daemon->link_loop);
 	return NULL;
 }
@@ -213,6 +215,7 @@
 {
 	struct daemon *daemon = arg;
 
+	pthread_setname_np(pthread_self(), "control");
 	control_run(daemon->control);
 	return NULL;
 }
@@ -279,6 +282,8 @@
 		.settings = daemon->settings,
 		.incarnation = daemon->incarnation,
 		.seed = random_number(),
+		.policy = daemon->settings->policy,
+		.metrics = &daemon->metrics,
 		.ops = &control_ops,
 		.ctx = daemon,
 	};
--- a/godwitspur/fetch.c
+++ b/godwitspur/fetch.c
@@ -95,6 +95,7 @@
 	struct fetch_pool *pool = arg;
 	struct fetch *fetch;
 
+	pthread_setname_np(pthread_self(), "fetch");
 	while ((fetch = next_fetch(pool))) {
 		perform(fetch);
 		net_loop_defer(pool->loop, deliver, fetch);
--- a/godwitspur/settings.c
+++ b/godwitspur/settings.c
@@ -108,13 +108,25 @@
 	return json_integer_value(value);
 }
 
+static const struct dist_policy *read_policy(struct reader *reader)
+{
+	const char *text = read_text(reader, "distribution", false);
+
+	if (!text || !strcmp(text, "gossip"))
+		return &dist_policy_gossip;
+	if (!strcmp(text, "direct"))
+		return &dist_policy_direct;
+	add_error(reader, "distribution", "must be \"gossip\" or \"direct\"");
+	return &dist_policy_gossip;
+}
+
 static void check_keys(struct reader *reader)
 {
 	static const char *const known[] = {
-		"host",	   "zone",	"region",   "caller",
-		"traffic", "control",	"operator", "backend",
-		"source",  "host_list", "seeds",    "source_interval_ms",
-		NULL,
+		"host",		"zone",	     "region",	 "caller",
+		"traffic",	"control",   "operator", "backend",
+		"source",	"host_list", "seeds",	 "source_interval_ms",
+		"distribution", NULL,
 	};
 	json_t *value;
 	const char *key;
@@ -145,6 +157,7 @@
 	settings->seeds = read_seeds(reader);
 	settings->source_interval_ms =
 		read_interval(reader, "source_interval_ms");
+	settings->policy = read_policy(reader);
 	return settings;
 }
 
--- a/godwitspur/settings.h
+++ b/godwitspur/settings.h
@@ -6,6 +6,7 @@
 
 #include "base/cleanup.h"
 #include "base/findings.h"
+#include "dist/dist.h"
 #include "net/address.h"
 
 /* The settings of one daemon, read from a JSON file at its start. */
@@ -25,6 +26,7 @@
 	struct net_address host_list; /* HTTP, list of hosts */
 	char **seeds;		      /* NULL-terminated control addresses */
 	int64_t source_interval_ms;
+	const struct dist_policy *policy; /* "distribution" */
 };
 
 /*
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -137,6 +137,12 @@
 	return (ssize_t)done;
 }
 
+static void count_sent(struct net_conn *conn, size_t bytes)
+{
+	if (conn->options.traffic)
+		counter_add(&conn->options.traffic->bytes_sent, bytes);
+}
+
 static size_t waiting_bytes(const struct net_conn *conn)
 {
 	return conn->output->len - conn->output_sent;
@@ -158,6 +164,10 @@
 	 * is reported by on_closed() and not by this return value.
 	 */
 	ok = true;
+	if (conn->options.traffic)
+		counter_add(&conn->options.traffic->records_sent, 1);
+	if (sent > 0)
+		count_sent(conn, (size_t)sent);
 	if (sent >= 0 && (size_t)sent < len) {
 		g_byte_array_append(conn->output, (const guint8 *)data + sent,
 				    (guint)(len - (size_t)sent));
@@ -180,8 +190,10 @@
 	sent = write_some(conn->source.fd,
 			  conn->output->data + conn->output_sent,
 			  waiting_bytes(conn));
-	if (sent >= 0)
+	if (sent >= 0) {
 		conn->output_sent += (size_t)sent;
+		count_sent(conn, (size_t)sent);
+	}
 	if (sent >= 0 && !waiting_bytes(conn)) {
 		g_byte_array_set_size(conn->output, 0);
 		conn->output_sent = 0;
@@ -228,6 +240,9 @@
 		if (conn->input->len - used - WIRE_MARK_BYTES < len)
 			break;
 		used += WIRE_MARK_BYTES;
+		if (conn->options.traffic)
+			counter_add(&conn->options.traffic->records_received,
+				    1);
 		conn->options.ops->on_record(conn, conn->input->data + used,
 					     len);
 		used += len;
@@ -256,6 +271,8 @@
 		close_now(conn, "closed by the other side");
 		return;
 	}
+	if (conn->options.traffic)
+		counter_add(&conn->options.traffic->bytes_received, (size_t)n);
 	g_byte_array_append(conn->input, buffer, (guint)n);
 	deliver_records(conn);
 }
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "base/counters.h"
 #include "net/address.h"
 #include "net/loop.h"
 
@@ -23,12 +24,21 @@
 	void (*on_closed)(struct net_conn *conn, const char *reason);
 };
 
+/* Traffic of many connections together. Bytes include the record marks. */
+struct net_traffic {
+	struct counter bytes_sent;
+	struct counter bytes_received;
+	struct counter records_sent;
+	struct counter records_received;
+};
+
 struct net_conn_options {
 	struct net_loop *loop;
 	int fd; /* connected or connecting; owned by the connection */
 	bool connecting;
 	size_t record_max; /* longer records close the connection */
 	size_t output_max; /* sends beyond so many waiting bytes fail */
+	struct net_traffic *traffic; /* borrowed; NULL: not counted */
 	const struct net_conn_ops *ops;
 	void *ctx;
 	void (*free_ctx)(void *ctx); /* called with the last reference */
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -54,6 +54,7 @@
 	struct net_loop *loop;
 	size_t record_max;
 	size_t output_max;
+	struct net_traffic *traffic;	   /* borrowed; NULL: not counted */
 	const struct rpc_service *service; /* NULL: calls are refused */
 };
 
