Add bench-distribution: real daemons, generated trees, herds

Cause: no run measured how long a version takes to be in force on real daemons, nor what it costs in bytes, source calls, CPU time and memory. Change: bench/fleet starts stand-ins and daemons, generates trees and publishes them; bench/distribution measures changes, quiet and during a restart of a third of the daemons, and writes build/bench-distribution.json.

--- /dev/null
+++ b/bench/fleet/process_stats.h
@@ -0,0 +1,22 @@
+#ifndef FLEET_PROCESS_STATS_H
+#define FLEET_PROCESS_STATS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+/* CPU time and memory of a process that this program started. */
+struct process_stats {
+	int64_t cpu_ns;	    /* of all living threads */
+	int64_t control_ns; /* of the threads "control" and "fetch" */
+	int64_t rss_kb;
+	int64_t peak_rss_kb;
+};
+
+/* False when the process is gone. */
+bool process_stats_read(struct process_stats *stats, pid_t pid);
+
+/* The load average of the last minute. */
+double load_average(void);
+
+#endif
