--- a/bench/fleet/fleet.c
+++ b/bench/fleet/fleet.c
@@ -141,7 +141,9 @@
 struct fleet *fleet_new(const struct fleet_options *options)
 {
 	struct fleet *fleet = g_new0(struct fleet, 1);
-	g_autofree char *name = g_strdup_printf("bench-fleet-%d", getpid());
+	static int number;
+	g_autofree char *name =
+		g_strdup_printf("bench-fleet-%d-%d", getpid(), number++);
 
 	fleet->options = *options;
 	fleet->directory = g_build_filename(options->build, name, NULL);
