--- a/godwitspur/settings.c
+++ b/godwitspur/settings.c
@@ -139,14 +139,29 @@
 	return NULL;
 }
 
+static const struct dist_policy *read_policy(struct reader *reader)
+{
+	const char *text = read_text(reader, "distribution", false);
+
+	if (!text || !strcmp(text, "gossip"))
+		return &dist_policy_gossip;
+	if (!strcmp(text, "direct"))
+		return &dist_policy_direct;
+	add_error(reader, "distribution", "must be \"gossip\" or \"direct\"");
+	return &dist_policy_gossip;
+}
+
 static void check_keys(struct reader *reader)
 {
 	static const char *const known[] = {
-		"host",		  "zone",	  "region",
-		"caller",	  "traffic",	  "control",
-		"operator",	  "backend",	  "source",
-		"host_list",	  "seeds",	  "source_interval_ms",
-		"balance_policy", "limit_policy", NULL,
+		"host",		  "zone",
+		"region",	  "caller",
+		"traffic",	  "control",
+		"operator",	  "backend",
+		"source",	  "host_list",
+		"seeds",	  "source_interval_ms",
+		"balance_policy", "limit_policy",
+		"distribution",	  NULL,
 	};
 	json_t *value;
 	const char *key;
@@ -179,6 +194,7 @@
 		read_interval(reader, "source_interval_ms");
 	settings->balance_policy = read_balance_policy(reader);
 	settings->limit_policy = read_limit_policy(reader);
+	settings->policy = read_policy(reader);
 	return settings;
 }
 
