--- /dev/null
+++ b/tests/process/test_service.cc
@@ -0,0 +1,228 @@
+#include "mesh.h"
+
+/*
+ * Service while zones, hosts and backend servers leave and return, and while
+ * daemons stop as planned. In all tests requests run without a break.
+ */
+
+namespace
+{
+
+constexpr long kMany = 300; /* requests, enough to reach all targets */
+
+const std::vector<int> kAllDaemons = { 0, 1, 2, 3, 4, 5 };
+
+MeshOptions six_targets()
+{
+	MeshOptions options;
+
+	options.hosts = 6;
+	options.targets = 6;
+	options.defaults =
+		R"("deadline_ms": 10000, "slots": 8, "cold_slots": 8)";
+	return options;
+}
+
+void wait_for_load(const Load &load, long more)
+{
+	long before = load.ok;
+
+	EXPECT_TRUE(eventually([&] { return load.ok >= before + more; }));
+}
+
+int runs_at(const Mesh &mesh, const std::vector<int> &hosts)
+{
+	int runs = 0;
+
+	for (int host : hosts)
+		runs += mesh.runs(host, "/portal/notes");
+	return runs;
+}
+
+/* Each of the hosts gets new work while others are served. */
+void expect_work(const Mesh &mesh, const std::vector<int> &hosts)
+{
+	for (int host : hosts) {
+		int before = mesh.runs(host, "/portal/notes");
+
+		EXPECT_TRUE(eventually([&] {
+			return mesh.runs(host, "/portal/notes") > before;
+		})) << mesh.hosts[(size_t)host].name
+		    << " gets no work";
+	}
+}
+
+/* After a while the hosts get no new work any more. */
+void expect_no_work(const Mesh &mesh, const Load &load,
+		    const std::vector<int> &hosts)
+{
+	EXPECT_TRUE(eventually([&] {
+		int before = runs_at(mesh, hosts);
+
+		wait_for_load(load, kMany / 3);
+		return runs_at(mesh, hosts) == before;
+	})) << "work does not end";
+	int before = runs_at(mesh, hosts);
+	wait_for_load(load, kMany);
+	EXPECT_EQ(runs_at(mesh, hosts), before) << "new work came";
+}
+
+void expect_no_failure(Load &load)
+{
+	load.finish();
+	EXPECT_EQ(load.failed, 0) << load.first_failure;
+	EXPECT_EQ(load.foreign, "");
+}
+
+/* Guards against work in a zone that operators took out of service. */
+TEST(ProcessService, ZoneOutOfServiceGetsNoWork)
+{
+	Mesh mesh(six_targets());
+	Load load(mesh, "POST", "/portal/notes", kAllDaemons);
+
+	expect_work(mesh, kAllDaemons);
+	mesh.plan.out = { "z1" };
+	mesh.publish(2);
+	mesh.wait_for(2);
+	expect_no_work(mesh, load, { 1, 4 });
+	mesh.plan.out = {};
+	mesh.publish(3);
+	mesh.wait_for(3);
+	expect_work(mesh, { 1, 4 });
+	expect_no_failure(load);
+}
+
+/*
+ * Guards against work for a zone out of service from daemons that restart or
+ * resume with outdated state.
+ */
+TEST(ProcessService, ZoneStaysOutThroughRestartAndPause)
+{
+	Mesh mesh(six_targets());
+
+	mesh.signal_daemon(5, SIGSTOP);
+	mesh.plan.out = { "z1" };
+	mesh.publish(2);
+	for (int host = 0; host < 5; host++)
+		EXPECT_TRUE(eventually(
+			[&] { return mesh.status(host).version.number == 2; }));
+	usleep(2500 * 1000);
+	mesh.signal_daemon(5, SIGCONT);
+	mesh.kill_daemon(0);
+	mesh.start_daemon(0);
+	mesh.wait_for(2);
+	Load load(mesh, "POST", "/portal/notes", { 0, 1, 2, 5, 0, 5 });
+	expect_no_work(mesh, load, { 1, 4 });
+	expect_no_failure(load);
+}
+
+/* Guards against work for a host that the host list calls leaving. */
+TEST(ProcessService, LeavingHostGetsNoWork)
+{
+	Mesh mesh(six_targets());
+	Load load(mesh, "POST", "/portal/notes", kAllDaemons);
+
+	expect_work(mesh, kAllDaemons);
+	EXPECT_EQ(call(mesh.host_list.control, "POST",
+		       "/host?host=h2&state=leaving")
+			  .status,
+		  200);
+	expect_no_work(mesh, load, { 2 });
+	EXPECT_EQ(call(mesh.host_list.control, "POST",
+		       "/host?host=h2&state=live")
+			  .status,
+		  200);
+	expect_work(mesh, { 2 });
+	expect_no_failure(load);
+}
+
+/*
+ * Guards against work for a backend server that drains by itself, and against
+ * requests that fail because they were sent there.
+ */
+TEST(ProcessService, DrainingBackendGetsNoWork)
+{
+	Mesh mesh(six_targets());
+	Load load(mesh, "POST", "/portal/notes", kAllDaemons);
+
+	expect_work(mesh, kAllDaemons);
+	EXPECT_EQ(call(mesh.hosts[3].backend_control, "POST", "/drain").status,
+		  200);
+	expect_no_work(mesh, load, { 3 });
+	mesh.kill_backend(3);
+	mesh.start_backend(3);
+	expect_work(mesh, { 3 });
+	expect_no_failure(load);
+}
+
+/*
+ * Guards against a planned stop that cuts requests in flight, by the signal
+ * and by the operators' address, and against one that tells new requests
+ * anything else than that they did not run.
+ */
+void stop_cuts_nothing(bool by_signal)
+{
+	MeshOptions options;
+
+	options.hosts = 4;
+	options.targets = 2;
+	options.backend = { "--service-ms", "1500" };
+	options.defaults =
+		R"("deadline_ms": 20000, "slots": 4, "cold_slots": 4)";
+	Mesh mesh(options);
+	std::vector<std::thread> threads;
+	std::vector<Answer> answers(8);
+	Host &host = mesh.hosts[0];
+
+	/* Two through each daemon, the one that stops included. */
+	for (size_t i = 0; i < answers.size(); i++)
+		threads.emplace_back([&mesh, &answers, i] {
+			answers[i] =
+				mesh.send((int)i % 4, "POST",
+					  "/portal/notes/" + std::to_string(i));
+		});
+	EXPECT_TRUE(
+		eventually([&] { return mesh.runs("/portal/notes") == 8; }));
+	EXPECT_GT(mesh.runs(0, "/portal/notes"), 0);
+	if (by_signal)
+		mesh.signal_daemon(0, SIGTERM);
+	else
+		EXPECT_EQ(call(host.operators, "POST", "/drain").status, 200);
+
+	/* Until the daemon refuses connections it answers not-run. */
+	int refused = 0;
+	EXPECT_TRUE(eventually([&] {
+		Answer answer = mesh.send(0, "POST", "/portal/notes/late");
+
+		refused += answer.outcome == "not-run";
+		EXPECT_NE(answer.outcome, "unknown") << answer.body;
+		return refused > 5 || answer.refused;
+	}));
+	EXPECT_GT(refused, 0);
+	/* Others send new work elsewhere, and none fails. */
+	Answer elsewhere = mesh.send(2, "POST", "/portal/notes/elsewhere");
+	EXPECT_EQ(elsewhere.status, 200) << elsewhere.body;
+	EXPECT_EQ(elsewhere.name, "h1");
+
+	for (std::thread &thread : threads)
+		thread.join();
+	for (size_t i = 0; i < answers.size(); i++)
+		EXPECT_EQ(answers[i].status, 200)
+			<< "request " << i << ": " << answers[i].body;
+	int status = -1;
+	EXPECT_TRUE(process_wait(&host.daemon, 30000, &status));
+	EXPECT_EQ(status, 0);
+	EXPECT_EQ(mesh.runs("/portal/notes/late"), 0);
+}
+
+TEST(ProcessService, SignalledStopCutsNothing)
+{
+	stop_cuts_nothing(true);
+}
+
+TEST(ProcessService, OperatorsStopCutsNothing)
+{
+	stop_cuts_nothing(false);
+}
+
+} // namespace
