Refuse request paths with a second spelling

Cause: routes match paths byte for byte, so //portal/orders or /portal/%6frders reached a shorter route, or none, while a backend server may take it for /portal/orders; a POST could pass by the at_most_once route. Change: the ingress answers 400, not-run, to any path that is not in its normal form (RFC 3986, 6.2.2). Test: Path.RefusesOtherSpellings, 18 cases.

--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "ingress.h"
+#include "path.h"
 
 #define CONNECTIONS_MAX 256
 #define THREAD_STACK_BYTES (256 * 1024)
@@ -568,6 +569,8 @@
 
 	if (is_refusing(ingress))
 		return FAILURE_INGRESS_DRAINING;
+	if (!path_is_canonical(exchange->path))
+		return FAILURE_BAD_REQUEST;
 	if (!exchange->route)
 		return FAILURE_NO_ROUTE;
 	if (exchange->too_large)
--- /dev/null
+++ b/tests/path/test_path.cc
@@ -0,0 +1,42 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "path.h"
+}
+
+/* Guards against refusing what callers usually send. */
+TEST(Path, TakesUsualPaths)
+{
+	const char *good[] = { "/",	  "/portal/orders", "/portal/orders/",
+			       "/a%20b",  "/%C3%A9",	    "/a.b/..c",
+			       "/a;b=1,2" };
+
+	for (const char *path : good)
+		EXPECT_TRUE(path_is_canonical(path)) << path;
+}
+
+/* Guards against a second spelling that passes by an at_most_once route. */
+TEST(Path, RefusesOtherSpellings)
+{
+	const char *bad[] = { "",
+			      "portal",
+			      "//portal",
+			      "/portal//orders",
+			      "/portal/./orders",
+			      "/portal/../orders",
+			      "/..",
+			      "/portal/%6frders",
+			      "/portal%2Forders",
+			      "/portal%2forders",
+			      "/portal%5corders",
+			      "/a%00",
+			      "/a%",
+			      "/a%2",
+			      "/a%zz",
+			      "/a\\b",
+			      "/a\tb",
+			      "/a%2e%2e/b" };
+
+	for (const char *path : bad)
+		EXPECT_FALSE(path_is_canonical(path)) << path;
+}
