--- a/bench/dist_scale/dist_scale.c
+++ b/bench/dist_scale/dist_scale.c
@@ -359,13 +359,14 @@
 static void add_part(struct fleet *fleet, GString *entries, const char *name,
 		     uint32_t variant, size_t bytes)
 {
-	g_autofree char *body = g_malloc(bytes);
+	char *body = g_malloc(bytes);
 	char hex[DIGEST_HEX_CHARS + 1];
 	struct blob *blob;
 
 	memset(body, ' ', bytes);
 	snprintf(body, bytes, "{\"%s\":%u}", name, variant);
 	blob = blob_new(body, bytes);
+	g_free(body);
 	digest_to_hex(&blob->digest, hex);
 	g_string_append_printf(
 		entries, "%s{\"name\":\"%s\",\"digest\":\"%s\",\"bytes\":%zu}",
@@ -408,8 +409,7 @@
 static void start(struct fleet *fleet, const struct dist_policy *policy,
 		  size_t nr_zones)
 {
-	g_autofree struct member_host *hosts =
-		g_new0(struct member_host, fleet->nr);
+	struct member_host *hosts = g_new0(struct member_host, fleet->nr);
 	struct host_list *list;
 
 	for (size_t i = 0; i < fleet->nr; i++) {
@@ -426,6 +426,7 @@
 		hosts[i].control = node->control;
 	}
 	list = host_list_new(1, hosts, fleet->nr);
+	g_free(hosts);
 	for (size_t i = 0; i < fleet->nr; i++) {
 		struct node *node = &fleet->nodes[i];
 		struct member_options member_options = {
--- a/lib/dist/announce.c
+++ b/lib/dist/announce.c
@@ -108,6 +108,7 @@
 		return true;
 	memcpy(holder.host, announce->host, sizeof(holder.host));
 	memcpy(holder.control, announce->control, sizeof(holder.control));
+	gate_told(dist, &announce->in_force);
 	candidate_learn(dist, &announce->in_force, &holder, true, now);
 	candidate_learn(dist, &announce->candidate, &holder, false, now);
 	return true;
--- a/lib/dist/dist_internal.h
+++ b/lib/dist/dist_internal.h
@@ -146,6 +146,7 @@
 	size_t nr_pending;
 	size_t nr_answered;
 	char answered[START_PEERS][MEMBER_NAME_MAX + 1];
+	struct version_id told; /* newest that a peer has in force */
 	int64_t retry;
 };
 
@@ -271,6 +272,7 @@
 void gate_plan(struct dist *dist, int64_t now);
 void gate_answered(struct dist *dist, const char *host);
 void gate_failed(struct dist *dist, int64_t now);
+void gate_told(struct dist *dist, const struct version_id *id);
 void gate_drive(struct dist *dist, int64_t now);
 int64_t gate_wake(const struct dist *dist, int64_t now);
 void ask_start_peers(struct dist *dist, size_t nr, int64_t now);
--- a/lib/dist/gate.c
+++ b/lib/dist/gate.c
@@ -115,15 +115,25 @@
 	dist->gate.retry = now + GATE_RETRY;
 }
 
+/* A peer has the version in force; its word is kept when it dies. */
+void gate_told(struct dist *dist, const struct version_id *id)
+{
+	struct version_id *told = &dist->gate.told;
+
+	if (dist->gate.is_open || id->number > DIST_NUMBER_MAX)
+		return;
+	if (dist->rules->compare(id, told) > 0)
+		*told = *id;
+}
+
 static bool knows_newer(const struct dist *dist)
 {
-	const struct candidate *candidate;
+	const struct version_id *told = &dist->gate.told;
 
-	cds_list_for_each_entry (candidate, &dist->candidates, node) {
-		if (candidate->whole.nr)
-			return true;
-	}
-	return false;
+	if (!told->number || is_refused(dist, told))
+		return false;
+	return !dist->in_force ||
+	       dist->rules->compare(told, &dist->in_force->id) > 0;
 }
 
 void gate_drive(struct dist *dist, int64_t now)
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -239,37 +239,45 @@
 	return rank;
 }
 
-static int compare_ranks(const void *a, const void *b, void *data)
+struct ranked {
+	uint64_t weight;
+	const struct member_host *host;
+};
+
+static int compare_ranked(const void *a, const void *b)
 {
-	const struct member_host *left = *(const struct member_host *const *)a;
-	const struct member_host *right = *(const struct member_host *const *)b;
-	uint64_t key = *(const uint64_t *)data;
+	const struct ranked *left = a;
+	const struct ranked *right = b;
 
-	if (left == right)
-		return 0;
-	return ranks_before(key, left, right) ? -1 : 1;
+	if (left->weight != right->weight)
+		return left->weight > right->weight ? -1 : 1;
+	return strcmp(left->host->host, right->host->host);
 }
 
 size_t member_order(const struct member *member, uint64_t key, bool zone_only,
 		    const struct member_host ***out, size_t *self, int64_t now)
 {
-	const struct member_host **order =
-		g_new(const struct member_host *, nr_entries(member) + 1);
+	struct ranked *ranked = g_new(struct ranked, nr_entries(member) + 1);
 	size_t nr = 0;
 
 	if (!member->self.leaving)
-		order[nr++] = &member->self;
+		ranked[nr++].host = &member->self;
 	for (size_t i = 0; i < nr_entries(member); i++) {
 		if (is_peer(member, i, now) &&
 		    (!zone_only || member->views[i].own_zone))
-			order[nr++] = &member->list->hosts[i];
+			ranked[nr++].host = &member->list->hosts[i];
 	}
-	g_qsort_with_data(order, (gint)nr, sizeof(*order), compare_ranks, &key);
-	for (*self = 0; *self < nr; (*self)++) {
-		if (order[*self] == &member->self)
-			break;
+	for (size_t i = 0; i < nr; i++)
+		ranked[i].weight = hash_mix(key, ranked[i].host->hash);
+	qsort(ranked, nr, sizeof(*ranked), compare_ranked);
+	*out = g_new(const struct member_host *, nr + 1);
+	*self = nr;
+	for (size_t i = 0; i < nr; i++) {
+		(*out)[i] = ranked[i].host;
+		if (ranked[i].host == &member->self)
+			*self = i;
 	}
-	*out = order;
+	g_free(ranked);
 	return nr;
 }
 
