Ask the peers of the start again after a pause

Cause: peers that had answered the start gate were passed over when a paused daemon asked whether there is news.

--- a/lib/dist/dist.c
+++ b/lib/dist/dist.c
@@ -207,6 +207,9 @@
 	dist->wants_read = true;
 	dist->reading_since = now;
 	calls_drop_peers(dist);
+	/* Peers that answered at the start are asked again. */
+	if (dist->gate.is_open)
+		dist->gate.nr_answered = 0;
 	ask_start_peers(dist, START_PEERS, now);
 }
 
--- a/tests/dist/test_dist.cc
+++ b/tests/dist/test_dist.cc
@@ -432,6 +432,27 @@
 	EXPECT_EQ(answer.nr_crashes, 1u);
 }
 
+/* Guards against a paused daemon that tells old news, or asks nobody. */
+TEST(Dist, AsksBeforeItTellsAfterPause)
+{
+	Daemon daemon(2);
+
+	daemon.answer_announces();
+	daemon.accept(1);
+	daemon.wait(NS_PER_SEC, [] { return false; });
+	daemon.announces.clear();
+	daemon.peers.clear();
+	daemon.now += 5 * NS_PER_SEC;
+	dist_tick(daemon.dist, daemon.now);
+	daemon.drain();
+	ASSERT_FALSE(daemon.announces.empty());
+	EXPECT_EQ(daemon.announces.back().in_force.number, 0);
+	EXPECT_TRUE(dist_is_serving(daemon.dist));
+	daemon.answer_announces();
+	daemon.wait(2 * NS_PER_SEC, [] { return false; });
+	EXPECT_EQ(daemon.announces.back().in_force.number, 1);
+}
+
 /* Guards against calls that start during a stop, and against silence then. */
 TEST(Dist, StopEndsCallsButAnswers)
 {
