Do not use kept connections after a loss or 1 s idle

Change: a kept connection belongs to the life of the backend server in which it was made and is dropped when a loss has been reported since, or after 1 s without use. The refusal of the new connection is then certain.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -23,11 +23,20 @@
  */
 #define TIMEOUT_STEP_SEC 10
 
+/*
+ * A kept connection that was idle for longer is not used again. A backend
+ * server that went away meanwhile then refuses the next request, instead of
+ * seeming to have been taken down by it.
+ */
+#define KEEP_IDLE_NS (1 * NS_PER_SEC)
+
 struct backend_session {
 	struct net_address address;
 	ne_session *neon;
 	int read_timeout_sec;
-	bool kept; /* neon may hold a connection of an earlier request */
+	bool kept;     /* neon may hold a connection of an earlier request */
+	uint64_t life; /* of the backend server, when it was kept */
+	int64_t idle_since; /* when it was kept */
 };
 
 struct backend_session *backend_session_new(const struct net_address *address)
@@ -52,12 +61,17 @@
 	g_free(session);
 }
 
-static ne_session *open_neon(struct backend_session *session, int64_t deadline)
+static ne_session *open_neon(struct backend_session *session,
+			     const struct backend_call *call)
 {
-	int64_t left = deadline - clock_monotonic_ns();
+	int64_t now = clock_monotonic_ns();
+	int64_t left = call->deadline - now;
 	int steps = (int)(MAX(left, 0) / (TIMEOUT_STEP_SEC * NS_PER_SEC)) + 1;
 	int seconds = steps * TIMEOUT_STEP_SEC;
 
+	if (session->kept && (session->life != call->life ||
+			      now - session->idle_since > KEEP_IDLE_NS))
+		close_neon(session);
 	if (session->neon && session->read_timeout_sec == seconds)
 		return session->neon;
 	close_neon(session);
@@ -217,7 +231,7 @@
 				struct traffic_answer *answer, bool *draining)
 {
 	const struct traffic_request *request = call->request;
-	ne_session *neon_session = open_neon(session, call->deadline);
+	ne_session *neon_session = open_neon(session, call);
 	ne_request *neon =
 		ne_request_create(neon_session, request->method, request->path);
 	enum failure_reason reason;
@@ -236,10 +250,13 @@
 	*draining = false;
 	reason = exchange(neon, call, session->kept, answer, draining);
 	ne_request_destroy(neon);
-	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED)
+	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED) {
 		close_neon(session);
-	else
-		session->kept = true;
+		return reason;
+	}
+	session->kept = true;
+	session->life = call->life;
+	session->idle_since = clock_monotonic_ns();
 	return reason;
 }
 
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -20,7 +20,9 @@
 	const char *request_id;
 	int64_t deadline;		/* monotonic ns */
 	struct request_context context; /* handed to the backend server */
-	bool repeatable;  /* neon may repeat it on a stale connection */
+	bool repeatable; /* neon may repeat it on a stale connection */
+	/* Counts losses of the backend server; no connection outlives one. */
+	uint64_t life;
 	int64_t body_max; /* bytes; a longer response is an error */
 };
 
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -411,6 +411,7 @@
 		.request = request,
 		.request_id = job->request_id,
 		.deadline = job->deadline,
+		.life = job->admit.life,
 		.body_max =
 			MIN(job->route->policy.body_max_bytes, PEER_BODY_MAX),
 	};
--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -9,6 +9,7 @@
 struct Session {
 	struct net_address address;
 	struct backend_session *session;
+	uint64_t life = 1;
 
 	explicit Session(const Standin &backend)
 	{
@@ -41,6 +42,7 @@
 		call.deadline = clock_monotonic_ns() + 5 * NS_PER_SEC;
 		call.repeatable = method_is_idempotent(method);
 		call.body_max = 1024;
+		call.life = life;
 		reason = backend_run(session, &call, &answer, &draining);
 		xdr_free((xdrproc_t)xdr_traffic_answer, &answer);
 		return reason;
@@ -97,3 +99,32 @@
 	EXPECT_EQ(session.run("POST", "/a"), FAILURE_BACKEND_REFUSED);
 	expect_crashed(backend);
 }
+
+/*
+ * Guards against a harmless request being counted as the cause of a crash that
+ * another worker has seen: its own kept connection ended with the same crash.
+ */
+TEST(BackendSession, KnownCrashIsNoCrashOfTheNextRequest)
+{
+	Standin backend(STANDIN_BACKEND);
+	Session session(backend);
+
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	session.life++;
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
+	expect_crashed(backend);
+}
+
+/* The same for a backend server that went away while nothing ran. */
+TEST(BackendSession, IdleConnectionIsNotUsedAgain)
+{
+	Standin backend(STANDIN_BACKEND);
+	Session session(backend);
+
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	usleep(1100 * 1000);
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
+	expect_crashed(backend);
+}
