Wait shortly for the refusal that tells a crash

Cause: whether a lost connection was a crash was asked once, at once. Change: the question is asked again after 1, 2, 4, ... 32 ms.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -13,7 +13,10 @@
 #define CONNECT_TIMEOUT_SEC 1
 #define READ_BYTES 16384
 
-/* The time that a refused connection on the same host takes at most. */
+/*
+ * A process that ends closes its sockets one after another, in no certain
+ * order, so a connection can be lost before the first one is refused.
+ */
 #define REFUSAL_WAIT_MS 50
 
 /*
@@ -260,7 +263,7 @@
 	return reason;
 }
 
-bool backend_refuses(const struct net_address *address)
+static bool refuses_now(const struct net_address *address)
 {
 	struct pollfd pollfd = { .events = POLLOUT };
 	socklen_t len = sizeof(int);
@@ -274,3 +277,17 @@
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
 }
+
+bool backend_refuses(const struct net_address *address)
+{
+	int wait_ms = 1;
+
+	/* Waits of 1, 2, 4, ... ms, so few connections reach a live server. */
+	while (!refuses_now(address)) {
+		if (wait_ms > REFUSAL_WAIT_MS)
+			return false;
+		poll(NULL, 0, wait_ms);
+		wait_ms *= 2;
+	}
+	return true;
+}
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -36,7 +36,10 @@
 				const struct backend_call *call,
 				struct traffic_answer *answer, bool *draining);
 
-/* Whether the backend server refuses connections at this moment. */
+/*
+ * Whether the backend server refuses connections now or within the next 63 ms;
+ * blocks until then.
+ */
 bool backend_refuses(const struct net_address *address);
 
 /* Headers that belong to one connection and are never passed on. */
--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -1,3 +1,7 @@
+#include <sys/socket.h>
+
+#include <thread>
+
 #include "support/standin.hh"
 
 extern "C" {
@@ -128,3 +132,48 @@
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
 	expect_crashed(backend);
 }
+
+/*
+ * Guards against a crash that is not counted because the process that ends
+ * closes the lost connection before its listening socket.
+ */
+TEST(BackendSession, RefusalMayComeLate)
+{
+	const int rounds = 9;
+	char text[ADDRESS_CHARS];
+	struct net_address address;
+	int seen = 0;
+
+	free_address(text);
+	ASSERT_TRUE(net_address_parse(&address, text, nullptr));
+	/* Most rounds suffice, so that a thread that runs late fails nothing.
+	 */
+	for (int i = 0; i < rounds; i++) {
+		int fd = net_listen(&address, nullptr);
+		std::thread closing;
+
+		ASSERT_GE(fd, 0);
+		closing = std::thread([fd] {
+			usleep(5000);
+			close(fd);
+		});
+		seen += backend_refuses(&address);
+		closing.join();
+	}
+	EXPECT_GT(seen, rounds / 2);
+}
+
+/* Guards against a server that runs being taken for a crashed one. */
+TEST(BackendSession, OpenListenerDoesNotRefuse)
+{
+	char text[ADDRESS_CHARS];
+	struct net_address address;
+	int fd;
+
+	free_address(text);
+	ASSERT_TRUE(net_address_parse(&address, text, nullptr));
+	fd = net_listen(&address, nullptr);
+	ASSERT_GE(fd, 0);
+	EXPECT_FALSE(backend_refuses(&address));
+	close(fd);
+}
