--- a/godwitspur/settings.h
+++ b/godwitspur/settings.h
@@ -8,6 +8,7 @@
 #include "balance/balance.h"
 #include "base/cleanup.h"
 #include "base/findings.h"
+#include "dist/dist.h"
 #include "net/address.h"
 
 /* The settings of one daemon, read from a JSON file at its start. */
@@ -29,6 +30,7 @@
 	int64_t source_interval_ms;
 	const struct balance_policy *balance_policy;
 	const struct admit_limit_policy *limit_policy;
+	const struct dist_policy *policy; /* "distribution" */
 };
 
 /*
