--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -13,7 +13,10 @@
 #define CONNECT_TIMEOUT_SEC 1
 #define READ_BYTES 16384
 
-/* The time that a refused connection on the same host takes at most. */
+/*
+ * A process that ends closes its sockets one after another, in no certain
+ * order, so a connection can be lost before the first one is refused.
+ */
 #define REFUSAL_WAIT_MS 50
 
 /*
@@ -23,11 +26,20 @@
  */
 #define TIMEOUT_STEP_SEC 10
 
+/*
+ * A kept connection that was idle for longer is not used again. A backend
+ * server that went away meanwhile then refuses the next request, instead of
+ * seeming to have been taken down by it.
+ */
+#define KEEP_IDLE_NS (1 * NS_PER_SEC)
+
 struct backend_session {
 	struct net_address address;
 	ne_session *neon;
 	int read_timeout_sec;
-	bool kept; /* neon may hold a connection of an earlier request */
+	bool kept;     /* neon may hold a connection of an earlier request */
+	uint64_t life; /* of the backend server, when it was kept */
+	int64_t idle_since; /* when it was kept */
 };
 
 struct backend_session *backend_session_new(const struct net_address *address)
@@ -52,12 +64,17 @@
 	g_free(session);
 }
 
-static ne_session *open_neon(struct backend_session *session, int64_t deadline)
+static ne_session *open_neon(struct backend_session *session,
+			     const struct backend_call *call)
 {
-	int64_t left = deadline - clock_monotonic_ns();
+	int64_t now = clock_monotonic_ns();
+	int64_t left = call->deadline - now;
 	int steps = (int)(MAX(left, 0) / (TIMEOUT_STEP_SEC * NS_PER_SEC)) + 1;
 	int seconds = steps * TIMEOUT_STEP_SEC;
 
+	if (session->kept && (session->life != call->life ||
+			      now - session->idle_since > KEEP_IDLE_NS))
+		close_neon(session);
 	if (session->neon && session->read_timeout_sec == seconds)
 		return session->neon;
 	close_neon(session);
@@ -217,7 +234,7 @@
 				struct traffic_answer *answer, bool *draining)
 {
 	const struct traffic_request *request = call->request;
-	ne_session *neon_session = open_neon(session, call->deadline);
+	ne_session *neon_session = open_neon(session, call);
 	ne_request *neon =
 		ne_request_create(neon_session, request->method, request->path);
 	enum failure_reason reason;
@@ -236,14 +253,17 @@
 	*draining = false;
 	reason = exchange(neon, call, session->kept, answer, draining);
 	ne_request_destroy(neon);
-	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED)
+	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED) {
 		close_neon(session);
-	else
-		session->kept = true;
+		return reason;
+	}
+	session->kept = true;
+	session->life = call->life;
+	session->idle_since = clock_monotonic_ns();
 	return reason;
 }
 
-bool backend_refuses(const struct net_address *address)
+static bool refuses_now(const struct net_address *address)
 {
 	struct pollfd pollfd = { .events = POLLOUT };
 	socklen_t len = sizeof(int);
@@ -257,3 +277,17 @@
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
 }
+
+bool backend_refuses(const struct net_address *address)
+{
+	int wait_ms = 1;
+
+	/* Waits of 1, 2, 4, ... ms, so few connections reach a live server. */
+	while (!refuses_now(address)) {
+		if (wait_ms > REFUSAL_WAIT_MS)
+			return false;
+		poll(NULL, 0, wait_ms);
+		wait_ms *= 2;
+	}
+	return true;
+}
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -20,7 +20,9 @@
 	const char *request_id;
 	int64_t deadline;		/* monotonic ns */
 	struct request_context context; /* handed to the backend server */
-	bool repeatable;  /* neon may repeat it on a stale connection */
+	bool repeatable; /* neon may repeat it on a stale connection */
+	/* Counts losses of the backend server; no connection outlives one. */
+	uint64_t life;
 	int64_t body_max; /* bytes; a longer response is an error */
 };
 
@@ -34,7 +36,10 @@
 				const struct backend_call *call,
 				struct traffic_answer *answer, bool *draining);
 
-/* Whether the backend server refuses connections at this moment. */
+/*
+ * Whether the backend server refuses connections now or within the next 63 ms;
+ * blocks until then.
+ */
 bool backend_refuses(const struct net_address *address);
 
 /* Headers that belong to one connection and are never passed on. */
--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -1,3 +1,7 @@
+#include <sys/socket.h>
+
+#include <thread>
+
 #include "support/standin.hh"
 
 extern "C" {
@@ -9,6 +13,7 @@
 struct Session {
 	struct net_address address;
 	struct backend_session *session;
+	uint64_t life = 1;
 
 	explicit Session(const Standin &backend)
 	{
@@ -41,6 +46,7 @@
 		call.deadline = clock_monotonic_ns() + 5 * NS_PER_SEC;
 		call.repeatable = method_is_idempotent(method);
 		call.body_max = 1024;
+		call.life = life;
 		reason = backend_run(session, &call, &answer, &draining);
 		xdr_free((xdrproc_t)xdr_traffic_answer, &answer);
 		return reason;
@@ -97,3 +103,77 @@
 	EXPECT_EQ(session.run("POST", "/a"), FAILURE_BACKEND_REFUSED);
 	expect_crashed(backend);
 }
+
+/*
+ * Guards against a harmless request being counted as the cause of a crash that
+ * another worker has seen: its own kept connection ended with the same crash.
+ */
+TEST(BackendSession, KnownCrashIsNoCrashOfTheNextRequest)
+{
+	Standin backend(STANDIN_BACKEND);
+	Session session(backend);
+
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	session.life++;
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
+	expect_crashed(backend);
+}
+
+/* The same for a backend server that went away while nothing ran. */
+TEST(BackendSession, IdleConnectionIsNotUsedAgain)
+{
+	Standin backend(STANDIN_BACKEND);
+	Session session(backend);
+
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	usleep(1100 * 1000);
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
+	expect_crashed(backend);
+}
+
+/*
+ * Guards against a crash that is not counted because the process that ends
+ * closes the lost connection before its listening socket.
+ */
+TEST(BackendSession, RefusalMayComeLate)
+{
+	const int rounds = 9;
+	char text[ADDRESS_CHARS];
+	struct net_address address;
+	int seen = 0;
+
+	free_address(text);
+	ASSERT_TRUE(net_address_parse(&address, text, nullptr));
+	/* Most rounds suffice, so that a thread that runs late fails nothing.
+	 */
+	for (int i = 0; i < rounds; i++) {
+		int fd = net_listen(&address, nullptr);
+		std::thread closing;
+
+		ASSERT_GE(fd, 0);
+		closing = std::thread([fd] {
+			usleep(5000);
+			close(fd);
+		});
+		seen += backend_refuses(&address);
+		closing.join();
+	}
+	EXPECT_GT(seen, rounds / 2);
+}
+
+/* Guards against a server that runs being taken for a crashed one. */
+TEST(BackendSession, OpenListenerDoesNotRefuse)
+{
+	char text[ADDRESS_CHARS];
+	struct net_address address;
+	int fd;
+
+	free_address(text);
+	ASSERT_TRUE(net_address_parse(&address, text, nullptr));
+	fd = net_listen(&address, nullptr);
+	ASSERT_GE(fd, 0);
+	EXPECT_FALSE(backend_refuses(&address));
+	close(fd);
+}
