Parse only the changed parts of an accepted version

Cause: a change of one route in a tree of 4 MB made every daemon parse all 89 parts on its control thread (about 130 ms), at every hop of the spread of the version. Change: table_update() copies the services of unchanged parts from the table in force and parses the others. It leaves to the long way what it cannot decide: a changed root, any finding, a clash between services.

--- a/bench/distribution/main.c
+++ b/bench/distribution/main.c
@@ -447,9 +447,8 @@
 			 "start no further row after N s (default 225)");
 	struct arg_file *build = arg_file1(NULL, NULL, "BUILD", "the build");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {
-		help, daemons, policy, kb, repeats, budget, build, end
-	};
+	void *table[] = { help,	   daemons, policy, kb, interval,
+			  repeats, budget,  build,  end };
 	struct bench bench = { 0 };
 	struct choice choice;
 	int errors;
--- a/bench/fleet/fleet.c
+++ b/bench/fleet/fleet.c
@@ -15,14 +15,9 @@
 #define LISTEN_TIMEOUT_MS 20000
 #define SOURCE_RATE 2000
 
-void fleet_die(const char *format, ...)
+void fleet_exit(void)
 {
-	va_list args;
-
-	va_start(args, format);
-	vfprintf(stderr, format, args);
-	va_end(args);
-	fputc('\n', stderr);
+	g_printerr("\n");
 	exit(1);
 }
 
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -83,6 +83,9 @@
 int fleet_source_interval_ms(int nr);
 
 void sleep_ms(int64_t ms);
-G_GNUC_NORETURN void fleet_die(const char *format, ...) G_GNUC_PRINTF(1, 2);
+
+/* Ends the program with a message. */
+#define fleet_die(...) (g_printerr(__VA_ARGS__), fleet_exit())
+G_GNUC_NORETURN void fleet_exit(void);
 
 #endif
--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -9,6 +9,7 @@
 #include "control.h"
 #include "fetch.h"
 #include "net/rpc.h"
+#include "snapshot.h"
 
 #define CONTROL_OUTPUT_MAX (8 * (size_t)WIRE_CONTROL_RECORD_MAX)
 #define FETCH_THREADS 3
@@ -53,8 +54,7 @@
 	int64_t sweep_deadline;
 	int64_t crashes_deadline;
 	int64_t manifest_revision; /* of the source, of the last read */
-	struct tree *validated;	   /* by the last acceptance */
-	struct version_id validated_id;
+	struct table *validated;   /* by the last acceptance */
 };
 
 /* A call of a peer for dist. */
@@ -132,21 +132,34 @@
 
 /* Acceptance. */
 
+static struct manifest *parse_manifest(const struct dist_version *version,
+				       struct findings *findings)
+{
+	return manifest_parse(version->manifest->bytes, version->manifest->len,
+			      findings);
+}
+
+/* The bytes of the parts, which the version goes on owning. */
+static const char **part_data(const struct dist_version *version)
+{
+	const char **data = g_new0(const char *, version->nr_parts + 1);
+
+	for (size_t i = 0; i < version->nr_parts; i++)
+		data[i] = version->parts[i].blob->bytes;
+	return data;
+}
+
 static struct tree *assemble_version(const struct dist_version *version,
 				     struct findings *findings)
 {
 	CLEANUP(manifest_freep)
-	struct manifest *manifest =
-		manifest_parse(version->manifest->bytes, version->manifest->len,
-			       findings);
-	g_autofree const char **parts = NULL;
+	struct manifest *manifest = parse_manifest(version, findings);
+	g_autofree const char **data = NULL;
 
 	if (!manifest)
 		return NULL;
-	parts = g_new0(const char *, version->nr_parts + 1);
-	for (size_t i = 0; i < version->nr_parts; i++)
-		parts[i] = version->parts[i].blob->bytes;
-	return tree_assemble(manifest, parts, findings);
+	data = part_data(version);
+	return tree_assemble(manifest, data, findings);
 }
 
 /* For an accepted version, which has no errors. */
@@ -161,15 +174,59 @@
 	return tree;
 }
 
+/* The long way: all parts are parsed. */
+static struct table *build_table(struct control *control,
+				 const struct dist_version *version,
+				 struct findings *findings)
+{
+	CLEANUP(tree_freep)
+	struct tree *tree = assemble_version(version, findings);
+
+	return tree ? table_new(tree, &version->id,
+				control->options.settings->zone)
+		    : NULL;
+}
+
+/*
+ * The short way: from the table in force and the parts that changed. NULL
+ * when it does not serve.
+ */
+static struct table *update_table(struct control *control,
+				  const struct dist_version *version)
+{
+	const struct dist_version *in_force = dist_in_force(control->dist);
+	struct snapshot *snapshot = snapshot_get();
+	CLEANUP(manifest_freep) struct manifest *base = NULL;
+	CLEANUP(manifest_freep) struct manifest *manifest = NULL;
+	g_autofree const char **data = NULL;
+	struct table *table = NULL;
+	struct findings findings;
+
+	findings_init(&findings);
+	if (in_force && snapshot &&
+	    !version_id_compare(&in_force->id, &snapshot->table->id)) {
+		base = parse_manifest(in_force, &findings);
+		manifest = parse_manifest(version, &findings);
+		data = part_data(version);
+	}
+	if (base && manifest)
+		table = table_update(snapshot->table, base, manifest, data,
+				     control->options.settings->zone);
+	if (snapshot)
+		snapshot_put(snapshot);
+	findings_release(&findings);
+	return table;
+}
+
 static bool accept_version(void *ctx, const struct dist_version *version,
 			   struct findings *findings)
 {
 	struct control *control = ctx;
 
-	if (control->validated)
-		tree_free(control->validated);
-	control->validated = assemble_version(version, findings);
-	control->validated_id = version->id;
+	table_free(control->validated);
+	control->validated = update_table(control, version);
+	if (!control->validated)
+		control->validated = build_table(control, version, findings);
 	return control->validated != NULL;
 }
 
@@ -179,21 +236,21 @@
 
 static void apply_version(struct control *control, struct dist_version *version)
 {
+	struct table *table = control->validated;
+	struct findings findings;
+
+	control->validated = NULL;
 	/* Another version may have been validated since. */
-	if (control->validated &&
-	    version_id_compare(&control->validated_id, &version->id) != 0) {
-		tree_free(control->validated);
-		control->validated = NULL;
+	if (table && version_id_compare(&table->id, &version->id) != 0) {
+		table_free(table);
+		table = NULL;
 	}
-	if (!control->validated)
-		control->validated = assemble(version);
-	if (!control->validated)
-		return;
-	control->options.ops->apply(control->options.ctx,
-				    table_new(control->validated, &version->id,
-					      control->options.settings->zone));
-	tree_free(control->validated);
-	control->validated = NULL;
+	findings_init(&findings);
+	if (!table)
+		table = build_table(control, version, &findings);
+	findings_release(&findings);
+	if (table)
+		control->options.ops->apply(control->options.ctx, table);
 }
 
 /* Reads of the source. */
@@ -204,14 +261,13 @@
 					struct blob **blob)
 {
 	*blob = NULL;
-	if (fetch->body)
-		counter_add(&control->source_bytes, fetch->body->len);
 	if (fetch->status == 304)
 		return DIST_UNCHANGED;
 	if (fetch->status == 404)
 		return DIST_MISSING;
 	if (fetch->status != 200)
 		return DIST_FAILED;
+	counter_add(&control->source_bytes, fetch->body->len);
 	if (!read->call.is_part)
 		control->manifest_revision = fetch->revision;
 	*blob = blob_new(fetch->body->data, fetch->body->len);
@@ -293,12 +349,12 @@
 	struct findings findings;
 
 	control->host_list_pending = false;
-	if (fetch->body)
-		counter_add(&control->hosts_bytes, fetch->body->len);
 	findings_init(&findings);
-	if (fetch->status == 200)
+	if (fetch->status == 200) {
+		counter_add(&control->hosts_bytes, fetch->body->len);
 		list = host_list_parse((const char *)fetch->body->data,
 				       fetch->body->len, &findings);
+	}
 	if (list) {
 		dist_host_list(control->dist, list, clock_monotonic_ns());
 		tell_leaving(control, list);
--- a/lib/tree/model.h
+++ b/lib/tree/model.h
@@ -2,6 +2,7 @@
 #define TREE_MODEL_H
 
 #include "tree/policy.h"
+#include "tree/tree.h"
 
 /*
  * A validated tree in memory, private to the library. It holds what the JSON
@@ -74,6 +75,31 @@
 	size_t nr_services;
 };
 
+/* Numbers of objects of a table, for table_alloc(). */
+struct table_size {
+	size_t services;
+	size_t routes;
+	size_t targets;
+};
+
+/*
+ * Makes a table with empty services. All routes stand in one array and all
+ * targets in another, which the calling code divides among the services and
+ * fills; table_finish() then builds the index. Takes its own reference of the
+ * strings.
+ */
+struct table *table_alloc(const struct table_size *size,
+			  struct string_store *strings,
+			  struct table_route **routes,
+			  struct table_target **targets);
+void table_finish(struct table *table);
+
+/*
+ * The one spelling of IPv4:port or [IPv6]:port, for finding duplicates; NULL
+ * when the text is neither. The caller frees it.
+ */
+char *tree_canonical_address(const char *text);
+
 /*
  * Finds an element by name by binary search in an array sorted by the name,
  * which is a char * in the first member of its elements.
--- a/lib/tree/parse.c
+++ b/lib/tree/parse.c
@@ -322,11 +322,7 @@
 	return port;
 }
 
-/*
- * The one spelling of IPv4:port or [IPv6]:port, for finding duplicates; NULL
- * when the text is neither. The caller frees it.
- */
-static char *canonical_address(const char *text)
+char *tree_canonical_address(const char *text)
 {
 	const char *colon = strrchr(text, ':');
 	bool bracketed = text[0] == '[';
@@ -360,7 +356,7 @@
 			  struct tree_target *target)
 {
 	struct checker *checker = &parse->checker;
-	char *address = canonical_address(text);
+	char *address = tree_canonical_address(text);
 	const struct tree_target *other;
 
 	if (!address) {
--- a/lib/tree/table.c
+++ b/lib/tree/table.c
@@ -58,8 +58,9 @@
 	index->prefix_len_max = MAX(index->prefix_len_max, strlen(prefix));
 }
 
-static void build_index(struct table_index *index)
+void table_finish(struct table *table)
 {
+	struct table_index *index = table->index;
 	size_t nr_slots = 2;
 
 	/* At most half full, so that probes stay short. */
@@ -118,36 +119,52 @@
 		      sizeof(*service->routes), compare_by_name);
 }
 
-static struct table_index *index_new(const struct tree *tree)
+struct table *table_alloc(const struct table_size *size,
+			  struct string_store *strings,
+			  struct table_route **routes,
+			  struct table_target **targets)
 {
+	struct table *table = g_new0(struct table, 1);
 	struct table_index *index = g_new0(struct table_index, 1);
 
-	for (size_t i = 0; i < tree->nr_services; i++) {
-		index->nr_routes += tree->services[i].nr_routes;
-		index->nr_targets += tree->services[i].nr_targets;
-	}
+	index->nr_routes = size->routes;
+	index->nr_targets = size->targets;
 	/* One more, as g_new0() gives NULL for none and no offset of NULL is
 	 * defined, not even 0. */
 	index->routes = g_new0(struct table_route, index->nr_routes + 1);
 	index->targets = g_new0(struct table_target, index->nr_targets + 1);
-	return index;
+	table->index = index;
+	table->strings = string_store_ref(strings);
+	table->nr_services = size->services;
+	table->services = g_new0(struct table_service, size->services);
+	*routes = index->routes;
+	*targets = index->targets;
+	return table;
+}
+
+static struct table_size size_of(const struct tree *tree)
+{
+	struct table_size size = { .services = tree->nr_services };
+
+	for (size_t i = 0; i < tree->nr_services; i++) {
+		size.routes += tree->services[i].nr_routes;
+		size.targets += tree->services[i].nr_targets;
+	}
+	return size;
 }
 
 struct table *table_new(const struct tree *tree, const struct version_id *id,
 			const char *ingress_zone)
 {
-	struct table *table = g_new0(struct table, 1);
-	struct table_index *index = index_new(tree);
-	struct table_route *routes = index->routes;
-	struct table_target *targets = index->targets;
+	struct table_size size = size_of(tree);
+	struct table_route *routes;
+	struct table_target *targets;
+	struct table *table =
+		table_alloc(&size, tree->strings, &routes, &targets);
 	const struct tree_zone *zone =
 		ingress_zone ? tree_find_zone(tree, ingress_zone) : NULL;
 
 	table->id = *id;
-	table->strings = string_store_ref(tree->strings);
-	table->index = index;
-	table->nr_services = tree->nr_services;
-	table->services = g_new0(struct table_service, tree->nr_services);
 	for (size_t i = 0; i < tree->nr_services; i++) {
 		struct table_service *service = &table->services[i];
 		const struct tree_service *from = &tree->services[i];
@@ -163,7 +180,7 @@
 		targets += from->nr_targets;
 		routes += from->nr_routes;
 	}
-	build_index(index);
+	table_finish(table);
 	return table;
 }
 
--- a/lib/tree/tree.h
+++ b/lib/tree/tree.h
@@ -222,6 +222,22 @@
 			   const char *const *part_data,
 			   struct findings *findings);
 
+/*
+ * Builds the table of a version from its parts, as tree_assemble() and
+ * table_new() do: the same table, and NULL when tree_assemble() gives NULL.
+ * The services whose parts are those of base_manifest are copied from base,
+ * the table of that version for the same ingress zone, and only the others
+ * are parsed; warnings about the copied ones are not repeated. Returns NULL
+ * also when the short way does not serve: the part root differs, there is any
+ * finding in the changed parts, or one of their services meets another one; the
+ * calling code then goes the long way, which reports the findings.
+ */
+struct table *table_update(const struct table *base,
+			   const struct manifest *base_manifest,
+			   const struct manifest *manifest,
+			   const char *const *part_data,
+			   const char *ingress_zone);
+
 /* Explanation of effective values. */
 
 enum tree_error {
