--- a/tests/dist/test_dist.cc
+++ b/tests/dist/test_dist.cc
@@ -413,7 +413,7 @@
 {
 	Daemon daemon(9);
 	dist_announce call = daemon.from("h1"), answer;
-	dist_crash crash = { 7, "h4", 2 };
+	dist_crash crash = { 7, 4, 2, 0, 1000 };
 
 	call.nr_crashes = 1;
 	call.crashes[0] = crash;
