--- a/lib/dist/dist.h
+++ b/lib/dist/dist.h
@@ -216,8 +216,9 @@
 
 /*
  * Events. Blobs and lists are borrowed for the call; references are taken
- * where they are kept. id is the number of the call. Answers to calls that
- * ended or timed out are ignored.
+ * where they are kept. id is the number of the call. dist starts
+ * another call when the deadline of one passed; an answer that comes later may
+ * still be passed, and what it brings is used.
  */
 
 /* The host list was read. Reading it is up to the caller. */
--- a/lib/dist/dist_internal.h
+++ b/lib/dist/dist_internal.h
@@ -258,6 +258,7 @@
 				 enum dist_procedure procedure, int64_t now,
 				 struct call **call);
 void peer_failed(struct dist *dist, const struct call *call, int64_t now);
+void take_late(struct dist *dist, struct blob *blob, int64_t now);
 void calls_expire(struct dist *dist, int64_t now);
 void calls_drop_peers(struct dist *dist);
 
--- a/lib/dist/peer.c
+++ b/lib/dist/peer.c
@@ -161,17 +161,38 @@
 
 	now = turn_begin(dist, now);
 	call = call_take(dist, id);
-	if (call && !dist->stopped) {
-		if (announce_heard(dist, answer, now)) {
-			if (call->is_start)
-				gate_answered(dist, answer->host);
-		} else {
+	if (!dist->stopped) {
+		/* A late answer is news too; it can only raise a version. */
+		bool is_peer = announce_heard(dist, answer, now);
+
+		if (call && !is_peer)
 			peer_failed(dist, call, now);
-		}
+		else if (call && call->is_start)
+			gate_answered(dist, answer->host);
 	}
 	turn_end(dist, now);
 }
 
+/*
+ * Bytes that arrive after their call timed out are still what their digest
+ * names. Without them a link on which a part takes longer than PEER_TIMEOUT
+ * would never deliver any.
+ */
+void take_late(struct dist *dist, struct blob *blob, int64_t now)
+{
+	struct candidate *candidate;
+	struct call call = { 0 };
+
+	candidates_take_part(dist, &blob->digest, blob, now);
+	cds_list_for_each_entry (candidate, &dist->candidates, node) {
+		if (!candidate->version &&
+		    !digest_compare(&candidate->id.digest, &blob->digest))
+			call.candidate = candidate->id;
+	}
+	if (call.candidate.number)
+		take_manifest(dist, &call, blob, now);
+}
+
 void dist_peer_result(struct dist *dist, uint64_t id, enum dist_outcome outcome,
 		      struct blob *blob, int64_t now)
 {
@@ -188,6 +209,8 @@
 			take_manifest(dist, call, blob, now);
 		else if (call->procedure == DIST_GET_PART)
 			take_part(dist, call, blob, now);
+	} else if (blob && !dist->stopped) {
+		take_late(dist, blob, now);
 	}
 	turn_end(dist, now);
 }
--- a/lib/dist/source.c
+++ b/lib/dist/source.c
@@ -275,6 +275,8 @@
 			else if (outcome == DIST_VALUE)
 				take_manifest(dist, blob, now);
 		}
+	} else if (blob && !dist->stopped) {
+		take_late(dist, blob, now);
 	}
 	turn_end(dist, now);
 }
--- a/tests/dist/test_dist.cc
+++ b/tests/dist/test_dist.cc
@@ -390,6 +390,32 @@
 	EXPECT_EQ(dist_newest_known(daemon.dist).number, 6);
 }
 
+/* Guards against a slow link on which every part comes too late to count. */
+TEST(Dist, UsesBytesThatComeLate)
+{
+	Daemon daemon(3);
+	std::string part = "{}";
+	std::string text =
+		manifest(5, part_entry("root", hex_of(part), part.size()));
+	dist_announce call = daemon.from("h1"), answer;
+
+	call.in_force.number = 5;
+	digest_compute(&call.in_force.digest, text.data(), text.size());
+	dist_on_announce(daemon.dist, &call, &answer, daemon.now);
+	for (const std::string &bytes : { text, part }) {
+		blob *blob = blob_new(bytes.data(), bytes.size());
+		uint64_t id;
+
+		daemon.drain();
+		id = daemon.peers.back().call;
+		daemon.wait(1500 * NS_PER_MS, [] { return false; });
+		dist_peer_result(daemon.dist, id, DIST_VALUE, blob, daemon.now);
+		blob_unref(blob);
+	}
+	daemon.drain();
+	EXPECT_EQ(daemon.accepts, 1u);
+}
+
 /* Guards against parts of old versions that stay in memory. */
 TEST(Dist, DropsPartsOfPreviousVersion)
 {
