Count a crash whose server still accepts for a moment

Cause: a process that ends may close its connections before its listening socket. The check after a lost request then found that the backend server still accepts, and the crash was not counted for quarantine. Change: ask for up to 50 ms until the connection is refused.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -13,8 +13,12 @@
 #define CONNECT_TIMEOUT_SEC 1
 #define READ_BYTES 16384
 
-/* The time that a refused connection on the same host takes at most. */
+/*
+ * A process that ends closes its connections before its listening socket, so
+ * a crashed backend server may accept for a moment after a request was lost.
+ */
 #define REFUSAL_WAIT_MS 50
+#define REFUSAL_POLL_MS 2
 
 /*
  * neon takes its read timeout when it connects, in whole seconds. Sessions are
@@ -230,7 +234,7 @@
 	return reason;
 }
 
-bool backend_refuses(const struct net_address *address)
+static bool refuses_now(const struct net_address *address)
 {
 	struct pollfd pollfd = { .events = POLLOUT };
 	socklen_t len = sizeof(int);
@@ -244,3 +248,15 @@
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
 }
+
+bool backend_refuses(const struct net_address *address)
+{
+	int64_t until = clock_monotonic_ns() + REFUSAL_WAIT_MS * NS_PER_MS;
+
+	while (!refuses_now(address)) {
+		if (clock_monotonic_ns() >= until)
+			return false;
+		poll(NULL, 0, REFUSAL_POLL_MS);
+	}
+	return true;
+}
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -34,7 +34,10 @@
 				const struct backend_call *call,
 				struct traffic_answer *answer, bool *draining);
 
-/* Whether the backend server refuses connections at this moment. */
+/*
+ * Whether the backend server has ended: it refuses connections, now or within
+ * 50 ms. Blocks that long when it does not.
+ */
 bool backend_refuses(const struct net_address *address);
 
 /* Headers that belong to one connection and are never passed on. */
