Do not retry a request that is in quarantine

Cause: the ingress checked quarantine before the first attempt only, so with retry_max 5 one GET took down three backend servers at quarantine_crashes 2. Change: check again before each retry; the outcome of the last attempt stands. Measured: ProcessCrash.RetriesEndAtQuarantine found 3 dead servers before and 2 after.

--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -372,6 +372,10 @@
 
 	if (reason == FAILURE_NONE || exchange->has_ticket)
 		return false;
+	/* The answers to the attempts so far may have told of crashes. */
+	if (quarantine_check(ingress->quarantine, exchange->fingerprint, now,
+			     NULL))
+		return false;
 	decision = retry_decide(&exchange->attempts,
 				budget_of(ingress, exchange->service), reason,
 				method_is_idempotent(exchange->method),
