Refuse requests whose end is ambiguous

Cause: libmicrohttpd serves requests with two Content-Length headers, with Content-Length and Transfer-Encoding, with a space before the colon of a header, and paths with control bytes. Another server on the way may see another end of such a request. Change: the ingress answers them with 400, not-run, before it reads a body.

--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -756,6 +756,60 @@
 	return g_string_free(query, FALSE);
 }
 
+/* Headers that say where a request ends. */
+struct framing {
+	int lengths;
+	int encodings;
+	bool bad_name;
+};
+
+static bool is_token(const char *text)
+{
+	static const char others[] = "!#$%&'*+-.^_`|~";
+
+	for (const char *c = text; *c; c++)
+		if (!g_ascii_isalnum(*c) && !strchr(others, *c))
+			return false;
+	return *text != '\0';
+}
+
+static enum MHD_Result note_framing(void *ctx, enum MHD_ValueKind kind,
+				    const char *name, const char *value)
+{
+	struct framing *framing = ctx;
+
+	(void)kind;
+	(void)value;
+	framing->lengths += !strcasecmp(name, "Content-Length");
+	framing->encodings += !strcasecmp(name, "Transfer-Encoding");
+	framing->bad_name |= !is_token(name);
+	return MHD_YES;
+}
+
+static bool has_control_bytes(const char *text)
+{
+	for (const char *c = text; *c; c++)
+		if (g_ascii_iscntrl(*c))
+			return true;
+	return false;
+}
+
+/*
+ * libmicrohttpd serves requests whose end another server may see elsewhere
+ * (RFC 9112, section 11.2), so that a caller behind a shared proxy could hide
+ * a request in the body of another.
+ */
+static bool is_malformed(struct exchange *exchange)
+{
+	struct framing framing = { 0 };
+
+	MHD_get_connection_values(exchange->connection, MHD_HEADER_KIND,
+				  note_framing, &framing);
+	return framing.bad_name || framing.lengths > 1 ||
+	       (framing.lengths && framing.encodings) ||
+	       has_control_bytes(exchange->target);
+}
+
 static struct exchange *exchange_new(struct ingress *ingress,
 				     struct MHD_Connection *connection,
 				     const char *url, const char *method)
@@ -812,8 +866,12 @@
 
 	(void)version;
 	if (!exchange) {
-		*connection_ctx = exchange_new(ctx, connection, url, method);
-		return MHD_YES;
+		exchange = exchange_new(ctx, connection, url, method);
+		*connection_ctx = exchange;
+		/* An answer before the body closes the connection after it. */
+		return is_malformed(exchange)
+			       ? answer_failure(exchange, FAILURE_BAD_REQUEST)
+			       : MHD_YES;
 	}
 	if (*upload_size) {
 		take_body(exchange, upload_data, *upload_size);
