--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -81,6 +81,9 @@
 	if (result->reason == FAILURE_CANCELLED)
 		return;
 	if (failure_get(result->reason)->counts_for_ejection) {
+		/* Refused connections come fast, so others get the work. */
+		if (failure_get(result->reason)->outcome == OUTCOME_NOT_RUN)
+			count_refusal(target, now);
 		count_failure(balance, target, now);
 		return;
 	}
