Measure members in bench-capacity without a change

Cause: bench-capacity ended with "a version was not taken after 60 s". A lone daemon among absent members of its zone has a rank k >= 2 and watches only 15 s + (k - 1) x 5 s after the last confirmation. Change: probes with absent members measure no change. Measured: nothing yet.

--- a/bench/capacity/main.c
+++ b/bench/capacity/main.c
@@ -106,6 +106,9 @@
 	wait_all(probe);
 	read_counters(probe, &probe->begin);
 	probe->load_ms = (double)probe->begin.process.control_ns / NS_PER_MS;
+	/* Among absent members of its zone a daemon may not be a reader. */
+	if (probe->nr_absent)
+		return;
 	probe->tree.version++;
 	probe->tree.route++;
 	fleet_publish(probe->fleet, &probe->tree);
