Ask peers for missing parts more often while a version loads

Cause: in a cold start, or after a change of all parts, daemons ask each other in vain at first. The wait before the next try was a quarter of the age of the candidate, so parts that arrived at 4 s were found at 5 s, and the source was read for them in the meantime. Change: the wait is a sixteenth of the age, in the same limits.

--- a/lib/dist/candidate.c
+++ b/lib/dist/candidate.c
@@ -23,7 +23,7 @@
 int64_t peer_backoff(struct dist *dist, const struct candidate *candidate,
 		     int64_t now)
 {
-	int64_t base = CLAMP((now - candidate->since) / 4, PEER_RETRY_MIN,
+	int64_t base = CLAMP((now - candidate->since) / 16, PEER_RETRY_MIN,
 			     PEER_RETRY_MAX);
 
 	return base / 2 + (int64_t)rng_below(dist->rng, (uint64_t)base);
