Share the build rule and the check of fuzz targets

Cause: each further target would repeat the rule that compiles a library with coverage, and the check that ends a run. Change: gw_fuzzer() and the target fuzzers in fuzz/CMakeLists.txt; expect() in fuzz/expect.h. fuzz_tree uses both and checks what it did before.

--- a/fuzz/tree/fuzz_tree.c
+++ b/fuzz/tree/fuzz_tree.c
@@ -1,6 +1,4 @@
-#include <stdlib.h>
-#include <string.h>
-
+#include "../expect.h"
 #include "tree/tree.h"
 
 /*
@@ -9,15 +7,6 @@
  * refuse or change what was checked before it was published.
  */
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
-
-/* Fails the run. assert() is compiled out of the default build. */
-static void expect(bool condition)
-{
-	if (!condition)
-		abort();
-}
-
 static struct tree *assemble(const struct bundle *bundle,
 			     struct findings *findings)
 {
