Keep the sum of part sizes from overflowing

Cause: parse_parts() of dist adds the sizes of all parts, those included that parse_part() has reported as out of range; two sizes of 2^63-1 overflow the sum. Change: a size out of range counts as 0; the manifest is refused as before. Before: fuzz_manifest on corpus/bytes-max ended with UBSan's signed integer overflow in version.c.

--- a/lib/dist/version.c
+++ b/lib/dist/version.c
@@ -81,13 +81,15 @@
 	if (!hex || !digest_from_hex(&part->digest, hex))
 		findings_add(findings, FINDING_ERROR, "manifest", path,
 			     "digest is missing or not 64 hex digits");
+	/* Sizes out of range stay 0, so that the sum cannot overflow. */
 	if (!json_is_integer(bytes) || json_integer_value(bytes) < 1 ||
 	    json_integer_value(bytes) > DIST_VALUE_MAX)
 		findings_add(findings, FINDING_ERROR, "manifest", path,
 			     "bytes is missing or outside 1..%d",
 			     DIST_VALUE_MAX);
+	else
+		part->bytes = (size_t)json_integer_value(bytes);
 	part->name = g_strdup(name ? name : "");
-	part->bytes = (size_t)json_integer_value(bytes);
 }
 
 static int compare_digests(const void *a, const void *b, void *data)
