Accept the same manifests in dist and tree

Cause: dist accepted a manifest without a part root, and tree one with more than 8192 parts. A daemon fetched the parts of such a version before it refused it, and check and render could pass one that every daemon refuses.

--- a/lib/dist/version.c
+++ b/lib/dist/version.c
@@ -104,6 +104,7 @@
 static void parse_parts(struct dist_version *version, const json_t *parts,
 			struct findings *findings)
 {
+	bool has_root = false;
 	int64_t sum = 0;
 
 	version->nr_parts = version->nr_missing = json_array_size(parts);
@@ -115,11 +116,15 @@
 		parse_part(json_array_get(parts, i), i, part, findings);
 		version->by_digest[i] = (uint32_t)i;
 		sum += (int64_t)part->bytes;
+		has_root |= !strcmp(part->name, "root");
 		if (i && strcmp(part[-1].name, part->name) >= 0)
 			findings_add(findings, FINDING_ERROR, "manifest",
 				     "/parts", "%s is not sorted by name",
 				     part->name);
 	}
+	if (!has_root)
+		findings_add(findings, FINDING_ERROR, "manifest", "/parts",
+			     "no part root");
 	if (sum > DIST_TREE_MAX)
 		findings_add(findings, FINDING_ERROR, "manifest", "/parts",
 			     "the parts are larger than %d bytes together",
--- a/lib/tree/split.c
+++ b/lib/tree/split.c
@@ -321,6 +321,11 @@
 
 	if (!array)
 		return;
+	if (json_array_size(array) > TREE_PARTS_MAX) {
+		check_error(checker, "parts", "%zu parts, more than %d",
+			    json_array_size(array), TREE_PARTS_MAX);
+		return;
+	}
 	manifest->nr_entries = json_array_size(array);
 	manifest->entries = g_new0(struct manifest_entry, manifest->nr_entries);
 	outer = checker_push(checker, "parts");
--- a/lib/tree/tree.h
+++ b/lib/tree/tree.h
@@ -26,6 +26,8 @@
 #define TREE_DEPTH_MAX 16
 #define TREE_SERVICES_MAX 4096
 #define TREE_TARGETS_MAX 16384
+/* Parts of a manifest; the same number as DIST_PARTS_MAX of dist. */
+#define TREE_PARTS_MAX 8192
 /* The largest version number that every JSON reader keeps exactly. */
 #define TREE_VERSION_MAX ((INT64_C(1) << 53) - 1)
 
