Accept one text form of each address

Cause: net_address_parse() accepted ports with leading zeros, and IPv4 numbers in brackets, which the tree of settings refuses. Addresses are compared as text for links and holders, so a second form counts as another peer. Change: a port starts with 1 to 9, and brackets hold IPv6 only. Before: fuzz_text aborted on corpus/port-leading-zero, and test_net failed for 127.0.0.1:080.

--- a/lib/net/address.c
+++ b/lib/net/address.c
@@ -45,7 +45,9 @@
 {
 	guint64 value;
 
-	if (!g_ascii_string_to_unsigned(text, 10, 1, 65535, &value, NULL))
+	/* One text form for each address, as in the tree of settings. */
+	if (*text == '0' ||
+	    !g_ascii_string_to_unsigned(text, 10, 1, 65535, &value, NULL))
 		return FALSE;
 	*port = (unsigned)value;
 	return TRUE;
@@ -62,13 +64,15 @@
 	if (!split(text, address->host, sizeof(address->host), &port) ||
 	    !parse_port(port, &address->port))
 		goto malformed;
-	if (inet_pton(AF_INET, address->host, &in4->sin_addr) == 1) {
+	if (*text != '[' &&
+	    inet_pton(AF_INET, address->host, &in4->sin_addr) == 1) {
 		in4->sin_family = AF_INET;
 		in4->sin_port = htons((uint16_t)address->port);
 		address->len = sizeof(*in4);
 		return TRUE;
 	}
-	if (inet_pton(AF_INET6, address->host, &in6->sin6_addr) == 1) {
+	if (*text == '[' &&
+	    inet_pton(AF_INET6, address->host, &in6->sin6_addr) == 1) {
 		in6->sin6_family = AF_INET6;
 		in6->sin6_port = htons((uint16_t)address->port);
 		address->len = sizeof(*in6);
