Test that a request sees one version while others are published

Under TSan the new test first reported a race of every reader with snapshot_publish(): rcu_xchg_pointer() is inline assembly that TSan does not see, so nothing ordered the writes to a table before its reads. Before: race in snapshot_get().

--- a/godwitspur/snapshot.c
+++ b/godwitspur/snapshot.c
@@ -3,6 +3,10 @@
 
 #include "snapshot.h"
 
+/*
+ * Read and exchanged by atomic builtins: TSan does not see the inline assembly
+ * of rcu_xchg_pointer() and would report every reader as a race.
+ */
 static struct snapshot *current;
 
 void snapshot_publish(struct table *table)
@@ -12,7 +16,7 @@
 
 	snapshot->refs = 1;
 	snapshot->table = table;
-	old = rcu_xchg_pointer(&current, snapshot);
+	old = __atomic_exchange_n(&current, snapshot, __ATOMIC_ACQ_REL);
 	/* After this no reader is between reading the pointer and counting. */
 	synchronize_rcu();
 	snapshot_put(old);
@@ -23,7 +27,7 @@
 	struct snapshot *snapshot;
 
 	rcu_read_lock();
-	snapshot = rcu_dereference(current);
+	snapshot = __atomic_load_n(&current, __ATOMIC_ACQUIRE);
 	if (snapshot)
 		g_atomic_int_inc(&snapshot->refs);
 	rcu_read_unlock();
--- /dev/null
+++ b/tests/snapshot/test_snapshot.cc
@@ -0,0 +1,300 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+extern "C" {
+#include "snapshot.h"
+}
+
+#define NR_SERVICES 4
+#define NR_READERS 4
+#define NR_VERSIONS 300
+
+/*
+ * A version in which every name, address and setting tells its number, so that
+ * a reader can see which version a value belongs to.
+ */
+static std::string service_text(int service, int number)
+{
+	std::string s = std::to_string(service), n = std::to_string(number);
+
+	return "\"s" + s + "\":{\"deployment\":\"d" + n +
+	       "\",\"override\":{\"slots\":" + n + ",\"queue_max\":" + n +
+	       ",\"deadline_ms\":" + n + "},\"targets\":[{\"host\":\"h" + s +
+	       "-" + n + "\",\"zone\":\"z" + n + "\",\"traffic\":\"127.0.0.1:" +
+	       std::to_string(1000 * (service + 1) + number) +
+	       "\"}],\"routes\":[{\"name\":\"r" + s + "\",\"prefix\":\"/s" + s +
+	       "\",\"methods\":[\"POST\"]," +
+	       "\"override\":{\"ticket_life_ms\":" +
+	       std::to_string(1000 + number) + "}}]}";
+}
+
+static struct table *make_table(int number)
+{
+	std::string n = std::to_string(number), services;
+	struct version_id id = { .number = number, .digest = {} };
+	struct findings findings;
+
+	for (int i = 0; i < NR_SERVICES; i++)
+		services += (i ? "," : "") + service_text(i, number);
+	std::string text = "{\"version\":" + n + ",\"deployments\":{\"d" + n +
+			   "\":{}},\"zones\":{\"z" + n + "\":{\"region\":\"r" +
+			   n + "\",\"deployment\":\"d" + n +
+			   "\"}},\"services\":{" + services + "}}";
+
+	findings_init(&findings);
+	struct tree *tree =
+		tree_parse(text.data(), text.size(), "test", &findings);
+	EXPECT_NE(tree, nullptr) << text;
+	findings_release(&findings);
+	if (!tree)
+		abort();
+	struct table *table = table_new(tree, &id, NULL);
+	tree_free(tree);
+	return table;
+}
+
+/* Where the table comes from at each look-up of one request. */
+using GetTable = std::function<const struct table *()>;
+
+static std::string check_target(const struct table_service *service,
+				const struct table_target *target, int number,
+				int index)
+{
+	std::string n = std::to_string(number);
+	std::string host = "h" + std::to_string(index) + "-" + n;
+
+	if (!target)
+		return "no target " + host;
+	if (target->service != service)
+		return "target leads out of its service";
+	if (target < service->targets ||
+	    target >= service->targets + service->nr_targets)
+		return "target outside of its service";
+	if (target->host != host || target->zone != "z" + n ||
+	    target->region != "r" + n)
+		return "target of another version";
+	if (target->traffic !=
+	    "127.0.0.1:" + std::to_string(1000 * (index + 1) + number))
+		return "address of another version";
+	if (target->policy.slots != number ||
+	    target->policy.queue_max != number)
+		return "target policy of another version";
+	return "";
+}
+
+static std::string check_route(const struct table *table,
+			       const struct table_route *route, int number)
+{
+	const struct table_service *service;
+
+	if (!route)
+		return "no route";
+	service = route->service;
+	if (service < table->services ||
+	    service >= table->services + table->nr_services)
+		return "route leads out of the table";
+	if (route < service->routes ||
+	    route >= service->routes + service->nr_routes)
+		return "route outside of its service";
+	if (route->policy.deadline_ms != number ||
+	    route->policy.ticket_life_ms != 1000 + number)
+		return "route policy of another version";
+	if (service->policy.deadline_ms != number ||
+	    service->deployment != "d" + std::to_string(number))
+		return "service of another version";
+	return "";
+}
+
+/*
+ * The look-ups of one request, each by what get() gives then. Returns what is
+ * wrong, or an empty text.
+ */
+static std::string check_request(const GetTable &get)
+{
+	int number = (int)get()->id.number;
+
+	for (int i = 0; i < NR_SERVICES; i++) {
+		std::string s = std::to_string(i);
+		std::string host = "h" + s + "-" + std::to_string(number);
+		const struct table *table = get();
+		const struct table_route *route =
+			table_match(table, HTTP_METHOD_POST,
+				    ("/s" + s + "/1").c_str());
+		std::string wrong = check_route(table, route, number);
+
+		if (!wrong.empty())
+			return wrong;
+		table = get();
+		const struct table_service *service =
+			table_find_service(table, ("s" + s).c_str());
+		if (service != route->service)
+			return "service is not that of the route";
+		if (table_find_route(service, ("r" + s).c_str()) != route)
+			return "route differs by name and by path";
+		wrong = check_target(service,
+				     table_find_target(service, host.c_str()),
+				     number, i);
+		if (!wrong.empty())
+			return wrong;
+		if (get()->id.number != number)
+			return "version changed";
+	}
+	return "";
+}
+
+struct Reader {
+	std::thread thread;
+	std::string wrong; /* the first fault */
+	int64_t last = 0;
+};
+
+/* Readers go on after a fault, since the publisher waits for requests. */
+static void read_until(Reader &reader, const std::atomic<bool> &stop,
+		       std::atomic<size_t> &nr_requests)
+{
+	while (!stop) {
+		struct snapshot *snapshot = snapshot_get();
+		std::string wrong;
+
+		if (!snapshot)
+			continue;
+		if (snapshot->table->id.number < reader.last)
+			wrong = "version went back";
+		else
+			wrong = check_request([&] { return snapshot->table; });
+		if (reader.wrong.empty())
+			reader.wrong = wrong;
+		reader.last = snapshot->table->id.number;
+		nr_requests++;
+		snapshot_put(snapshot);
+	}
+}
+
+/*
+ * Guards against a request that sees two versions, against a snapshot that is
+ * freed while a request holds it, and against a version that goes back (P1,
+ * P2, P3).
+ */
+TEST(Snapshot, ReadersSeeOneVersion)
+{
+	std::vector<Reader> readers(NR_READERS);
+	std::atomic<bool> stop{ false };
+	std::atomic<size_t> nr_requests{ 0 };
+
+	for (auto &reader : readers)
+		reader.thread = std::thread(
+			[&] { read_until(reader, stop, nr_requests); });
+	for (int number = 1; number <= NR_VERSIONS; number++) {
+		size_t before = nr_requests;
+
+		snapshot_publish(make_table(number));
+		/* Without this a slow reader could see the last one only. */
+		while (nr_requests == before)
+			std::this_thread::yield();
+	}
+	stop = true;
+	for (auto &reader : readers) {
+		reader.thread.join();
+		EXPECT_EQ(reader.wrong, "");
+	}
+	struct snapshot *snapshot = snapshot_get();
+
+	ASSERT_NE(snapshot, nullptr);
+	EXPECT_EQ(snapshot->table->id.number, NR_VERSIONS);
+	snapshot_put(snapshot);
+}
+
+/* Guards against a snapshot that follows a later publication. */
+TEST(Snapshot, KeepsItsVersionWhileHeld)
+{
+	snapshot_publish(make_table(1));
+	struct snapshot *held = snapshot_get();
+
+	snapshot_publish(make_table(2));
+	EXPECT_EQ(held->table->id.number, 1);
+	EXPECT_EQ(check_request([&] { return held->table; }), "");
+	snapshot_put(held);
+	snapshot_put(NULL);
+}
+
+/*
+ * Planted faults: each must make the check fail, or the test above proves
+ * nothing.
+ */
+class PlantedFault : public testing::Test
+{
+      protected:
+	struct table *old_table = make_table(1);
+	struct table *new_table = make_table(2);
+
+	void SetUp() override
+	{
+		ASSERT_EQ(check_request([&] { return old_table; }), "");
+		ASSERT_EQ(check_request([&] { return new_table; }), "");
+	}
+
+	void TearDown() override
+	{
+		table_free(old_table);
+		table_free(new_table);
+	}
+
+	std::string check()
+	{
+		return check_request([&] { return new_table; });
+	}
+};
+
+/* The table is exchanged between any two look-ups of a request. */
+TEST_F(PlantedFault, TableExchangedWithinRequest)
+{
+	for (int at = 1; at < 1 + 3 * NR_SERVICES; at++) {
+		int lookups = 0;
+
+		EXPECT_NE(check_request([&] {
+				  return lookups++ < at ? old_table : new_table;
+			  }),
+			  "")
+			<< "exchanged after " << at << " look-ups";
+	}
+}
+
+TEST_F(PlantedFault, RouteLeadsToServiceOfOtherTable)
+{
+	new_table->services[1].routes[0].service = &old_table->services[1];
+	EXPECT_EQ(check(), "route leads out of the table");
+}
+
+TEST_F(PlantedFault, TargetLeadsToServiceOfOtherTable)
+{
+	new_table->services[2].targets[0].service = &old_table->services[2];
+	EXPECT_EQ(check(), "target leads out of its service");
+}
+
+TEST_F(PlantedFault, RoutePolicyOfOtherVersion)
+{
+	new_table->services[3].routes[0].policy =
+		old_table->services[3].routes[0].policy;
+	EXPECT_EQ(check(), "route policy of another version");
+}
+
+TEST_F(PlantedFault, TargetPolicyOfOtherVersion)
+{
+	new_table->services[0].targets[0].policy =
+		old_table->services[0].targets[0].policy;
+	EXPECT_EQ(check(), "target policy of another version");
+}
+
+TEST_F(PlantedFault, TargetsOfOtherVersion)
+{
+	struct table_target *targets = new_table->services[1].targets;
+
+	new_table->services[1].targets = old_table->services[1].targets;
+	EXPECT_NE(check(), "");
+	new_table->services[1].targets = targets;
+}
