Refuse a vertical tab in front of a port

Cause: g_ascii_string_to_unsigned() refuses leading spaces by g_ascii_isspace(), which leaves out the vertical tab that its strtoull() skips. Change: a port starts with a digit from 1 to 9.

--- a/fuzz/make_corpus.py
+++ b/fuzz/make_corpus.py
@@ -67,6 +67,7 @@
     "ipv4": b"127.0.0.1:7001",
     "ipv6": b"[fe80::1]:7001",
     "ipv4-in-brackets": b"[127.0.0.1]:80",
+    "port-vertical-tab": b"[80::1]:\v7001",
     "port-leading-zero": b"127.0.0.1:080",
 }
 
--- a/lib/net/address.c
+++ b/lib/net/address.c
@@ -45,8 +45,11 @@
 {
 	guint64 value;
 
-	/* One text form for each address, as in the tree of settings. */
-	if (*text == '0' ||
+	/*
+	 * One text form for each address, as in the tree of settings. GLib
+	 * takes leading zeros and a leading vertical tab.
+	 */
+	if (*text < '1' || *text > '9' ||
 	    !g_ascii_string_to_unsigned(text, 10, 1, 65535, &value, NULL))
 		return FALSE;
 	*port = (unsigned)value;
--- a/tests/net/test_rpc.cc
+++ b/tests/net/test_rpc.cc
@@ -326,6 +326,7 @@
 			      "[::1]",
 			      "127.0.0.1:80x",
 			      "127.0.0.1:080",
+			      "127.0.0.1:\v80",
 			      "[127.0.0.1]:80",
 			      "[127.0.0.1]x:80" };
 	struct net_address address;
