--- a/tests/snapshot/test_snapshot.cc
+++ b/tests/snapshot/test_snapshot.cc
@@ -13,6 +13,8 @@
 #define NR_SERVICES 4
 #define NR_READERS 4
 #define NR_VERSIONS 300
+/* The largest number for which make_table() makes a valid tree. */
+#define NUMBER_MAX 10000
 
 /*
  * A version in which every name, address and setting tells its number, so that
@@ -26,7 +28,7 @@
 	       "\",\"override\":{\"slots\":" + n + ",\"queue_max\":" + n +
 	       ",\"deadline_ms\":" + n + "},\"targets\":[{\"host\":\"h" + s +
 	       "-" + n + "\",\"zone\":\"z" + n + "\",\"traffic\":\"127.0.0.1:" +
-	       std::to_string(1000 * (service + 1) + number) +
+	       std::to_string(10001 * service + number) +
 	       "\"}],\"routes\":[{\"name\":\"r" + s + "\",\"prefix\":\"/s" + s +
 	       "\",\"methods\":[\"POST\"]," +
 	       "\"override\":{\"ticket_life_ms\":" +
@@ -79,7 +81,7 @@
 	    target->region != "r" + n)
 		return "target of another version";
 	if (target->traffic !=
-	    "127.0.0.1:" + std::to_string(1000 * (index + 1) + number))
+	    "127.0.0.1:" + std::to_string(10001 * index + number))
 		return "address of another version";
 	if (target->policy.slots != number ||
 	    target->policy.queue_max != number)
@@ -147,33 +149,108 @@
 	return "";
 }
 
+/* How tables are published and what one request sees. */
+struct Store {
+	virtual ~Store() = default;
+	virtual void publish(struct table *table) = 0;
+	/* Runs the function with the source of the tables of one request. */
+	virtual void request(const std::function<void(GetTable)> &run) = 0;
+};
+
+struct SnapshotStore : Store {
+	void publish(struct table *table) override
+	{
+		snapshot_publish(table);
+	}
+
+	void request(const std::function<void(GetTable)> &run) override
+	{
+		struct snapshot *snapshot = snapshot_get();
+
+		run([&] { return snapshot->table; });
+		snapshot_put(snapshot);
+	}
+};
+
+/* A planted fault: look-ups follow the newest table instead of a snapshot. */
+struct NewestTableStore : Store {
+	std::atomic<struct table *> current{ nullptr };
+	std::vector<struct table *> tables; /* kept for readers until the end */
+
+	~NewestTableStore() override
+	{
+		for (struct table *table : tables)
+			table_free(table);
+	}
+
+	void publish(struct table *table) override
+	{
+		tables.push_back(table);
+		current = table;
+	}
+
+	void request(const std::function<void(GetTable)> &run) override
+	{
+		run([&] { return current.load(); });
+	}
+};
+
 struct Reader {
 	std::thread thread;
 	std::string wrong; /* the first fault */
 	int64_t last = 0;
 };
 
-/* Readers go on after a fault, since the publisher waits for requests. */
-static void read_until(Reader &reader, const std::atomic<bool> &stop,
-		       std::atomic<size_t> &nr_requests)
-{
-	while (!stop) {
-		struct snapshot *snapshot = snapshot_get();
-		std::string wrong;
+struct Readers {
+	Store &store;
+	std::vector<Reader> all{ NR_READERS };
+	std::atomic<bool> stop{ false };
+	std::atomic<size_t> nr_requests{ 0 };
+	std::atomic<size_t> nr_wrong{ 0 };
 
-		if (!snapshot)
-			continue;
-		if (snapshot->table->id.number < reader.last)
+	void check(Reader &reader, const GetTable &get)
+	{
+		int64_t number = get()->id.number;
+		std::string wrong = check_request(get);
+
+		if (wrong.empty() && number < reader.last)
 			wrong = "version went back";
-		else
-			wrong = check_request([&] { return snapshot->table; });
+		reader.last = number;
 		if (reader.wrong.empty())
 			reader.wrong = wrong;
-		reader.last = snapshot->table->id.number;
+		nr_wrong += !wrong.empty();
 		nr_requests++;
-		snapshot_put(snapshot);
 	}
-}
+
+	/* Goes on after a fault, since the publisher waits for requests. */
+	void read(Reader &reader)
+	{
+		while (!stop)
+			store.request([&](const GetTable &get) {
+				check(reader, get);
+			});
+	}
+
+	/* Publishes versions from 1 on while readers read; ends them. */
+	void run(int nr_versions, const std::function<bool()> &enough)
+	{
+		store.publish(make_table(1));
+		for (auto &reader : all)
+			reader.thread = std::thread([&] { read(reader); });
+		for (int number = 2; number <= nr_versions && !enough();
+		     number++) {
+			size_t before = nr_requests;
+
+			store.publish(make_table(number));
+			/* Else a slow reader could see the last one only. */
+			while (nr_requests == before)
+				std::this_thread::yield();
+		}
+		stop = true;
+		for (auto &reader : all)
+			reader.thread.join();
+	}
+};
 
 /*
  * Guards against a request that sees two versions, against a snapshot that is
@@ -182,26 +259,12 @@
  */
 TEST(Snapshot, ReadersSeeOneVersion)
 {
-	std::vector<Reader> readers(NR_READERS);
-	std::atomic<bool> stop{ false };
-	std::atomic<size_t> nr_requests{ 0 };
-
-	for (auto &reader : readers)
-		reader.thread = std::thread(
-			[&] { read_until(reader, stop, nr_requests); });
-	for (int number = 1; number <= NR_VERSIONS; number++) {
-		size_t before = nr_requests;
+	SnapshotStore store;
+	Readers readers{ store };
 
-		snapshot_publish(make_table(number));
-		/* Without this a slow reader could see the last one only. */
-		while (nr_requests == before)
-			std::this_thread::yield();
-	}
-	stop = true;
-	for (auto &reader : readers) {
-		reader.thread.join();
+	readers.run(NR_VERSIONS, [] { return false; });
+	for (auto &reader : readers.all)
 		EXPECT_EQ(reader.wrong, "");
-	}
 	struct snapshot *snapshot = snapshot_get();
 
 	ASSERT_NE(snapshot, nullptr);
@@ -209,6 +272,16 @@
 	snapshot_put(snapshot);
 }
 
+/* Guards against readers that would not see a second version. */
+TEST(PlantedStore, ReadersSeeTwoVersions)
+{
+	NewestTableStore store;
+	Readers readers{ store };
+
+	readers.run(NUMBER_MAX, [&] { return readers.nr_wrong > 0; });
+	EXPECT_GT(readers.nr_wrong, 0u);
+}
+
 /* Guards against a snapshot that follows a later publication. */
 TEST(Snapshot, KeepsItsVersionWhileHeld)
 {
