--- a/tests/manifest/test_manifest.cc
+++ b/tests/manifest/test_manifest.cc
@@ -97,10 +97,9 @@
 {
 	for (const char *bytes :
 	     { "9223372036854775807", "-9223372036854775808" }) {
-		std::string text =
-			manifest(part("root", bytes) + "," +
-				 part("service/a", bytes) + "," +
-				 part("service/b", bytes));
+		std::string text = manifest(part("root", bytes) + "," +
+					    part("service/a", bytes) + "," +
+					    part("service/b", bytes));
 
 		EXPECT_FALSE(dist_accepts(text));
 		EXPECT_FALSE(tree_accepts(text));
