Ask peers less often while a version loads for long

Cause: a cold fleet of 13 sent 6,510 messages for each daemon while it loaded 89 parts, as every part that arrived set the wait back to 50 ms. Change: the wait also grows with the age of the candidate. Late bytes above the limit of a value are not taken.

--- a/lib/dist/candidate.c
+++ b/lib/dist/candidate.c
@@ -17,15 +17,17 @@
 
 /*
  * The wait before the next peer is asked in vain again grows with the time
- * since something arrived: short while a fleet loads a version, long when a
- * part never appears.
+ * since something arrived, long when a part never appears. It also grows with
+ * the age of the candidate: at 50 ms throughout, a cold fleet of 13 sent 6,500
+ * messages for each daemon in 9 s.
  */
 int64_t peer_backoff(struct dist *dist, const struct candidate *candidate,
 		     int64_t now)
 {
-	int64_t base = CLAMP((now - candidate->progress) / 4, PEER_RETRY_MIN,
-			     PEER_RETRY_MAX);
+	int64_t base = MAX((now - candidate->progress) / 4,
+			   (now - candidate->since) / 16);
 
+	base = CLAMP(base, PEER_RETRY_MIN, PEER_RETRY_MAX);
 	return base / 2 + (int64_t)rng_below(dist->rng, (uint64_t)base);
 }
 
--- a/lib/dist/peer.c
+++ b/lib/dist/peer.c
@@ -183,6 +183,8 @@
 	struct candidate *candidate;
 	struct call call = { 0 };
 
+	if (blob->len > DIST_VALUE_MAX)
+		return;
 	candidates_take_part(dist, &blob->digest, blob, now);
 	cds_list_for_each_entry (candidate, &dist->candidates, node) {
 		if (!candidate->version &&
