--- a/tests/process/test_service.cc
+++ b/tests/process/test_service.cc
@@ -52,6 +52,31 @@
 	}
 }
 
+/* Whether a daemon knows that another host is leaving. */
+bool knows_leaving(const Mesh &mesh, int daemon, const std::string &host)
+{
+	Answer answer = call(mesh.hosts[(size_t)daemon].operators, "GET",
+			     "/dump", "", "", 5);
+	json_t *json = json_loads(answer.body.c_str(), 0, nullptr);
+	json_t *services = json_object_get(
+		json_object_get(json_object_get(json, "ingress"), "balance"),
+		"services");
+	bool knows = false;
+	const char *name;
+	json_t *service, *target;
+	size_t i;
+
+	json_object_foreach (services, name, service)
+		json_array_foreach (json_object_get(service, "targets"), i,
+				    target)
+			if (host ==
+			    json_string_value(json_object_get(target, "host")))
+				knows |= json_is_true(
+					json_object_get(target, "leaving"));
+	json_decref(json);
+	return knows;
+}
+
 /* After a while the hosts get no new work any more. */
 void expect_no_work(const Mesh &mesh, const Load &load,
 		    const std::vector<int> &hosts)
@@ -127,6 +152,9 @@
 		       "/host?host=h2&state=leaving")
 			  .status,
 		  200);
+	for (int daemon : kAllDaemons)
+		EXPECT_TRUE(eventually(
+			[&] { return knows_leaving(mesh, daemon, "h2"); }));
 	expect_no_work(mesh, load, { 2 });
 	EXPECT_EQ(call(mesh.host_list.control, "POST",
 		       "/host?host=h2&state=live")
