--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -1038,6 +1038,11 @@
 	g_atomic_int_set(&ingress->serving, 1);
 }
 
+bool ingress_is_serving(struct ingress *ingress)
+{
+	return !is_refusing(ingress);
+}
+
 void ingress_drain(struct ingress *ingress)
 {
 	g_atomic_int_set(&ingress->draining, 1);
--- a/godwitspur/ingress.h
+++ b/godwitspur/ingress.h
@@ -38,6 +38,9 @@
 /* The start gate is open: requests are served from now on. */
 void ingress_serve(struct ingress *ingress);
 
+/* Whether callers' requests are served. */
+bool ingress_is_serving(struct ingress *ingress);
+
 /* Requests are refused as not-run from now on. */
 void ingress_drain(struct ingress *ingress);
 
