Notice a backend server that restarts between requests

Cause: only a failed request told the target that its backend server had ended. A server that restarted while idle kept its old limit and fell over when full load met it cold. Change: a thread keeps one idle connection. When that closes and the server refuses a new one, the limit falls back; a closed idle connection alone changes nothing. A restart faster than the check, a few ms, still goes unnoticed.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -260,3 +260,16 @@
 	}
 	return true;
 }
+
+bool backend_wait_end(const struct net_address *address)
+{
+	struct pollfd pollfd = { .events = POLLIN | POLLRDHUP };
+
+	pollfd.fd = net_connect(address, NULL);
+	if (pollfd.fd < 0)
+		return true;
+	while (poll(&pollfd, 1, -1) < 0 && errno == EINTR)
+		;
+	close(pollfd.fd);
+	return backend_refuses(address);
+}
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -40,6 +40,13 @@
  */
 bool backend_refuses(const struct net_address *address);
 
+/*
+ * Opens a connection and blocks until the backend server closes it. Returns
+ * whether the server has ended, as backend_refuses() tells; a server that only
+ * closes idle connections has not.
+ */
+bool backend_wait_end(const struct net_address *address);
+
 /* Headers that belong to one connection and are never passed on. */
 bool header_is_hop_by_hop(const char *name);
 
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -119,9 +119,8 @@
 	if (!status)
 		return NULL;
 	/* The control thread opens the gate before callers are served. */
-	json_object_set_new(
-		status, "serving",
-		json_boolean(ingress_is_serving(daemon->ingress)));
+	json_object_set_new(status, "serving",
+			    json_boolean(ingress_is_serving(daemon->ingress)));
 	json_object_set_new(status, "draining",
 			    json_boolean(g_atomic_int_get(&daemon->draining)));
 	json_object_set_new(status, "in_flight",
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -555,6 +555,54 @@
 	return NULL;
 }
 
+/*
+ * Watches the backend server by an idle connection. Without it a restart
+ * between two requests is not noticed, and a cold server gets full load.
+ */
+static void *watch_backend(void *arg)
+{
+	const struct timespec ended_wait = { .tv_nsec = 100 * NS_PER_MS };
+	const struct timespec closed_wait = { .tv_sec = 1 };
+	struct target *target = arg;
+	bool was_ended = false;
+
+	for (;;) {
+		uint64_t life;
+		bool ended;
+
+		pthread_mutex_lock(&target->lock);
+		life = admit_life(target->admit);
+		pthread_mutex_unlock(&target->lock);
+		ended = backend_wait_end(&target->options.backend);
+		if (ended) {
+			pthread_mutex_lock(&target->lock);
+			admit_backend_lost(target->admit, life,
+					   clock_monotonic_ns());
+			pthread_mutex_unlock(&target->lock);
+		}
+		if (ended && !was_ended)
+			log_event(LOG_WARNING, "backend_ended", "host=%s",
+				  target->options.host);
+		was_ended = ended;
+		nanosleep(ended ? &ended_wait : &closed_wait, NULL);
+	}
+	return NULL;
+}
+
+static void start_watch(struct target *target)
+{
+	pthread_attr_t attr;
+	pthread_t thread;
+
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, WORKER_STACK_BYTES);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	if (pthread_create(&thread, &attr, watch_backend, target))
+		log_event(LOG_ERR, "backend_not_watched", "host=%s",
+			  target->options.host);
+	pthread_attr_destroy(&attr);
+}
+
 /* Starts workers up to the number of slots; never ends one. */
 static void start_workers(struct target *target, int wanted)
 {
@@ -620,6 +668,8 @@
 	target->once = once_new(&once);
 	target->quarantine = quarantine_new(&quarantine);
 	add_metrics(target);
+	if (options->has_backend)
+		start_watch(target);
 	return target;
 }
 
--- a/tests/process/test_cold.cc
+++ b/tests/process/test_cold.cc
@@ -92,6 +92,7 @@
 		wait_until_warm(mesh, 6);
 	}
 	mesh.kill_backend(0);
+	usleep(300 * 1000); /* a restart takes longer than this */
 	mesh.start_backend(0);
 	Load load(mesh, "GET", "/portal/stock", kCallers);
 	EXPECT_TRUE(eventually(
