--- a/tests/process/test_chaos.cc
+++ b/tests/process/test_chaos.cc
@@ -267,7 +267,8 @@
 		}
 	};
 
-	run_with(publish, nothing);
+	run_with(publish,
+		 [](Mesh &mesh, int round) { mesh.wait_for(10 * round + 3); });
 }
 
 /* Guards against false answers while the list of hosts is wrong or down. */
--- a/tests/process/test_service.cc
+++ b/tests/process/test_service.cc
@@ -118,8 +118,8 @@
 }
 
 /*
- * Guards against work for a zone out of service from daemons that restart or
- * resume with outdated state.
+ * Guards against work for a zone out of service from daemons that restart at
+ * once or resume with outdated state.
  */
 TEST(ProcessService, ZoneStaysOutThroughRestartAndPause)
 {
@@ -133,8 +133,10 @@
 			[&] { return mesh.status(host).version.number == 2; }));
 	usleep(2500 * 1000);
 	mesh.signal_daemon(5, SIGCONT);
-	mesh.kill_daemon(0);
-	mesh.start_daemon(0);
+	for (int host = 0; host < 5; host++)
+		mesh.kill_daemon(host);
+	for (int host = 0; host < 5; host++)
+		mesh.start_daemon(host);
 	mesh.wait_for(2);
 	Load load(mesh, "POST", "/portal/notes", { 0, 1, 2, 5, 0, 5 });
 	expect_no_work(mesh, load, { 1, 4 });
@@ -253,4 +255,38 @@
 	stop_cuts_nothing(false);
 }
 
+/* Guards against requests that are cut when both ends stop at once. */
+TEST(ProcessService, StopOfAllCutsNothing)
+{
+	MeshOptions options = six_targets();
+
+	options.backend = { "--service-ms", "1000" };
+	Mesh mesh(options);
+	std::vector<std::thread> threads;
+	std::vector<Answer> answers(18);
+
+	for (size_t i = 0; i < answers.size(); i++)
+		threads.emplace_back([&mesh, &answers, i] {
+			answers[i] =
+				mesh.send((int)i % 6, "POST",
+					  "/portal/notes/" + std::to_string(i));
+		});
+	EXPECT_TRUE(eventually([&] {
+		return mesh.runs("/portal/notes") == (int)answers.size();
+	}));
+	for (int host : kAllDaemons)
+		mesh.signal_daemon(host, SIGTERM);
+	for (std::thread &thread : threads)
+		thread.join();
+	for (size_t i = 0; i < answers.size(); i++)
+		EXPECT_EQ(answers[i].status, 200)
+			<< "request " << i << ": " << answers[i].body;
+	for (Host &host : mesh.hosts) {
+		int status = -1;
+
+		EXPECT_TRUE(process_wait(&host.daemon, 30000, &status));
+		EXPECT_EQ(status, 0) << host.name;
+	}
+}
+
 } // namespace
