Wait for the drain to begin before requests must be refused

Cause: SignalledStopCutsNothing sent a request right after the signal; when the daemon had not taken the signal up yet the request ran, as it may. Change: the test waits until /status tells of the drain.

--- a/tests/process/test_service.cc
+++ b/tests/process/test_service.cc
@@ -219,6 +219,12 @@
 	else
 		EXPECT_EQ(call(host.operators, "POST", "/drain").status, 200);
 
+	/* A signal is taken up a little later; work before it runs. */
+	EXPECT_TRUE(eventually([&] {
+		return call(host.operators, "GET", "/status", "", "", 1)
+			       .body.find("\"draining\": true") !=
+		       std::string::npos;
+	}));
 	/* Until the daemon refuses connections it answers not-run. */
 	int refused = 0;
 	EXPECT_TRUE(eventually([&] {
