Return free memory to the system after a version was applied

Cause: the table before, the tree of the long way and replaced parts are freed after a new version is in force, but the heap kept their pages. Change: apply_version() calls malloc_trim().

--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -249,8 +250,11 @@
 	if (!table)
 		table = build_table(control, version, &findings);
 	findings_release(&findings);
-	if (table)
-		control->options.ops->apply(control->options.ctx, table);
+	if (!table)
+		return;
+	control->options.ops->apply(control->options.ctx, table);
+	/* The old table and parse trees leave holes in the heap. */
+	malloc_trim(0);
 }
 
 /* Reads of the source. */
