Extend the corpus of the announcement target

Cause: a planted rule that accepts parts of any digest went unnoticed in 20000 runs, since no input answered only a part wrongly. Change: inputs that accept, refuse and answer a part wrongly in a few events.

--- a/fuzz/make_corpus.py
+++ b/fuzz/make_corpus.py
@@ -133,7 +133,16 @@
 # Answers each of the first calls with the right value.
 ANSWERS = b"".join(bytes([2, i, 0]) for i in range(8))
 
+# Calls after the first announcement: 0 ANNOUNCE to the seed, 1 GET_MANIFEST,
+# then 2 and 3 GET_PART. Choice 200 answers with a part of another version.
+MANIFEST = bytes([2, 1, 0])
+ROOT = bytes([2, 2, 0])
+
 EVENTS = {
+    "accept-at-once": announce(1, 1) + MANIFEST + ROOT + bytes([2, 3, 0]),
+    "wrong-part": announce(1, 1) + MANIFEST + ROOT + bytes([2, 3, 200])
+                  + TURN + bytes([2, 4, 0]),
+    "refuse-at-once": announce(1, 4) + MANIFEST + ROOT + bytes([2, 3, 0]),
     "accept": LIST + announce(1, 1) + (ANSWERS + TURN) * 4,
     "refuse": LIST + announce(2, 4) + (ANSWERS + TURN) * 4,
     "same-number": LIST + (announce(1, 5) + ANSWERS + TURN) * 3
