Ask again when an attempt to connect is dropped

Cause: while a backend server ends, an attempt to connect may be dropped. The check for a crash then waited its whole 50 ms on this one attempt and took the server for alive, so the crash was not counted. Change: each attempt is given 2 ms.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -243,7 +243,8 @@
 	pollfd.fd = net_connect(address, NULL);
 	if (pollfd.fd < 0)
 		return true;
-	if (poll(&pollfd, 1, REFUSAL_WAIT_MS) > 0)
+	/* While the server ends, the kernel may also drop the attempt. */
+	if (poll(&pollfd, 1, REFUSAL_POLL_MS) > 0)
 		getsockopt(pollfd.fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
