Add a body length beyond its record to the corpus of wire

Cause: libtirpc's xdr_bytes() allocates the announced length, up to 64 MB, before it reads; fuzz_wire with -malloc_limit_mb=16 ends on this input. The memory is freed when the decoding fails. The fault is not fixed. Change: the input is in the corpus, where it must stay without leak or crash.

--- a/fuzz/make_corpus.py
+++ b/fuzz/make_corpus.py
@@ -118,6 +118,9 @@
     "cancel": call(TRAFFIC, 2, number(5)),
     "hello": call(TRAFFIC, 5, opaque(b"h1") + quad(1) + number(0)),
     "length-without-bytes": call(TRAFFIC, 1, opaque(b"p") + number(63)),
+    "body-longer-than-record": reply(
+        struct.pack(">6I", 0, 200, 1, 0, 1, 10) + quad(900) + CRASH
+        + number(0) + number(67108864)),
     "error": struct.pack(">6I", 1, 1, 0, 0, 0, 4),
     "denied": struct.pack(">6I", 1, 1, 1, 0, 2, 2),
 }
