Stop the address test at the first address accepted by mistake

Cause: the test reads the message of an error that is NULL after such a fault, and crashed without its report. Change: ASSERT_FALSE in place of EXPECT_FALSE. Measured: test_net passes.

--- a/tests/net/test_rpc.cc
+++ b/tests/net/test_rpc.cc
@@ -336,7 +336,7 @@
 	for (const char *text : bad) {
 		GError *error = NULL;
 
-		EXPECT_FALSE(net_address_parse(&address, text, &error)) << text;
+		ASSERT_FALSE(net_address_parse(&address, text, &error)) << text;
 		EXPECT_NE(strstr(error->message, text), nullptr);
 		g_error_free(error);
 	}
