Wait for other threads by one small completion

The same lock, condition and flag stood in links.c, ingress.c and control.c, once with the wall clock, which a clock set back would have stretched.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -18,6 +18,7 @@
  * order, so a connection can be lost before the first one is refused.
  */
 #define REFUSAL_WAIT_MS 50
+#define REFUSAL_ATTEMPT_MS 2
 
 /*
  * neon takes its read timeout when it connects, in whole seconds. Sessions are
@@ -273,7 +274,7 @@
 	if (pollfd.fd < 0)
 		return true;
 	/* While the server ends, the kernel may also drop the attempt. */
-	if (poll(&pollfd, 1, REFUSAL_POLL_MS) > 0)
+	if (poll(&pollfd, 1, REFUSAL_ATTEMPT_MS) > 0)
 		getsockopt(pollfd.fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <malloc.h>
 #include <stdlib.h>
@@ -6,6 +5,7 @@
 #include <sys/epoll.h>
 
 #include "base/clock.h"
+#include "base/completion.h"
 #include "base/log.h"
 #include "control.h"
 #include "fetch.h"
@@ -27,7 +27,7 @@
 #define CRASHES_INTERVAL_NS (1 * NS_PER_SEC)
 
 /* How long an operator's question may wait for the control thread. */
-#define QUESTION_WAIT_SEC 2
+#define QUESTION_WAIT_NS (2 * NS_PER_SEC)
 
 /* A connection to the control address of a peer. */
 struct peer {
@@ -747,9 +747,7 @@
 	struct control *control;
 	enum control_question what;
 	int refs;
-	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	bool answered;
+	struct completion completion;
 	json_t *answer;
 	struct dist_version *version; /* a reference */
 };
@@ -843,8 +841,7 @@
 	json_decref(question->answer);
 	if (question->version)
 		dist_version_unref(question->version);
-	pthread_cond_destroy(&question->wake);
-	pthread_mutex_destroy(&question->lock);
+	completion_release(&question->completion);
 	g_free(question);
 }
 
@@ -871,13 +868,9 @@
 static void answer_question(void *arg)
 {
 	struct question *question = arg;
-	json_t *answer = make_answer(question);
 
-	pthread_mutex_lock(&question->lock);
-	question->answer = answer;
-	question->answered = true;
-	pthread_cond_signal(&question->wake);
-	pthread_mutex_unlock(&question->lock);
+	question->answer = make_answer(question);
+	completion_signal(&question->completion);
 	question_unref(question);
 }
 
@@ -886,23 +879,14 @@
 			    bool *answered)
 {
 	struct question *question = g_new0(struct question, 1);
-	struct timespec ts;
-	int error = 0;
 
 	question->control = control;
 	question->what = what;
 	question->refs = 2;
-	pthread_mutex_init(&question->lock, NULL);
-	pthread_cond_init(&question->wake, NULL);
-	clock_gettime(CLOCK_REALTIME, &ts);
-	ts.tv_sec += QUESTION_WAIT_SEC;
+	completion_init(&question->completion);
 	net_loop_defer(control->loop, answer_question, question);
-	pthread_mutex_lock(&question->lock);
-	while (!question->answered && error != ETIMEDOUT)
-		error = pthread_cond_timedwait(&question->wake, &question->lock,
-					       &ts);
-	*answered = question->answered;
-	pthread_mutex_unlock(&question->lock);
+	*answered = completion_wait(&question->completion,
+				    clock_monotonic_ns() + QUESTION_WAIT_NS);
 	return question;
 }
 
--- a/godwitspur/ingress.c
+++ b/godwitspur/ingress.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <microhttpd.h>
 #include <netdb.h>
@@ -9,6 +8,7 @@
 
 #include "backend.h"
 #include "base/clock.h"
+#include "base/completion.h"
 #include "base/log.h"
 #include "ingress.h"
 #include "path.h"
@@ -75,9 +75,7 @@
 struct local_job {
 	struct target_job job; /* first: callbacks cast back */
 	int refs;
-	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	bool finished;
+	struct completion completion;
 	struct traffic_answer answer;
 };
 
@@ -94,8 +92,7 @@
 	if (!g_atomic_int_dec_and_test(&local->refs))
 		return;
 	xdr_free((xdrproc_t)xdr_traffic_answer, &local->answer);
-	pthread_cond_destroy(&local->wake);
-	pthread_mutex_destroy(&local->lock);
+	completion_release(&local->completion);
 	g_free(local);
 }
 
@@ -103,12 +100,9 @@
 {
 	struct local_job *local = (struct local_job *)job;
 
-	pthread_mutex_lock(&local->lock);
 	local->answer = *answer;
 	memset(answer, 0, sizeof(*answer));
-	local->finished = true;
-	pthread_cond_signal(&local->wake);
-	pthread_mutex_unlock(&local->lock);
+	completion_signal(&local->completion);
 }
 
 static void local_free(struct target_job *job)
@@ -119,17 +113,12 @@
 static struct local_job *local_new(const struct traffic_request *request)
 {
 	struct local_job *local = g_new0(struct local_job, 1);
-	pthread_condattr_t attr;
 
 	local->refs = 2; /* the waiting thread's and the target's */
 	local->job.request = *request;
 	local->job.reply = local_reply;
 	local->job.free = local_free;
-	pthread_mutex_init(&local->lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&local->wake, &attr);
-	pthread_condattr_destroy(&attr);
+	completion_init(&local->completion);
 	return local;
 }
 
@@ -138,22 +127,15 @@
 				     int64_t deadline,
 				     struct traffic_answer *answer)
 {
-	struct timespec ts = { .tv_sec = deadline / NS_PER_SEC,
-			       .tv_nsec = deadline % NS_PER_SEC };
 	struct local_job *local = local_new(request);
 	enum rpc_status status = RPC_TIMED_OUT;
-	int error = 0;
 
 	target_submit(target, &local->job);
-	pthread_mutex_lock(&local->lock);
-	while (!local->finished && error != ETIMEDOUT)
-		error = pthread_cond_timedwait(&local->wake, &local->lock, &ts);
-	if (local->finished) {
+	if (completion_wait(&local->completion, deadline)) {
 		*answer = local->answer;
 		memset(&local->answer, 0, sizeof(local->answer));
 		status = RPC_DONE;
 	}
-	pthread_mutex_unlock(&local->lock);
 	local_unref(local);
 	return status;
 }
--- a/godwitspur/links.c
+++ b/godwitspur/links.c
@@ -1,9 +1,9 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/completion.h"
 #include "base/log.h"
 #include "links.h"
 
@@ -38,9 +38,7 @@
 /* A call that a thread waits for. */
 struct pending {
 	struct rpc_call call; /* first: the callback casts back */
-	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	bool finished;
+	struct completion completion;
 	enum rpc_status status;
 	xdrproc_t xdr_result;
 	void *result;
@@ -58,64 +56,24 @@
 {
 	struct pending *pending = (struct pending *)call;
 
-	pthread_mutex_lock(&pending->lock);
 	pending->status = status;
 	if (status == RPC_DONE && !pending->xdr_result(xdr, pending->result)) {
 		xdr_free(pending->xdr_result, pending->result);
 		pending->status = RPC_LOST;
 	}
-	pending->finished = true;
-	pthread_cond_signal(&pending->wake);
-	pthread_mutex_unlock(&pending->lock);
+	completion_signal(&pending->completion);
 }
 
 static void pending_init(struct pending *pending, xdrproc_t xdr_result,
 			 void *result)
 {
-	pthread_condattr_t attr;
-
 	memset(pending, 0, sizeof(*pending));
 	pending->call.done = pending_done;
 	pending->call.deadline =
 		DEADLINE_NEVER; /* the waiting thread ends it */
 	pending->xdr_result = xdr_result;
 	pending->result = result;
-	pthread_mutex_init(&pending->lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&pending->wake, &attr);
-	pthread_condattr_destroy(&attr);
-}
-
-/* Returns whether the call finished before the deadline. */
-static bool pending_wait(struct pending *pending, int64_t deadline)
-{
-	struct timespec ts = { .tv_sec = deadline / NS_PER_SEC,
-			       .tv_nsec = deadline % NS_PER_SEC };
-	bool finished;
-	int error = 0;
-
-	pthread_mutex_lock(&pending->lock);
-	while (!pending->finished && error != ETIMEDOUT)
-		error = pthread_cond_timedwait(&pending->wake, &pending->lock,
-					       &ts);
-	finished = pending->finished;
-	pthread_mutex_unlock(&pending->lock);
-	return finished;
-}
-
-static void pending_wait_done(struct pending *pending)
-{
-	pthread_mutex_lock(&pending->lock);
-	while (!pending->finished)
-		pthread_cond_wait(&pending->wake, &pending->lock);
-	pthread_mutex_unlock(&pending->lock);
-}
-
-static void pending_release(struct pending *pending)
-{
-	pthread_cond_destroy(&pending->wake);
-	pthread_mutex_destroy(&pending->lock);
+	completion_init(&pending->completion);
 }
 
 static void ignore_done(struct rpc_call *call, enum rpc_status status, XDR *xdr)
@@ -149,18 +107,18 @@
 	pending_init(&pending, xdr_result, result);
 	rpc_call_start(conn, &pending.call, TRAFFIC_PROGRAM, TRAFFIC_VERSION,
 		       procedure, xdr_args, args);
-	if (!pending_wait(&pending, deadline)) {
+	if (!completion_wait(&pending.completion, deadline)) {
 		if (rpc_forget(conn, &pending.call)) {
 			if (procedure == TRAFFIC_REQUEST)
 				send_cancel(conn, pending.call.xid);
-			pending_release(&pending);
+			completion_release(&pending.completion);
 			return RPC_TIMED_OUT;
 		}
 		/* The answer is being decoded by the loop's thread. */
-		pending_wait_done(&pending);
+		completion_wait(&pending.completion, DEADLINE_NEVER);
 	}
 	status = pending.status;
-	pending_release(&pending);
+	completion_release(&pending.completion);
 	return status;
 }
 
