--- a/godwitspur/control.c
+++ b/godwitspur/control.c
@@ -620,7 +620,6 @@
 static void take_crashes(struct control *control,
 			 const struct dist_action *action)
 {
-	/* ANNOUNCE does not carry the field cleared, so it is 0 here. */
 	struct quarantine_entry entries[DIST_CRASHES_MAX] = { 0 };
 
 	for (size_t i = 0; i < action->crashes.nr; i++) {
