Do not copy from NULL for an empty response body

Cause: GByteArray has NULL data when empty, and memcpy() must not get NULL even for no bytes; the build with UBSan ended the daemon. Change: empty bodies are not copied.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -167,7 +167,8 @@
 	answer->body.body_val = malloc(body->len ? body->len : 1);
 	if (!answer->body.body_val)
 		abort();
-	memcpy(answer->body.body_val, body->data, body->len);
+	if (body->len) /* the data of an empty array are NULL */
+		memcpy(answer->body.body_val, body->data, body->len);
 	return true;
 }
 
