Make the tests of backend sessions wait for the crash

Cause: one of 5 runs of test_backend_session failed on a machine with load 40; the output was not kept. The tests took a server for gone as soon as its connection was lost, though its listening socket closes later. Change: they wait for the end of the process before they expect a refusal. The same expectations stand.

--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -69,10 +69,11 @@
 
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
 	EXPECT_EQ(session.run(method, "/crash-me"), FAILURE_BACKEND_LOST);
+	/* Its sockets are closed for certain once the process has ended. */
+	expect_crashed(backend);
 	EXPECT_TRUE(backend_refuses(&session.address));
 	/* Nothing is kept now, so the refusal is certain. */
 	EXPECT_EQ(session.run(method, "/a"), FAILURE_BACKEND_REFUSED);
-	expect_crashed(backend);
 }
 
 /*
@@ -99,9 +100,9 @@
 	Session session(backend);
 
 	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	expect_crashed(backend);
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
 	EXPECT_EQ(session.run("POST", "/a"), FAILURE_BACKEND_REFUSED);
-	expect_crashed(backend);
 }
 
 /*
@@ -115,9 +116,9 @@
 
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
 	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	expect_crashed(backend);
 	session.life++;
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
-	expect_crashed(backend);
 }
 
 /* The same for a backend server that went away while nothing ran. */
@@ -128,9 +129,9 @@
 
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
 	EXPECT_EQ(call(backend.address, "GET", "/crash-me").status, 0);
+	expect_crashed(backend);
 	usleep(1100 * 1000);
 	EXPECT_EQ(session.run("GET", "/a"), FAILURE_BACKEND_REFUSED);
-	expect_crashed(backend);
 }
 
 /*
