--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -18,6 +18,7 @@
  * order, so a connection can be lost before the first one is refused.
  */
 #define REFUSAL_WAIT_MS 50
+#define REFUSAL_ATTEMPT_MS 2
 
 /*
  * neon takes its read timeout when it connects, in whole seconds. Sessions are
@@ -182,7 +183,8 @@
 	answer->body.body_val = malloc(body->len ? body->len : 1);
 	if (!answer->body.body_val)
 		abort();
-	memcpy(answer->body.body_val, body->data, body->len);
+	if (body->len) /* the data of an empty array are NULL */
+		memcpy(answer->body.body_val, body->data, body->len);
 	return true;
 }
 
@@ -272,7 +274,8 @@
 	pollfd.fd = net_connect(address, NULL);
 	if (pollfd.fd < 0)
 		return true;
-	if (poll(&pollfd, 1, REFUSAL_WAIT_MS) > 0)
+	/* While the server ends, the kernel may also drop the attempt. */
+	if (poll(&pollfd, 1, REFUSAL_ATTEMPT_MS) > 0)
 		getsockopt(pollfd.fd, SOL_SOCKET, SO_ERROR, &error, &len);
 	close(pollfd.fd);
 	return error == ECONNREFUSED;
@@ -291,3 +294,16 @@
 	}
 	return true;
 }
+
+bool backend_wait_end(const struct net_address *address)
+{
+	struct pollfd pollfd = { .events = POLLIN | POLLRDHUP };
+
+	pollfd.fd = net_connect(address, NULL);
+	if (pollfd.fd < 0)
+		return true;
+	while (poll(&pollfd, 1, -1) < 0 && errno == EINTR)
+		;
+	close(pollfd.fd);
+	return backend_refuses(address);
+}
