Give neon an empty body instead of NULL

Cause: XDR decodes an empty body to NULL, and neon declares that its body buffer is never NULL; the build with UBSan ended the daemon at a GET that came from another daemon. Change: an empty text stands for an empty body.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -224,7 +224,11 @@
 	 * turns out to be closed; with it off, neon opens a new connection.
 	 */
 	ne_set_request_flag(neon, NE_REQFLAG_IDEMPOTENT, call->repeatable);
-	ne_set_request_body_buffer(neon, request->body.body_val,
+	/* neon takes no NULL, which XDR gives for an empty body. */
+	ne_set_request_body_buffer(neon,
+				   request->body.body_len
+					   ? request->body.body_val
+					   : "",
 				   request->body.body_len);
 	add_request_headers(neon, call);
 	*draining = false;
