--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -249,7 +249,11 @@
 	 * counts as sent.
 	 */
 	ne_set_request_flag(neon, NE_REQFLAG_IDEMPOTENT, call->repeatable);
-	ne_set_request_body_buffer(neon, request->body.body_val,
+	/* neon takes no NULL, which XDR gives for an empty body. */
+	ne_set_request_body_buffer(neon,
+				   request->body.body_len
+					   ? request->body.body_val
+					   : "",
 				   request->body.body_len);
 	add_request_headers(neon, call);
 	*draining = false;
