Tell unknown when a refused ticket cannot be remembered

Also accepts tickets with the longest life among a service's routes, since ingresses issue them by the route; a longer route value was refused as ticket-too-far.

--- a/bench/balance_policies/main.c
+++ b/bench/balance_policies/main.c
@@ -93,7 +93,7 @@
 		arg_print_syntax(stderr, table, "\n");
 		return 2;
 	}
-	options.duration = seconds->ival[0] * NS_PER_SEC;
+	options.end = seconds->ival[0] * NS_PER_SEC;
 	options.ingresses = CLAMP(ingresses->ival[0], 0, MODEL_INGRESSES_MAX);
 	options.seed = (uint64_t)seed->ival[0];
 	printf("%-10s %-11s %5s %-15s %9s %7s %8s %8s %7s %7s\n", "deployment",
--- a/bench/balance_policies/model.c
+++ b/bench/balance_policies/model.c
@@ -338,7 +338,7 @@
 	struct host *ingress;
 	int at;
 
-	if (model->now >= model->options->duration)
+	if (model->now >= model->options->end)
 		return;
 	push(model, model->now + exponential(model, 1 / rate), EVENT_ARRIVAL,
 	     service, NULL);
@@ -505,9 +505,8 @@
 		push(model, 0, EVENT_ARRIVAL, s, NULL);
 	if (options->scenario == SCENARIO_ZONE_MARKED ||
 	    options->scenario == SCENARIO_ZONE_DIES) {
-		push(model, options->duration / 4, EVENT_ZONE_GOES, 0, NULL);
-		push(model, options->duration * 5 / 8, EVENT_ZONE_RETURNS, 0,
-		     NULL);
+		push(model, options->end / 4, EVENT_ZONE_GOES, 0, NULL);
+		push(model, options->end * 5 / 8, EVENT_ZONE_RETURNS, 0, NULL);
 	}
 	while (model->nr_events) {
 		struct event event = pop(model);
--- a/bench/balance_policies/model.h
+++ b/bench/balance_policies/model.h
@@ -48,7 +48,7 @@
 	enum scenario scenario;
 	int load_percent; /* of the slots of all targets */
 	int ingresses;	  /* hosts beside the targets, 0..MODEL_INGRESSES_MAX */
-	int64_t duration;
+	int64_t end;	  /* of the run, which starts at 0 */
 	uint64_t seed;
 };
 
--- a/bench/capacity/series.h
+++ b/bench/capacity/series.h
@@ -19,11 +19,11 @@
 	double y[SERIES_POINTS_MAX];
 };
 
-/* clang-format off */
-#define SERIES(name_, over_, target_, factor_, slope_) \
-	{ .name = name_, .over = over_, .target = target_, \
-	  .factor = factor_, .slope = slope_ }
-/* clang-format on */
+#define SERIES(name_, over_, target_, factor_, slope_)           \
+	{                                                        \
+		.name = name_, .over = over_, .target = target_, \
+		.factor = factor_, .slope = slope_               \
+	}
 
 void series_add(struct series *series, double x, double y);
 
--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -181,7 +181,9 @@
 
 	counter_add(&target->refused, 1);
 	if (job->record) {
-		once_abort(target->once, job->record, now, &waiters);
+		/* What cannot be remembered is not told as not-run. */
+		if (!once_abort(target->once, job->record, now, &waiters))
+			reason = FAILURE_TICKET_RUNNING;
 		job->record = NULL;
 		release_waiters(target, job, &waiters, reason, replies);
 	}
@@ -464,7 +466,8 @@
 	if (!job->record)
 		return;
 	if (failure->outcome == OUTCOME_NOT_RUN) {
-		once_abort(target->once, job->record, now, &waiters);
+		if (!once_abort(target->once, job->record, now, &waiters))
+			job->reason = FAILURE_TICKET_RUNNING;
 	} else {
 		if (job->reason == FAILURE_NONE)
 			bytes = encode_answer(job->answer, &len);
@@ -692,6 +695,17 @@
 	return NULL;
 }
 
+/* Ingresses issue tickets by the route, so the longest one is accepted. */
+static int64_t longest_ticket_life(const struct table_service *service)
+{
+	int64_t longest = service->policy.ticket_life_ms;
+
+	for (size_t i = 0; i < service->nr_routes; i++)
+		longest =
+			MAX(longest, service->routes[i].policy.ticket_life_ms);
+	return longest;
+}
+
 void target_apply(struct target *target, struct snapshot *snapshot)
 {
 	const struct table_target *self = find_self(target, snapshot);
@@ -713,8 +727,7 @@
 				 .limit_policy = target->options.limit_policy,
 			 },
 			 now);
-	once_set_ticket_life(target->once,
-			     self->service->policy.ticket_life_ms);
+	once_set_ticket_life(target->once, longest_ticket_life(self->service));
 	quarantine_set_policy(target->quarantine, policy->quarantine_crashes,
 			      policy->quarantine_ms * NS_PER_MS);
 	start_workers(target, policy->slots);
