End the daemon's process without freeing what its threads use

Cause: after a planned stop cmd_run freed the settings and returned from main while other threads ran; under ASan the leak check turned the exit status to 1 (test_process_service, 3 of 7 tests), and the freed settings could be read. Change: the process ends by _exit() with status 0.

--- a/godwitspur/cmd_run.c
+++ b/godwitspur/cmd_run.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <unistd.h>
 
 #include "cmd_tree.h"
 #include "daemon.h"
@@ -15,8 +16,12 @@
 	findings_release(&findings);
 	if (!settings)
 		return CMD_FAILED;
+	/*
+	 * The threads of the daemon run on and use what a return would free,
+	 * so the process ends here.
+	 */
 	if (daemon_run(settings, &error))
-		return CMD_OK;
+		_exit(CMD_OK);
 	fprintf(stderr, "godwitspur: %s\n", error->message);
 	return CMD_FAILED;
 }
