Drop Godwitspur-* headers of backend servers; gauge of the version in force

A backend server could answer Godwitspur-Outcome, and the caller saw it beside the daemon's own. BackendSession.DropsHeadersOfTheDaemon failed without the filter's condition and passes now.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -152,6 +152,12 @@
 		ne_add_request_header(neon, "Idempotency-Key", request->ticket);
 }
 
+/* Only the daemon says what these headers say. */
+static bool is_own_name(const char *name)
+{
+	return !g_ascii_strncasecmp(name, "Godwitspur-", strlen("Godwitspur-"));
+}
+
 static void copy_response_headers(ne_request *neon,
 				  struct traffic_answer *answer)
 {
@@ -160,7 +166,7 @@
 
 	while ((cursor = ne_response_header_iterate(neon, cursor, &name,
 						    &value)))
-		if (!header_is_hop_by_hop(name))
+		if (!header_is_hop_by_hop(name) && !is_own_name(name))
 			answer_add_header(answer, name, value);
 }
 
--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -27,6 +27,7 @@
 	const struct settings *settings;
 	uint64_t incarnation;
 	struct metrics metrics;
+	struct counter version;
 	struct net_loop *link_loop;
 	struct control *control;
 	struct target *target;
@@ -50,6 +51,7 @@
 	 */
 	ingress_apply(daemon->ingress, table);
 	snapshot_publish(table);
+	counter_set(&daemon->version, (uint64_t)number);
 	snapshot = snapshot_get();
 	target_apply(daemon->target, snapshot);
 	snapshot_put(snapshot);
@@ -387,6 +389,10 @@
 	daemon->settings = settings;
 	daemon->incarnation = random_number();
 	metrics_init(&daemon->metrics);
+	daemon->version.name = "godwitspur_config_version";
+	daemon->version.help = "Number of the version in force.";
+	daemon->version.is_gauge = 1;
+	metrics_add_counter(&daemon->metrics, &daemon->version);
 	block_signals(&set);
 	if (!make_traffic(daemon, error) || !make_control(daemon, error) ||
 	    !start_thread(link_thread, daemon, error) ||
--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -1,6 +1,9 @@
 #include <sys/socket.h>
 
+#include <string>
 #include <thread>
+#include <unistd.h>
+#include <vector>
 
 #include "support/standin.hh"
 
@@ -14,6 +17,13 @@
 	struct net_address address;
 	struct backend_session *session;
 	uint64_t life = 1;
+	std::vector<std::string> headers; /* names in the last answer */
+
+	explicit Session(const char *listen)
+	{
+		EXPECT_TRUE(net_address_parse(&address, listen, nullptr));
+		session = backend_session_new(&address);
+	}
 
 	explicit Session(const Standin &backend)
 	{
@@ -48,6 +58,9 @@
 		call.body_max = 1024;
 		call.life = life;
 		reason = backend_run(session, &call, &answer, &draining);
+		headers.clear();
+		for (u_int i = 0; i < answer.headers.headers_len; i++)
+			headers.push_back(answer.headers.headers_val[i].name);
 		xdr_free((xdrproc_t)xdr_traffic_answer, &answer);
 		return reason;
 	}
@@ -178,3 +191,37 @@
 	EXPECT_FALSE(backend_refuses(&address));
 	close(fd);
 }
+
+/* Guards against a backend server that speaks for the daemon to the caller. */
+TEST(BackendSession, DropsHeadersOfTheDaemon)
+{
+	const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+				 "Godwitspur-Outcome: not-run\r\n"
+				 "X-Own: 1\r\n\r\n";
+	struct net_address address;
+	char listen[ADDRESS_CHARS];
+	int fd;
+
+	free_address(listen);
+	ASSERT_TRUE(net_address_parse(&address, listen, nullptr));
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	ASSERT_EQ(bind(fd, (const struct sockaddr *)&address.storage,
+		       address.len),
+		  0);
+	ASSERT_EQ(::listen(fd, 1), 0);
+	std::thread server([&] {
+		char request[4096];
+		int client = accept(fd, nullptr, nullptr);
+
+		EXPECT_GT(recv(client, request, sizeof(request), 0), 0);
+		EXPECT_EQ(send(client, text.data(), text.size(), 0),
+			  (ssize_t)text.size());
+		close(client);
+	});
+	Session session(listen);
+
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+	server.join();
+	close(fd);
+	EXPECT_EQ(session.headers, std::vector<std::string>{ "x-own" });
+}
