--- a/godwitspur/commands.h
+++ b/godwitspur/commands.h
@@ -27,6 +27,9 @@
 /* run FILE: runs the daemon with the settings in FILE. */
 int cmd_run(int argc, char **argv);
 
+/* relay [FILE]: runs the daemon on the users' platform. */
+int cmd_relay(int argc, char **argv);
+
 /* status ADDRESS...: the version of each daemon, asked one by one. */
 int cmd_status(int argc, char **argv);
 
--- a/godwitspur/main.c
+++ b/godwitspur/main.c
@@ -11,6 +11,7 @@
 
 static const struct command commands[] = {
 	{ "run", cmd_run, "run the daemon" },
+	{ "relay", cmd_relay, "run the daemon on the users' platform" },
 	{ "check", cmd_check, "validate a settings tree" },
 	{ "explain", cmd_explain, "show effective settings and their origin" },
 	{ "diff", cmd_diff, "show effective changes between two trees" },
--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -25,6 +25,10 @@
 	uint64_t life;
 	int nr_running;
 	bool draining;
+	struct admit_cold_rate cold_rate;
+	int64_t cold_deadline;
+	double cold_tokens;
+	int64_t cold_filled; /* when tokens were last added */
 };
 
 static int64_t admit_now(struct admit *admit, int64_t now)
@@ -111,8 +115,65 @@
 	return wait_ns + service->mean_ns > left;
 }
 
+static bool is_cold(const struct admit *admit)
+{
+	return admit->latest < admit->cold_deadline;
+}
+
+static void fill_cold_tokens(struct admit *admit)
+{
+	double seconds =
+		(double)(admit->latest - admit->cold_filled) / NS_PER_SEC;
+
+	admit->cold_filled = admit->latest;
+	admit->cold_tokens =
+		MIN(admit->cold_tokens + seconds * admit->cold_rate.per_s,
+		    admit->cold_rate.burst);
+}
+
+/* Whether the rate of a cold backend server lets a request start. */
+static bool rate_allows(struct admit *admit)
+{
+	if (!is_cold(admit))
+		return true;
+	fill_cold_tokens(admit);
+	return admit->cold_tokens >= 1;
+}
+
+/* When the cold rate next lets a request start. */
+static int64_t rate_timer(const struct admit *admit)
+{
+	double missing = 1 - admit->cold_tokens;
+
+	if (!is_cold(admit) || missing <= 0 || admit->cold_rate.per_s <= 0)
+		return admit->cold_deadline;
+	return MIN(admit->cold_deadline,
+		   admit->cold_filled + (int64_t)(missing * NS_PER_SEC /
+						  admit->cold_rate.per_s) +
+			   1);
+}
+
+void admit_set_cold(struct admit *admit, const struct admit_cold_rate *rate,
+		    int64_t deadline, int64_t now)
+{
+	now = admit_now(admit, now);
+	if (!is_cold(admit)) {
+		admit->cold_tokens = 1;
+		admit->cold_filled = now;
+	}
+	admit->cold_rate = *rate;
+	admit->cold_deadline = deadline;
+}
+
+int64_t admit_cold_deadline(const struct admit *admit)
+{
+	return admit->cold_deadline;
+}
+
 static void start(struct admit *admit, struct admit_request *request)
 {
+	if (is_cold(admit))
+		admit->cold_tokens -= 1;
 	request->state = ADMIT_RUNNING;
 	request->started = admit->latest;
 	request->life = admit->life;
@@ -125,8 +186,13 @@
 {
 	int ahead =
 		queue_ahead(&admit->queue, request->priority, request->caller);
+	int64_t wait = ahead * (admit->mean_ns / admit->ramp.limit);
 
-	return ahead * (admit->mean_ns / admit->ramp.limit);
+	if (is_cold(admit) && admit->cold_rate.per_s > 0)
+		wait = MAX(wait, MIN(admit->cold_deadline - admit->latest,
+				     (int64_t)(ahead * (double)NS_PER_SEC /
+					       admit->cold_rate.per_s)));
+	return wait;
 }
 
 enum admit_verdict admit_arrive(struct admit *admit,
@@ -142,7 +208,8 @@
 	request->cost = CLAMP(request->cost, 1, ADMIT_COST_MAX);
 	if (admit->draining)
 		return ADMIT_REFUSED_DRAINING;
-	if (!admit->queue.nr_requests && admit->nr_running < limit) {
+	if (!admit->queue.nr_requests && admit->nr_running < limit &&
+	    rate_allows(admit)) {
 		if (is_too_late(admit, request, 0))
 			return ADMIT_REFUSED_DEADLINE;
 		start(admit, request);
@@ -167,7 +234,7 @@
 {
 	int limit = admit_limit(admit, now);
 
-	while (admit->nr_running < limit) {
+	while (admit->nr_running < limit && rate_allows(admit)) {
 		struct admit_request *request = queue_pop(&admit->queue);
 
 		if (!request)
@@ -281,6 +348,8 @@
 		timer = MIN(timer, class_timer(admit, i));
 	if (admit->policy->next)
 		timer = MIN(timer, admit->policy->next(&admit->ramp));
+	if (is_cold(admit) && admit->nr_running < admit->ramp.limit)
+		timer = MIN(timer, rate_timer(admit));
 	return timer;
 }
 
@@ -304,6 +373,12 @@
 	admit->draining = true;
 }
 
+int64_t admit_wait_ns(const struct admit *admit)
+{
+	return (admit->queue.nr_requests + 1) *
+	       (admit->mean_ns / admit->ramp.limit);
+}
+
 int admit_running(const struct admit *admit)
 {
 	return admit->nr_running;
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -91,6 +91,16 @@
 
 struct admit_limit_policy;
 
+/*
+ * Starts that a cold backend server bears: a token bucket that fills with
+ * per_s and holds burst. It starts empty but for one start, since an earlier
+ * process may have started others a moment before.
+ */
+struct admit_cold_rate {
+	double per_s;
+	double burst; /* 1 or more */
+};
+
 /* Plain settings; taken again by admit_set_policy() from each new version. */
 struct admit_options {
 	int slots;	 /* 1 or more */
@@ -168,6 +178,17 @@
 struct admit_request *admit_next(struct admit *admit, int64_t now,
 				 struct cds_list_head *expired);
 
+/*
+ * The backend server is cold until the deadline and bears the rate of starts;
+ * a deadline that has passed ends it. Unlike the limit, which counts what runs,
+ * this holds by time.
+ */
+void admit_set_cold(struct admit *admit, const struct admit_cold_rate *rate,
+		    int64_t deadline, int64_t now);
+
+/* Until when starts are limited by the cold rate. */
+int64_t admit_cold_deadline(const struct admit *admit);
+
 /* A running request ended and frees its slot. */
 void admit_done(struct admit *admit, struct admit_request *request,
 		enum admit_outcome outcome, int64_t now);
@@ -203,6 +224,8 @@
 int admit_limit(struct admit *admit, int64_t now);
 int admit_running(const struct admit *admit);
 int admit_queued(const struct admit *admit);
+/* When a request that came now would start, by the mean service time. */
+int64_t admit_wait_ns(const struct admit *admit);
 /* Below the limit of a warm backend server. */
 bool admit_cold(const struct admit *admit);
 
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <glib.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -23,6 +24,16 @@
 static pthread_mutex_t rate_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct event_rate rates[MAX_EVENT_NAMES];
 static int max_priority = LOG_INFO;
+static int output = STDERR_FILENO;
+
+void log_set_output(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	output = fd;
+}
 
 void log_set_level(int priority)
 {
@@ -89,7 +100,7 @@
 	}
 	g_string_append_c(line, '\n');
 	/* One write for each line keeps lines of several threads apart. */
-	if (write(STDERR_FILENO, line->str, line->len) < 0)
+	if (write(output, line->str, line->len) < 0)
 		return;
 }
 
--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -4,7 +4,8 @@
 #include <syslog.h>
 
 /*
- * One line of key=value pairs for each event on standard error, with the
+ * One line of key=value pairs for each event on standard error, or on the
+ * descriptor of log_set_output(), with the
  * syslog priority in angle brackets in front:
  *
  *	<6>ts=1764840000.123 event=config_accepted version=7
@@ -15,6 +16,12 @@
 
 #define LOG_LINES_PER_SEC 20
 
+/*
+ * Writes lines to another descriptor, which is made non-blocking: a line that
+ * does not fit is dropped, so that a slow reader never delays a request.
+ */
+void log_set_output(int fd);
+
 /* Lines above this priority are dropped; LOG_INFO at the start. */
 void log_set_level(int priority);
 
--- /dev/null
+++ b/lib/http/client.c
@@ -0,0 +1,307 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "http/client.h"
+
+#define READ_BYTES 16384
+
+/* Used when the server does not tell how long it keeps idle connections. */
+#define IDLE_DEFAULT_NS (4 * NS_PER_SEC)
+
+/* Part of the told idle time that is used, against crossing its end. */
+#define IDLE_PERCENT 70
+
+struct http_client {
+	struct net_source source;
+	struct http_client_options options;
+	struct http_reader reader;
+	GByteArray *out;
+	guint out_done;
+	char *request_id;
+	uint32_t events;
+	int64_t idle_deadline;
+	int64_t idle_since;
+	bool connected;
+	bool busy;
+	bool spent; /* no further request may use the connection */
+	bool closed;
+};
+
+static void set_events(struct http_client *client, uint32_t events)
+{
+	if (client->events == events || client->closed)
+		return;
+	client->events = events;
+	net_loop_modify(client->options.loop, &client->source, events);
+}
+
+static void close_fd(struct http_client *client)
+{
+	if (client->closed)
+		return;
+	client->closed = true;
+	net_loop_remove(client->options.loop, &client->source);
+	close(client->source.fd);
+}
+
+static void end_request(struct http_client *client, enum http_end end,
+			struct http_message *response)
+{
+	client->busy = false;
+	client->options.ops->done(client, end, response, client->options.ctx);
+}
+
+static void fail(struct http_client *client, enum http_end end)
+{
+	bool was_busy = client->busy;
+
+	close_fd(client);
+	if (was_busy && !client->out_done)
+		end = HTTP_END_REFUSED;
+	if (was_busy)
+		end_request(client, end, NULL);
+	else
+		client->options.ops->closed(client, client->options.ctx);
+}
+
+static void note_idle_time(struct http_client *client,
+			   const struct http_message *response)
+{
+	const char *text = http_message_value(response, HTTP_ROLE_KEEP_ALIVE);
+	const char *at = text ? strstr(text, "timeout=") : NULL;
+	int64_t now = clock_monotonic_ns();
+	int64_t wait = IDLE_DEFAULT_NS;
+
+	if (at)
+		wait = g_ascii_strtoll(at + strlen("timeout="), NULL, 10) *
+		       NS_PER_SEC * IDLE_PERCENT / 100;
+	client->idle_since = now;
+	client->idle_deadline = now + wait;
+}
+
+/* A response whose id is that of another request belongs to no request. */
+static bool is_stray(const struct http_client *client,
+		     const struct http_message *response)
+{
+	const char *id = http_message_value(response, HTTP_ROLE_REQUEST_ID);
+
+	return client->request_id && id &&
+	       strcmp(id, client->request_id) != 0;
+}
+
+/* Returns whether the bytes that follow are still read. */
+static bool take_response(struct http_client *client, bool more)
+{
+	struct http_message *response = http_reader_take(&client->reader);
+	bool reusable = response->keep_alive && !more && !client->spent &&
+			client->out_done == client->out->len;
+
+	if (response->status < 200 || is_stray(client, response)) {
+		if (response->status >= 200)
+			client->spent = true;
+		http_message_free(response);
+		http_reader_next(&client->reader);
+		return true;
+	}
+	note_idle_time(client, response);
+	http_reader_next(&client->reader);
+	if (!reusable) {
+		client->spent = true;
+		close_fd(client);
+	}
+	end_request(client, HTTP_END_ANSWERED, response);
+	return false;
+}
+
+static void take_bytes(struct http_client *client, const char *data, size_t len)
+{
+	/* Bytes that answer no request make the connection unusable. */
+	if (!client->busy) {
+		fail(client, HTTP_END_MALFORMED);
+		return;
+	}
+	while (len) {
+		size_t used;
+
+		switch (http_reader_feed(&client->reader, data, len, &used)) {
+		case HTTP_READ_MORE:
+			return;
+		case HTTP_READ_DONE:
+			data += used;
+			len -= used;
+			if (!take_response(client, len > 0))
+				return;
+			break;
+		default:
+			fail(client, HTTP_END_MALFORMED);
+			return;
+		}
+	}
+}
+
+static void read_end(struct http_client *client)
+{
+	/* Only an orderly end completes a response without a length. */
+	if (client->busy && client->reader.head_done &&
+	    http_reader_end(&client->reader) == HTTP_READ_DONE &&
+	    !is_stray(client, client->reader.message)) {
+		client->spent = true;
+		take_response(client, false);
+		return;
+	}
+	fail(client, HTTP_END_LOST);
+}
+
+static void read_some(struct http_client *client)
+{
+	char buffer[READ_BYTES];
+	ssize_t n = recv(client->source.fd, buffer, sizeof(buffer), 0);
+
+	if (n > 0)
+		take_bytes(client, buffer, (size_t)n);
+	else if (n == 0)
+		read_end(client);
+	else if (errno != EAGAIN && errno != EINTR)
+		fail(client, HTTP_END_LOST);
+}
+
+static void write_out(struct http_client *client)
+{
+	while (client->out_done < client->out->len) {
+		ssize_t n = send(client->source.fd,
+				 client->out->data + client->out_done,
+				 client->out->len - client->out_done,
+				 MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN) {
+			set_events(client, EPOLLIN | EPOLLOUT);
+			return;
+		}
+		if (n < 0) {
+			/* The server may have answered before it closed. */
+			set_events(client, EPOLLIN);
+			client->spent = true;
+			return;
+		}
+		client->out_done += (guint)n;
+	}
+	set_events(client, EPOLLIN);
+}
+
+static bool finish_connect(struct http_client *client)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	getsockopt(client->source.fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error) {
+		fail(client, HTTP_END_REFUSED);
+		return false;
+	}
+	client->connected = true;
+	return true;
+}
+
+static void on_ready(struct net_source *source, uint32_t events)
+{
+	struct http_client *client =
+		caa_container_of(source, struct http_client, source);
+
+	if (client->closed)
+		return;
+	if (!client->connected) {
+		if (finish_connect(client))
+			write_out(client);
+		return;
+	}
+	if (events & EPOLLOUT) {
+		write_out(client);
+		if (!(events & ~(uint32_t)EPOLLOUT))
+			return;
+	}
+	read_some(client);
+}
+
+struct http_client *http_client_new(const struct http_client_options *options)
+{
+	struct http_client *client;
+	int fd = net_connect(&options->address, NULL);
+
+	if (fd < 0)
+		return NULL;
+	client = g_new0(struct http_client, 1);
+	client->options = *options;
+	client->source.fd = fd;
+	client->source.ready = on_ready;
+	client->out = g_byte_array_new();
+	client->events = EPOLLIN | EPOLLOUT;
+	http_reader_init(&client->reader, false, options->roles,
+			 &options->limits);
+	if (!net_loop_add(options->loop, &client->source, client->events)) {
+		close_fd(client);
+		http_client_free(client);
+		return NULL;
+	}
+	return client;
+}
+
+static void free_client(void *arg)
+{
+	struct http_client *client = arg;
+
+	http_reader_release(&client->reader);
+	g_byte_array_unref(client->out);
+	g_free(client->request_id);
+	g_free(client);
+}
+
+void http_client_free(struct http_client *client)
+{
+	close_fd(client);
+	/* Events of this turn may still name the connection. */
+	net_loop_defer(client->options.loop, free_client, client);
+}
+
+void http_client_send(struct http_client *client, const GString *head,
+		      const void *body, size_t body_len,
+		      const char *request_id)
+{
+	client->busy = true;
+	g_free(client->request_id);
+	client->request_id = g_strdup(request_id);
+	g_byte_array_set_size(client->out, 0);
+	client->out_done = 0;
+	client->reader.no_body = !strncmp(head->str, "HEAD ", 5);
+	g_byte_array_append(client->out, (const guint8 *)head->str,
+			    (guint)head->len);
+	g_byte_array_append(client->out, body, (guint)body_len);
+	if (client->connected)
+		write_out(client);
+}
+
+bool http_client_is_idle(const struct http_client *client)
+{
+	return client->connected && !client->busy && !client->spent &&
+	       !client->closed;
+}
+
+int64_t http_client_idle_deadline(const struct http_client *client)
+{
+	return client->idle_deadline;
+}
+
+int64_t http_client_idle_since(const struct http_client *client)
+{
+	return client->idle_since;
+}
+
+bool http_client_was_connected(const struct http_client *client)
+{
+	return client->connected;
+}
--- /dev/null
+++ b/lib/http/message.c
@@ -0,0 +1,56 @@
+#include <http_parser.h>
+
+#include "http/message.h"
+
+struct http_message *http_message_new(void)
+{
+	struct http_message *message = g_new0(struct http_message, 1);
+
+	message->target = g_string_new(NULL);
+	message->fields = g_string_new(NULL);
+	message->body = g_byte_array_new();
+	return message;
+}
+
+void http_message_free(struct http_message *message)
+{
+	if (!message)
+		return;
+	for (int i = 0; i < HTTP_NR_ROLES; i++)
+		g_free(message->values[i]);
+	g_string_free(message->target, TRUE);
+	g_string_free(message->fields, TRUE);
+	g_byte_array_unref(message->body);
+	g_free(message);
+}
+
+const char *http_message_value(const struct http_message *message,
+			       enum http_role role)
+{
+	return message->values[role];
+}
+
+int64_t http_message_number(const struct http_message *message,
+			    enum http_role role, int64_t fallback)
+{
+	const char *text = message->values[role];
+	gint64 number;
+
+	if (!text ||
+	    !g_ascii_string_to_signed(text, 10, 0, G_MAXINT32, &number, NULL))
+		return fallback;
+	return number;
+}
+
+void http_field_append(GString *fields, const char *name, const char *value)
+{
+	g_string_append(fields, name);
+	g_string_append(fields, ": ");
+	g_string_append(fields, value);
+	g_string_append(fields, "\r\n");
+}
+
+const char *http_status_phrase(int status)
+{
+	return http_status_str((enum http_status)status);
+}
--- /dev/null
+++ b/lib/http/server.c
@@ -0,0 +1,402 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/server.h"
+
+#define READ_BYTES 16384
+
+/* Bytes after a request that are kept until it is answered. */
+#define AHEAD_MAX 65536
+
+enum conn_state {
+	CONN_READING, /* a request, or idle before its first byte */
+	CONN_SERVING, /* the owner has the request */
+	CONN_WRITING, /* the answer is being written */
+	CONN_CLOSED
+};
+
+struct http_server {
+	struct http_server_options options;
+	struct net_source listener;
+	struct cds_list_head conns;
+	unsigned nr_conns;
+	bool draining;
+};
+
+struct http_server_conn {
+	struct net_source source;
+	struct timer timer;
+	struct cds_list_head node;
+	struct http_server *server;
+	struct http_reader reader;
+	enum conn_state state;
+	uint32_t events;
+	GByteArray *out; /* bytes of the answer that wait for the socket */
+	guint out_done;
+	GByteArray *ahead; /* bytes read behind the present request */
+	bool close_after;
+	bool is_head;
+	bool ended; /* the caller sent its last byte */
+	void *data;
+};
+
+static void conn_close(struct http_server_conn *conn);
+static void conn_read_ahead(struct http_server_conn *conn);
+
+static void set_events(struct http_server_conn *conn, uint32_t events)
+{
+	if (conn->events == events)
+		return;
+	conn->events = events;
+	net_loop_modify(conn->server->options.loop, &conn->source, events);
+}
+
+static void free_conn(void *arg)
+{
+	struct http_server_conn *conn = arg;
+
+	http_reader_release(&conn->reader);
+	g_byte_array_unref(conn->out);
+	g_byte_array_unref(conn->ahead);
+	g_free(conn);
+}
+
+static void conn_close(struct http_server_conn *conn)
+{
+	struct http_server *server = conn->server;
+	bool serving = conn->state == CONN_SERVING;
+
+	if (conn->state == CONN_CLOSED)
+		return;
+	conn->state = CONN_CLOSED;
+	timers_cancel(server->options.timers, &conn->timer);
+	net_loop_remove(server->options.loop, &conn->source);
+	close(conn->source.fd);
+	cds_list_del(&conn->node);
+	server->nr_conns--;
+	if (serving)
+		server->options.ops->gone(conn, server->options.ctx);
+	/* Events of this turn may still name the connection. */
+	net_loop_defer(server->options.loop, free_conn, conn);
+}
+
+static void wait_for_request(struct http_server_conn *conn)
+{
+	struct http_server *server = conn->server;
+
+	conn->state = CONN_READING;
+	http_reader_next(&conn->reader);
+	conn->reader.limits = server->options.limits.message;
+	timers_set(server->options.timers, &conn->timer,
+		   clock_monotonic_ns() + server->options.limits.idle_wait_ns);
+	set_events(conn, EPOLLIN | EPOLLRDHUP);
+}
+
+static void finish_reply(struct http_server_conn *conn)
+{
+	g_byte_array_set_size(conn->out, 0);
+	conn->out_done = 0;
+	if (conn->close_after || conn->ended) {
+		/* The caller reads the answer to its end before the reset. */
+		shutdown(conn->source.fd, SHUT_WR);
+		conn_close(conn);
+		return;
+	}
+	wait_for_request(conn);
+	conn_read_ahead(conn);
+}
+
+static void write_out(struct http_server_conn *conn)
+{
+	while (conn->out_done < conn->out->len) {
+		ssize_t n = send(conn->source.fd,
+				 conn->out->data + conn->out_done,
+				 conn->out->len - conn->out_done, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN) {
+			set_events(conn, EPOLLOUT);
+			return;
+		}
+		if (n < 0) {
+			conn_close(conn);
+			return;
+		}
+		conn->out_done += (guint)n;
+	}
+	finish_reply(conn);
+}
+
+static void append_text(GByteArray *out, const char *text)
+{
+	g_byte_array_append(out, (const guint8 *)text, (guint)strlen(text));
+}
+
+static bool has_body(int status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+void http_server_reply(struct http_server_conn *conn,
+		       const struct http_reply *reply)
+{
+	char line[128];
+
+	if (conn->state != CONN_SERVING)
+		return;
+	conn->state = CONN_WRITING;
+	conn->data = NULL;
+	conn->close_after |= reply->close || conn->server->draining;
+	snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", reply->status,
+		 http_status_phrase(reply->status));
+	append_text(conn->out, line);
+	if (reply->fields)
+		append_text(conn->out, reply->fields);
+	if (has_body(reply->status)) {
+		snprintf(line, sizeof(line), "Content-Length: %zu\r\n",
+			 reply->body_len);
+		append_text(conn->out, line);
+	}
+	append_text(conn->out,
+		    conn->close_after ? "Connection: close\r\n\r\n" : "\r\n");
+	if (has_body(reply->status) && !conn->is_head)
+		g_byte_array_append(conn->out, reply->body,
+				    (guint)reply->body_len);
+	write_out(conn);
+}
+
+void http_server_abort(struct http_server_conn *conn)
+{
+	conn->data = NULL;
+	if (conn->state == CONN_SERVING)
+		conn->state = CONN_WRITING; /* gone() is not called */
+	conn_close(conn);
+}
+
+void http_server_set_data(struct http_server_conn *conn, void *data)
+{
+	conn->data = data;
+}
+
+void *http_server_data(const struct http_server_conn *conn)
+{
+	return conn->data;
+}
+
+static void refuse(struct http_server_conn *conn, int status)
+{
+	struct http_reply reply = {
+		.status = status,
+		.body = "",
+		.close = true,
+	};
+
+	conn->state = CONN_SERVING;
+	http_server_reply(conn, &reply);
+}
+
+static void hand_over(struct http_server_conn *conn)
+{
+	struct http_server *server = conn->server;
+	struct http_message *message = http_reader_take(&conn->reader);
+
+	timers_cancel(server->options.timers, &conn->timer);
+	conn->state = CONN_SERVING;
+	conn->close_after = !message->keep_alive;
+	conn->is_head = !strcmp(message->method, "HEAD");
+	/* What the caller sends next stays in the socket until the answer. */
+	set_events(conn, EPOLLRDHUP);
+	server->options.ops->request(conn, message, server->options.ctx);
+}
+
+static void send_continue(struct http_server_conn *conn)
+{
+	static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct http_message *message = conn->reader.message;
+
+	if (!conn->reader.head_done || !message ||
+	    !message->values[HTTP_ROLE_EXPECT])
+		return;
+	g_clear_pointer(&message->values[HTTP_ROLE_EXPECT], g_free);
+	if (send(conn->source.fd, line, sizeof(line) - 1, MSG_NOSIGNAL) < 0)
+		conn_close(conn);
+}
+
+static void take_bytes(struct http_server_conn *conn, const char *data,
+		       size_t len)
+{
+	struct http_server *server = conn->server;
+	bool was_started = conn->reader.started;
+	size_t used;
+
+	switch (http_reader_feed(&conn->reader, data, len, &used)) {
+	case HTTP_READ_MORE:
+		if (!was_started && conn->reader.started)
+			timers_set(server->options.timers, &conn->timer,
+				   clock_monotonic_ns() +
+					   server->options.limits.head_wait_ns);
+		send_continue(conn);
+		return;
+	case HTTP_READ_DONE:
+		g_byte_array_append(conn->ahead, (const guint8 *)data + used,
+				    (guint)(len - used));
+		hand_over(conn);
+		return;
+	case HTTP_READ_HEAD_TOO_LARGE:
+		refuse(conn, 431);
+		return;
+	case HTTP_READ_BODY_TOO_LARGE:
+		refuse(conn, 413);
+		return;
+	default:
+		refuse(conn, 400);
+	}
+}
+
+/* Goes on with a request that came behind the one before. */
+static void conn_read_ahead(struct http_server_conn *conn)
+{
+	g_autoptr(GByteArray) bytes = conn->ahead;
+
+	conn->ahead = g_byte_array_new();
+	if (bytes->len)
+		take_bytes(conn, (const char *)bytes->data, bytes->len);
+}
+
+static void read_some(struct http_server_conn *conn)
+{
+	char buffer[READ_BYTES];
+	ssize_t n = recv(conn->source.fd, buffer, sizeof(buffer), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		conn_close(conn);
+		return;
+	}
+	take_bytes(conn, buffer, (size_t)n);
+}
+
+static void on_conn_ready(struct net_source *source, uint32_t events)
+{
+	struct http_server_conn *conn =
+		caa_container_of(source, struct http_server_conn, source);
+
+	switch (conn->state) {
+	case CONN_READING:
+		read_some(conn);
+		break;
+	case CONN_SERVING:
+		if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+			conn_close(conn);
+		break;
+	case CONN_WRITING:
+		if (events & (EPOLLHUP | EPOLLERR))
+			conn_close(conn);
+		else
+			write_out(conn);
+		break;
+	case CONN_CLOSED:
+		break;
+	}
+}
+
+static void on_conn_timer(struct timer *timer, int64_t now)
+{
+	struct http_server_conn *conn =
+		caa_container_of(timer, struct http_server_conn, timer);
+
+	(void)now;
+	if (conn->state == CONN_READING && conn->reader.started)
+		refuse(conn, 408);
+	else if (conn->state == CONN_READING)
+		conn_close(conn);
+}
+
+static void add_conn(struct http_server *server, int fd)
+{
+	struct http_server_conn *conn = g_new0(struct http_server_conn, 1);
+
+	conn->server = server;
+	conn->source.fd = fd;
+	conn->source.ready = on_conn_ready;
+	conn->timer.fire = on_conn_timer;
+	conn->out = g_byte_array_new();
+	conn->ahead = g_byte_array_new();
+	http_reader_init(&conn->reader, true, server->options.roles,
+			 &server->options.limits.message);
+	cds_list_add_tail(&conn->node, &server->conns);
+	server->nr_conns++;
+	conn->events = EPOLLIN | EPOLLRDHUP;
+	net_loop_add(server->options.loop, &conn->source, conn->events);
+	wait_for_request(conn);
+}
+
+static void on_listener_ready(struct net_source *source, uint32_t events)
+{
+	struct http_server *server =
+		caa_container_of(source, struct http_server, listener);
+	int fd;
+
+	(void)events;
+	while ((fd = accept4(source->fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		add_conn(server, fd);
+	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+		log_event(LOG_ERR, "accept_failed", "errno=%d", errno);
+}
+
+struct http_server *http_server_new(const struct http_server_options *options,
+				    GError **error)
+{
+	struct http_server *server = g_new0(struct http_server, 1);
+
+	server->options = *options;
+	CDS_INIT_LIST_HEAD(&server->conns);
+	server->listener.fd = net_listen(&options->listen, error);
+	server->listener.ready = on_listener_ready;
+	if (server->listener.fd < 0) {
+		g_free(server);
+		return NULL;
+	}
+	net_loop_add(options->loop, &server->listener, EPOLLIN);
+	return server;
+}
+
+void http_server_stop(struct http_server *server)
+{
+	struct http_server_conn *conn, *next;
+
+	if (server->listener.fd >= 0) {
+		net_loop_remove(server->options.loop, &server->listener);
+		close(server->listener.fd);
+		server->listener.fd = -1;
+	}
+	cds_list_for_each_entry_safe (conn, next, &server->conns, node) {
+		if (conn->state == CONN_READING)
+			conn_close(conn);
+	}
+}
+
+void http_server_set_limits(struct http_server *server,
+			    const struct http_server_limits *limits)
+{
+	server->options.limits = *limits;
+}
+
+void http_server_drain(struct http_server *server)
+{
+	server->draining = true;
+}
+
+unsigned http_server_nr_conns(const struct http_server *server)
+{
+	return server->nr_conns;
+}
--- /dev/null
+++ b/lib/mesh/feed.c
@@ -0,0 +1,205 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "mesh/feed.h"
+
+/*
+ * Deleted items are remembered, so that an older write that arrives late does
+ * not bring them back. Beyond this many the oldest are forgotten.
+ */
+#define DELETED_MAX 4096
+
+struct feed {
+	GHashTable *items; /* key -> struct feed_item */
+	int64_t revision;
+	guint nr_deleted;
+};
+
+static void free_item(void *arg)
+{
+	struct feed_item *item = arg;
+
+	g_free(item->key);
+	g_clear_pointer(&item->value, g_bytes_unref);
+	g_free(item);
+}
+
+struct feed *feed_new(void)
+{
+	struct feed *feed = g_new0(struct feed, 1);
+
+	feed->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_item);
+	return feed;
+}
+
+void feed_free(struct feed *feed)
+{
+	g_hash_table_unref(feed->items);
+	g_free(feed);
+}
+
+int64_t feed_revision(const struct feed *feed)
+{
+	return feed->revision;
+}
+
+void feed_advance(struct feed *feed, int64_t revision)
+{
+	feed->revision = MAX(feed->revision, revision);
+}
+
+static struct feed_item *get_item(struct feed *feed, const char *key)
+{
+	struct feed_item *item = g_hash_table_lookup(feed->items, key);
+
+	if (item)
+		return item;
+	item = g_new0(struct feed_item, 1);
+	item->key = g_strdup(key);
+	item->delete_deadline = DEADLINE_NEVER;
+	g_hash_table_insert(feed->items, item->key, item);
+	return item;
+}
+
+bool feed_is_news(const struct feed *feed, const char *key, int64_t revision)
+{
+	const struct feed_item *item = feed_find(feed, key);
+
+	return !item || revision > item->revision;
+}
+
+bool feed_holds(const struct feed *feed, const char *key)
+{
+	const struct feed_item *item = feed_find(feed, key);
+
+	return item && item->value && item->delete_deadline == DEADLINE_NEVER;
+}
+
+bool feed_write(struct feed *feed, const char *key, GBytes *value,
+		int64_t revision, bool is_change)
+{
+	struct feed_item *item = get_item(feed, key);
+
+	if (revision <= item->revision)
+		return false;
+	if (!item->value && item->revision)
+		feed->nr_deleted--;
+	g_clear_pointer(&item->value, g_bytes_unref);
+	item->value = g_bytes_ref(value);
+	item->revision = revision;
+	if (is_change)
+		item->changed = revision;
+	item->delete_deadline = DEADLINE_NEVER;
+	return true;
+}
+
+static void forget_oldest_deleted(struct feed *feed)
+{
+	struct feed_item *oldest = NULL, *item;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, feed->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		if (!item->value &&
+		    (!oldest || item->revision < oldest->revision))
+			oldest = item;
+	}
+	if (oldest)
+		g_hash_table_remove(feed->items, oldest->key);
+	feed->nr_deleted--;
+}
+
+static void drop_value(struct feed *feed, struct feed_item *item)
+{
+	g_clear_pointer(&item->value, g_bytes_unref);
+	item->delete_deadline = DEADLINE_NEVER;
+	if (++feed->nr_deleted > DELETED_MAX)
+		forget_oldest_deleted(feed);
+}
+
+bool feed_delete(struct feed *feed, const char *key, int64_t revision,
+		 int64_t deadline)
+{
+	struct feed_item *item = get_item(feed, key);
+	bool is_new = !item->revision;
+
+	if (revision <= item->revision)
+		return false;
+	item->revision = revision;
+	item->changed = revision;
+	if (item->value)
+		item->delete_deadline = MIN(item->delete_deadline, deadline);
+	else if (is_new)
+		drop_value(feed, item);
+	return true;
+}
+
+bool feed_delete_missing(struct feed *feed, const char *prefix,
+			 GHashTable *keys, int64_t revision, int64_t deadline)
+{
+	struct feed_item *item;
+	GHashTableIter iter;
+	bool news = false;
+
+	g_hash_table_iter_init(&iter, feed->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		if (!item->value || item->revision > revision ||
+		    item->delete_deadline != DEADLINE_NEVER ||
+		    !g_str_has_prefix(item->key, prefix) ||
+		    g_hash_table_contains(keys, item->key))
+			continue;
+		item->revision = revision;
+		item->changed = revision;
+		item->delete_deadline = deadline;
+		news = true;
+	}
+	return news;
+}
+
+bool feed_expire(struct feed *feed, int64_t now)
+{
+	g_autoptr(GPtrArray) due = g_ptr_array_new();
+	struct feed_item *item;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, feed->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		if (item->delete_deadline <= now)
+			g_ptr_array_add(due, item);
+	}
+	for (guint i = 0; i < due->len; i++)
+		drop_value(feed, g_ptr_array_index(due, i));
+	return due->len > 0;
+}
+
+int64_t feed_next_expiry(const struct feed *feed)
+{
+	int64_t next = DEADLINE_NEVER;
+	struct feed_item *item;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, feed->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item))
+		next = MIN(next, item->delete_deadline);
+	return next;
+}
+
+void feed_each_after(const struct feed *feed, int64_t revision,
+		     void (*each)(const struct feed_item *item, void *ctx),
+		     void *ctx)
+{
+	struct feed_item *item;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, feed->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		if (item->changed > revision)
+			each(item, ctx);
+	}
+}
+
+const struct feed_item *feed_find(const struct feed *feed, const char *key)
+{
+	return g_hash_table_lookup(feed->items, key);
+}
--- /dev/null
+++ b/lib/mesh/readers.c
@@ -0,0 +1,52 @@
+#include "base/clock.h"
+#include "base/rng.h"
+#include "mesh/readers.h"
+
+/*
+ * News older than this are missing. Configurations must be in force within 2 s
+ * of their publication, and the watch of the next reader comes on top.
+ */
+#define STALE_NS (1300 * NS_PER_MS)
+
+/* Each further rank waits longer, so that they do not all read at once. */
+#define RANK_STEP_NS (120 * NS_PER_MS)
+#define RANK_STEPS_MAX 8
+
+/* Silence of all others after which a daemon tells what it knows. */
+#define SILENCE_NS (1800 * NS_PER_MS)
+
+uint64_t readers_hash(const char *ip)
+{
+	return hash_mix(hash_string(ip), hash_string("reader"));
+}
+
+static int64_t rank_wait(const struct readers_state *state)
+{
+	return MIN(state->rank, RANK_STEPS_MAX) * RANK_STEP_NS;
+}
+
+bool readers_reads(const struct readers_state *state, int64_t now)
+{
+	return state->rank < READERS_USUAL || !state->confirmed ||
+	       now - state->confirmed > STALE_NS + rank_wait(state);
+}
+
+bool readers_tells(const struct readers_state *state, int64_t now)
+{
+	return readers_reads(state, now)
+		       ? state->rank < READERS_USUAL + RANK_STEPS_MAX
+		       : now - state->heard > SILENCE_NS + rank_wait(state);
+}
+
+int64_t readers_next(const struct readers_state *state, int64_t now)
+{
+	int64_t reads = state->confirmed + STALE_NS + rank_wait(state);
+	int64_t tells = state->heard + SILENCE_NS + rank_wait(state);
+	int64_t next = DEADLINE_NEVER;
+
+	if (reads > now)
+		next = reads + 1;
+	if (tells > now)
+		next = MIN(next, tells + 1);
+	return next;
+}
--- /dev/null
+++ b/lib/mesh/view.c
@@ -0,0 +1,246 @@
+#include <string.h>
+
+#include "mesh/view.h"
+
+#define KEY_MAX 1024
+
+static void free_route(void *arg)
+{
+	struct mesh_route *route = arg;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	for (size_t i = 0; i < route->nr_parts; i++)
+		g_free(route->parts[i].service);
+	g_free(route->parts);
+	g_free(route);
+}
+
+static void free_service(void *arg)
+{
+	struct mesh_service *service = arg;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+struct mesh_config *mesh_config_new(void)
+{
+	struct mesh_config *config = g_new0(struct mesh_config, 1);
+
+	config->refs = 1;
+	config->routes = g_ptr_array_new_with_free_func(free_route);
+	config->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_service);
+	config->by_prefix = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, NULL);
+	return config;
+}
+
+struct mesh_config *mesh_config_ref(struct mesh_config *config)
+{
+	g_atomic_int_inc(&config->refs);
+	return config;
+}
+
+void mesh_config_unref(struct mesh_config *config)
+{
+	if (!config || !g_atomic_int_dec_and_test(&config->refs))
+		return;
+	g_hash_table_unref(config->by_prefix);
+	g_hash_table_unref(config->services);
+	g_ptr_array_unref(config->routes);
+	g_free(config);
+}
+
+struct mesh_route *mesh_config_add_route(struct mesh_config *config)
+{
+	struct mesh_route *route = g_new0(struct mesh_route, 1);
+
+	g_ptr_array_add(config->routes, route);
+	return route;
+}
+
+void mesh_route_add_part(struct mesh_route *route, const char *service,
+			 int weight)
+{
+	route->parts =
+		g_renew(struct mesh_part, route->parts, route->nr_parts + 1);
+	route->parts[route->nr_parts].service = g_strdup(service);
+	route->parts[route->nr_parts].weight = weight;
+	route->nr_parts++;
+}
+
+struct mesh_service *mesh_config_add_service(struct mesh_config *config,
+					     const char *name)
+{
+	struct mesh_service *service = g_new0(struct mesh_service, 1);
+
+	service->name = g_strdup(name);
+	g_hash_table_replace(config->services, service->name, service);
+	return service;
+}
+
+static char *check_route(const struct mesh_config *config,
+			 const struct mesh_route *route)
+{
+	int64_t sum = 0;
+
+	if (!route->nr_parts)
+		return g_strdup_printf("route %s: no service", route->name);
+	for (size_t i = 0; i < route->nr_parts; i++) {
+		const struct mesh_part *part = &route->parts[i];
+
+		if (!g_hash_table_contains(config->services, part->service))
+			return g_strdup_printf("route %s: unknown service %s",
+					       route->name, part->service);
+		sum += part->weight;
+	}
+	if (sum <= 0)
+		return g_strdup_printf("route %s: no weight", route->name);
+	return NULL;
+}
+
+char *mesh_config_finish(struct mesh_config *config)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		struct mesh_route *route =
+			g_ptr_array_index(config->routes, i);
+		char *reason = check_route(config, route);
+		char *key;
+
+		if (reason)
+			return reason;
+		key = g_strconcat(route->host, route->prefix, NULL);
+		if (!g_hash_table_insert(config->by_prefix, key, route))
+			return g_strdup_printf("route %s: prefix stands twice",
+					       route->name);
+	}
+	return NULL;
+}
+
+const struct mesh_route *mesh_config_find(const struct mesh_config *config,
+					  const char *host, const char *path)
+{
+	char key[KEY_MAX];
+	size_t host_len = strcspn(host, ":");
+	size_t path_len = strcspn(path, "?");
+
+	if (host_len + path_len + 1 > sizeof(key))
+		return NULL;
+	for (size_t i = 0; i < host_len; i++)
+		key[i] = g_ascii_tolower(host[i]);
+	memcpy(key + host_len, path, path_len);
+	/* Prefixes end with a slash, so only those ends are looked up. */
+	for (size_t len = path_len; len; len--) {
+		const struct mesh_route *route;
+
+		if (path[len - 1] != '/')
+			continue;
+		key[host_len + len] = '\0';
+		route = g_hash_table_lookup(config->by_prefix, key);
+		if (route)
+			return route;
+	}
+	return NULL;
+}
+
+struct mesh_target *mesh_target_ref(struct mesh_target *target)
+{
+	g_atomic_int_inc(&target->refs);
+	return target;
+}
+
+void mesh_target_unref(struct mesh_target *target)
+{
+	if (!target || !g_atomic_int_dec_and_test(&target->refs))
+		return;
+	g_free(target->id);
+	g_free(target->service);
+	g_free(target->address);
+	g_free(target->ip);
+	g_free(target->zone);
+	g_free(target);
+}
+
+static void unref_target(void *arg)
+{
+	mesh_target_unref(arg);
+}
+
+struct mesh_view *mesh_view_new(struct mesh_config *config)
+{
+	struct mesh_view *view = g_new0(struct mesh_view, 1);
+
+	view->refs = 1;
+	view->config = config ? mesh_config_ref(config) : NULL;
+	view->targets = g_ptr_array_new_with_free_func(unref_target);
+	view->zones_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	return view;
+}
+
+struct mesh_view *mesh_view_ref(struct mesh_view *view)
+{
+	g_atomic_int_inc(&view->refs);
+	return view;
+}
+
+void mesh_view_unref(struct mesh_view *view)
+{
+	if (!view || !g_atomic_int_dec_and_test(&view->refs))
+		return;
+	mesh_config_unref(view->config);
+	g_ptr_array_unref(view->targets);
+	g_hash_table_unref(view->zones_out);
+	g_free(view);
+}
+
+bool mesh_view_in_service(const struct mesh_view *view,
+			  const struct mesh_target *target)
+{
+	return !target->draining &&
+	       !g_hash_table_contains(view->zones_out, target->zone);
+}
+
+const struct mesh_target *mesh_view_find(const struct mesh_view *view,
+					 const char *id)
+{
+	for (guint i = 0; i < view->targets->len; i++) {
+		const struct mesh_target *target =
+			g_ptr_array_index(view->targets, i);
+
+		if (!strcmp(target->id, id))
+			return target;
+	}
+	return NULL;
+}
+
+/* Whether a is to be preferred as the present server of an address. */
+static bool is_newer(const struct mesh_target *a, const struct mesh_target *b)
+{
+	if (a->draining != b->draining)
+		return b->draining;
+	return a->started_ms > b->started_ms;
+}
+
+const struct mesh_target *mesh_view_at_address(const struct mesh_view *view,
+					       const char *address,
+					       const char *service)
+{
+	const struct mesh_target *newest = NULL;
+
+	for (guint i = 0; i < view->targets->len; i++) {
+		const struct mesh_target *target =
+			g_ptr_array_index(view->targets, i);
+
+		if (strcmp(target->address, address) != 0 ||
+		    strcmp(target->service, service) != 0)
+			continue;
+		if (!newest || is_newer(target, newest))
+			newest = target;
+	}
+	return newest;
+}
--- a/lib/net/address.c
+++ b/lib/net/address.c
@@ -10,6 +10,12 @@
 
 #define LISTEN_BACKLOG 1024
 
+/*
+ * Bytes that stay unacknowledged this long end a connection, so that one whose
+ * other side lost power or was cut off does not hold on to its requests.
+ */
+#define SILENT_MS 3000
+
 GQuark net_error_quark(void)
 {
 	return g_quark_from_static_string("net-error");
@@ -95,6 +101,14 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+static void set_silent_limit(int fd)
+{
+	unsigned silent_ms = SILENT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+		   sizeof(silent_ms));
+}
+
 static int fail(int fd, const struct net_address *address, const char *what,
 		GError **error)
 {
@@ -116,6 +130,9 @@
 	if (fd < 0)
 		return fail(fd, address, "socket", error);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	/* Accepted sockets inherit both. */
+	set_no_delay(fd);
+	set_silent_limit(fd);
 	if (bind(fd, (const struct sockaddr *)&address->storage, address->len) <
 	    0)
 		return fail(fd, address, "bind", error);
@@ -132,6 +149,7 @@
 	if (fd < 0)
 		return fail(fd, address, "socket", error);
 	set_no_delay(fd);
+	set_silent_limit(fd);
 	if (connect(fd, (const struct sockaddr *)&address->storage,
 		    address->len) < 0 &&
 	    errno != EINPROGRESS)
--- a/lib/retry/attempts.c
+++ b/lib/retry/attempts.c
@@ -4,7 +4,26 @@
 
 void retry_budget_init(struct retry_budget *budget)
 {
-	budget->hundredths = RETRY_BURST * HUNDREDTHS;
+	budget->most = RETRY_BURST * HUNDREDTHS;
+	budget->hundredths = budget->most;
+}
+
+void retry_budget_set_share(struct retry_budget *budget, int slack,
+			    int nr_daemons)
+{
+	bool is_new = !budget->most;
+	int64_t share = (int64_t)slack * RETRY_SHARE_PERCENT;
+
+	if (nr_daemons < 1)
+		nr_daemons = 1;
+	/* A daemon that may never repeat anything would serve no one. */
+	budget->most = share / nr_daemons;
+	if (budget->most < HUNDREDTHS)
+		budget->most = HUNDREDTHS;
+	if (is_new)
+		budget->hundredths = budget->most / 2;
+	if (budget->hundredths > budget->most)
+		budget->hundredths = budget->most;
 }
 
 void retry_budget_request(struct retry_budget *budget, int ratio_percent)
@@ -14,8 +33,8 @@
 	if (ratio_percent > 100)
 		ratio_percent = 100;
 	budget->hundredths += ratio_percent;
-	if (budget->hundredths > RETRY_BURST * HUNDREDTHS)
-		budget->hundredths = RETRY_BURST * HUNDREDTHS;
+	if (budget->hundredths > budget->most)
+		budget->hundredths = budget->most;
 }
 
 bool retry_budget_take(struct retry_budget *budget)
@@ -28,9 +47,9 @@
 
 json_t *retry_budget_dump(const struct retry_budget *budget)
 {
-	return json_pack("{s:f, s:i}", "retries_left",
+	return json_pack("{s:f, s:f}", "retries_left",
 			 (double)budget->hundredths / HUNDREDTHS, "burst",
-			 RETRY_BURST);
+			 (double)budget->most / HUNDREDTHS);
 }
 
 /* Splits the retries at hand between this ingress and the next attempt. */
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -27,7 +27,25 @@
 const TRAFFIC_CANCEL = 2;
 const TRAFFIC_HELLO = 5;
 
-/* Flags of a traffic_answer. */
+/* Requests between the daemons of the platform's hosts. */
+const RELAY_PROGRAM = 0x20474f46;
+const RELAY_VERSION = 1;
+const RELAY_REQUEST = 1;
+const RELAY_CANCEL = 2;
+const RELAY_PING = 3;
+
+/* Published items between the daemons of the platform's hosts. */
+const FEED_PROGRAM = 0x20474f47;
+const FEED_VERSION = 1;
+const FEED_PUSH = 1;
+
+const RELAY_FIELDS_MAX = 131072;
+const RELAY_TARGET_MAX = 65536;
+const RELAY_ID_MAX = 1024;
+const FEED_KEY_MAX = 255;
+const FEED_ITEMS_MAX = 8192;
+
+/* Flags of a relay_answer and of a traffic_answer. */
 const TRAFFIC_DRAINING = 1;
 const TRAFFIC_CRASHED = 2;
 const TRAFFIC_REPLAYED = 4;
@@ -109,3 +127,70 @@
 struct traffic_cancel {
 	unsigned int xid;
 };
+
+/* fields are the header lines that are passed on. */
+struct relay_request {
+	string service<PEER_NAME_MAX>;
+	hyper config_version;
+	string method<16>;
+	string target<RELAY_TARGET_MAX>;
+	string fields<RELAY_FIELDS_MAX>;
+	hyper time_left_ms;
+	string caller_service<PEER_NAME_MAX>;
+	string request_id<RELAY_ID_MAX>;
+	int priority;
+	bool at_most_once;
+	unsigned hyper fingerprint;
+	opaque body<PEER_BODY_MAX>;
+};
+
+/* sent says that the backend server received at least a part. */
+struct relay_answer {
+	int reason;
+	bool sent;
+	int status;
+	unsigned int flags;
+	int queued;
+	int in_flight;
+	int limit;
+	hyper wait_ms;
+	hyper service_us;
+	peer_crash crash;
+	string fields<RELAY_FIELDS_MAX>;
+	opaque body<PEER_BODY_MAX>;
+};
+
+struct relay_cancel {
+	unsigned int xid;
+};
+
+struct relay_ping {
+	bool draining;
+};
+
+/* An item as it was published; without value it was deleted. */
+struct feed_entry {
+	string key<FEED_KEY_MAX>;
+	hyper revision;
+	bool deleted;
+	hyper hold_ms;
+	opaque value<PEER_VALUE_MAX>;
+};
+
+/*
+ * All items that changed after the revision from, up to the revision to. The
+ * age is that of the newest reading of the store that the sender knows of; -1
+ * when it knows of none.
+ */
+struct feed_push {
+	string ip<PEER_NAME_MAX>;
+	hyper from;
+	hyper to;
+	hyper confirmed_ms;
+	peer_crash crashes<PEER_CRASHES_MAX>;
+	feed_entry entries<FEED_ITEMS_MAX>;
+};
+
+struct feed_reply {
+	hyper revision;
+};
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -254,3 +254,216 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_relay_request (XDR *xdrs, struct relay_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->method, 16))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, RELAY_TARGET_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->time_left_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->caller_service, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->request_id, RELAY_ID_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->at_most_once))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_answer (XDR *xdrs, struct relay_answer *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->reason))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->limit))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->reason);
+		IXDR_PUT_BOOL(buf, objp->sent);
+		IXDR_PUT_LONG(buf, objp->status);
+		IXDR_PUT_U_LONG(buf, objp->flags);
+		IXDR_PUT_LONG(buf, objp->queued);
+		IXDR_PUT_LONG(buf, objp->in_flight);
+		IXDR_PUT_LONG(buf, objp->limit);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->service_us))
+			 return FALSE;
+		 if (!xdr_peer_crash (xdrs, &objp->crash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->reason))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->limit))
+				 return FALSE;
+
+		} else {
+		objp->reason = IXDR_GET_LONG(buf);
+		objp->sent = IXDR_GET_BOOL(buf);
+		objp->status = IXDR_GET_LONG(buf);
+		objp->flags = IXDR_GET_U_LONG(buf);
+		objp->queued = IXDR_GET_LONG(buf);
+		objp->in_flight = IXDR_GET_LONG(buf);
+		objp->limit = IXDR_GET_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->service_us))
+			 return FALSE;
+		 if (!xdr_peer_crash (xdrs, &objp->crash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_int (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->service_us))
+		 return FALSE;
+	 if (!xdr_peer_crash (xdrs, &objp->crash))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_cancel (XDR *xdrs, struct relay_cancel *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->xid))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_ping (XDR *xdrs, struct relay_ping *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_entry (XDR *xdrs, struct feed_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, FEED_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deleted))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->hold_ms))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_VALUE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_push (XDR *xdrs, struct feed_push *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->ip, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->confirmed_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PEER_CRASHES_MAX,
+		sizeof (struct peer_crash), (xdrproc_t) xdr_peer_crash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, FEED_ITEMS_MAX,
+		sizeof (struct feed_entry), (xdrproc_t) xdr_feed_entry))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_reply (XDR *xdrs, struct feed_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -34,6 +34,19 @@
 #define TRAFFIC_REQUEST 1
 #define TRAFFIC_CANCEL 2
 #define TRAFFIC_HELLO 5
+#define RELAY_PROGRAM 0x20474f46
+#define RELAY_VERSION 1
+#define RELAY_REQUEST 1
+#define RELAY_CANCEL 2
+#define RELAY_PING 3
+#define FEED_PROGRAM 0x20474f47
+#define FEED_VERSION 1
+#define FEED_PUSH 1
+#define RELAY_FIELDS_MAX 131072
+#define RELAY_TARGET_MAX 65536
+#define RELAY_ID_MAX 1024
+#define FEED_KEY_MAX 255
+#define FEED_ITEMS_MAX 8192
 #define TRAFFIC_DRAINING 1
 #define TRAFFIC_CRASHED 2
 #define TRAFFIC_REPLAYED 4
@@ -134,6 +147,80 @@
 	u_int xid;
 };
 
+struct relay_request {
+	char *service;
+	quad_t config_version;
+	char *method;
+	char *target;
+	char *fields;
+	quad_t time_left_ms;
+	char *caller_service;
+	char *request_id;
+	int priority;
+	bool_t at_most_once;
+	u_quad_t fingerprint;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+
+struct relay_answer {
+	int reason;
+	bool_t sent;
+	int status;
+	u_int flags;
+	int queued;
+	int in_flight;
+	int limit;
+	quad_t wait_ms;
+	quad_t service_us;
+	struct peer_crash crash;
+	char *fields;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+
+struct relay_cancel {
+	u_int xid;
+};
+
+struct relay_ping {
+	bool_t draining;
+};
+
+struct feed_entry {
+	char *key;
+	quad_t revision;
+	bool_t deleted;
+	quad_t hold_ms;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+
+struct feed_push {
+	char *ip;
+	quad_t from;
+	quad_t to;
+	quad_t confirmed_ms;
+	struct {
+		u_int crashes_len;
+		struct peer_crash *crashes_val;
+	} crashes;
+	struct {
+		u_int entries_len;
+		struct feed_entry *entries_val;
+	} entries;
+};
+
+struct feed_reply {
+	quad_t revision;
+};
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -147,6 +234,13 @@
 extern  bool_t xdr_traffic_request (XDR *, struct traffic_request*);
 extern  bool_t xdr_traffic_answer (XDR *, struct traffic_answer*);
 extern  bool_t xdr_traffic_cancel (XDR *, struct traffic_cancel*);
+extern  bool_t xdr_relay_request (XDR *, struct relay_request*);
+extern  bool_t xdr_relay_answer (XDR *, struct relay_answer*);
+extern  bool_t xdr_relay_cancel (XDR *, struct relay_cancel*);
+extern  bool_t xdr_relay_ping (XDR *, struct relay_ping*);
+extern  bool_t xdr_feed_entry (XDR *, struct feed_entry*);
+extern  bool_t xdr_feed_push (XDR *, struct feed_push*);
+extern  bool_t xdr_feed_reply (XDR *, struct feed_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_version ();
@@ -159,6 +253,13 @@
 extern bool_t xdr_traffic_request ();
 extern bool_t xdr_traffic_answer ();
 extern bool_t xdr_traffic_cancel ();
+extern bool_t xdr_relay_request ();
+extern bool_t xdr_relay_answer ();
+extern bool_t xdr_relay_cancel ();
+extern bool_t xdr_relay_ping ();
+extern bool_t xdr_feed_entry ();
+extern bool_t xdr_feed_push ();
+extern bool_t xdr_feed_reply ();
 
 #endif /* K&R C */
 
--- /dev/null
+++ b/relay/backend_side.c
@@ -0,0 +1,597 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/rng.h"
+#include "platform/platform.h"
+#include "relay/backend_pool.h"
+#include "relay/backend_side.h"
+#include "relay/probe.h"
+#include "retry/retry.h"
+
+/* Places in the queue for each slot of the backend server. */
+#define QUEUE_PER_SLOT 3
+
+/* Part of the allowed cold rate that is used, for requests under way. */
+#define COLD_BURST_SHARE 0.6
+
+/* A loss counts as part of a crash that shows within this time. */
+#define CRASH_WINDOW_NS (500 * NS_PER_MS)
+#define LOSSES_MAX 64
+
+/* A request whose connection was lost while it may have run. */
+struct loss {
+	uint64_t fingerprint;
+	int64_t at;
+};
+
+struct backend_side {
+	const struct relay_context *context;
+	struct mesh_view *view;
+	struct backend_pool *pool;
+	struct probe *probe;
+	struct admit *admit;
+	struct cds_list_head running;
+	char *backend_id; /* of the registered server; NULL: none */
+	int nr_jobs;
+	int slots;
+	bool in_service;
+	bool draining;
+	uint64_t life; /* counts crashes of the server, from 1 */
+	struct loss losses[LOSSES_MAX];
+	unsigned nr_losses; /* ever */
+	struct counter admitted;
+	struct counter refused;
+	struct counter crashes;
+	struct histogram service_time;
+};
+
+static void start_next(struct backend_side *side);
+
+/* Answers. */
+
+static void fill_load(const struct backend_side *side,
+		      struct relay_answer *answer)
+{
+	answer->in_flight = admit_running(side->admit);
+	answer->queued = admit_queued(side->admit);
+	answer->limit = MAX(1, side->slots);
+	answer->wait_ms = admit_wait_ns(side->admit) / NS_PER_MS;
+	if (side->draining || !side->in_service)
+		answer->flags |= TRAFFIC_DRAINING;
+}
+
+static void finish_job(struct backend_side *side, struct relay_job *job,
+		       struct relay_answer *answer)
+{
+	side->nr_jobs--;
+	fill_load(side, answer);
+	if (!answer->fields)
+		answer->fields = strdup("");
+	job->done(job, answer);
+}
+
+static void refuse(struct backend_side *side, struct relay_job *job,
+		   enum failure_reason reason)
+{
+	struct relay_answer answer = { .reason = (int)reason };
+
+	counter_add(&side->refused, 1);
+	finish_job(side, job, &answer);
+}
+
+/* Crashes. */
+
+static void note_loss(struct backend_side *side, uint64_t fingerprint)
+{
+	struct loss *loss = &side->losses[side->nr_losses++ % LOSSES_MAX];
+
+	loss->fingerprint = fingerprint;
+	loss->at = clock_monotonic_ns();
+}
+
+/* The server ended: what was lost shortly before may have caused it. */
+static void on_backend_ended(void *ctx)
+{
+	struct backend_side *side = ctx;
+	int64_t now = clock_monotonic_ns();
+
+	log_event(LOG_WARNING, "backend_ended", "host=%s backend=%s",
+		  side->context->host->name,
+		  side->backend_id ? side->backend_id : "none");
+	side->life++;
+	admit_backend_lost(side->admit, admit_life(side->admit), now);
+	backend_pool_close_idle(side->pool);
+	for (unsigned i = 0; i < MIN(side->nr_losses, LOSSES_MAX); i++) {
+		struct loss *loss = &side->losses[i];
+		struct quarantine_entry entry;
+
+		if (now - loss->at > CRASH_WINDOW_NS)
+			continue;
+		counter_add(&side->crashes, 1);
+		quarantine_crash(side->context->quarantine, loss->fingerprint,
+				 side->life, now, &entry);
+		log_event(LOG_WARNING, "request_crashed_backend",
+			  "fingerprint=%016" PRIx64 " count=%" PRIu32,
+			  entry.fingerprint, entry.count);
+		side->context->crashed(side->context->ctx, &entry);
+		loss->at = 0;
+	}
+}
+
+/* What a probe told: the server is cold for so long. */
+static void on_probed(void *ctx, const char *backend_id, int64_t cold_left_ms)
+{
+	struct backend_side *side = ctx;
+	int64_t now = clock_monotonic_ns();
+
+	if (backend_id && side->backend_id &&
+	    strcmp(backend_id, side->backend_id) != 0) {
+		log_event(LOG_NOTICE, "backend_changed", "old=%s new=%s",
+			  side->backend_id, backend_id);
+		g_free(side->backend_id);
+		side->backend_id = g_strdup(backend_id);
+	}
+	if (cold_left_ms >= 0)
+		probe_set_cold(side->probe, side->admit,
+			       now + cold_left_ms * NS_PER_MS, now);
+	start_next(side);
+}
+
+/* Running a job. */
+
+static enum failure_reason check_response(const struct http_message *response)
+{
+	if (http_message_value(response, HTTP_ROLE_NOT_RUN))
+		return response->status == 421 ? FAILURE_VERSION
+					       : FAILURE_BACKEND_SHED;
+	if (response->status == 421)
+		return FAILURE_VERSION;
+	/* Bodies were asked for without any encoding. */
+	if (http_message_value(response, HTTP_ROLE_ENCODING))
+		return FAILURE_BACKEND_LOST;
+	/* A success without receipt is not the server's. */
+	if (!http_message_value(response, HTTP_ROLE_RECEIPT))
+		return FAILURE_BACKEND_LOST;
+	return FAILURE_NONE;
+}
+
+static enum failure_reason end_reason(enum http_end end,
+				      const struct http_message *response)
+{
+	switch (end) {
+	case HTTP_END_ANSWERED:
+		return check_response(response);
+	case HTTP_END_REFUSED:
+		return FAILURE_BACKEND_REFUSED;
+	default:
+		return FAILURE_BACKEND_LOST;
+	}
+}
+
+static enum admit_outcome admit_outcome_of(enum failure_reason reason)
+{
+	switch (reason) {
+	case FAILURE_NONE:
+		return ADMIT_ANSWERED;
+	case FAILURE_BACKEND_SHED:
+	case FAILURE_VERSION:
+		return ADMIT_SHED;
+	case FAILURE_BACKEND_REFUSED:
+	case FAILURE_BACKEND_LOST:
+		return ADMIT_LOST;
+	default:
+		return ADMIT_FAILED;
+	}
+}
+
+/* XDR frees with free(), so the bytes are copied by malloc(). */
+static void fill_response(struct relay_answer *answer,
+			  const struct http_message *response)
+{
+	answer->status = response->status;
+	answer->fields = strdup(response->fields->str);
+	answer->body.body_len = response->body->len;
+	answer->body.body_val = malloc(response->body->len + 1);
+	if (!answer->body.body_val || !answer->fields)
+		abort();
+	if (response->body->len)
+		memcpy(answer->body.body_val, response->body->data,
+		       response->body->len);
+}
+
+static void end_run(struct backend_side *side, struct relay_job *job,
+		    enum failure_reason reason)
+{
+	int64_t now = clock_monotonic_ns();
+
+	cds_list_del(&job->node);
+	job->conn = NULL;
+	admit_done(side->admit, &job->admit, admit_outcome_of(reason), now);
+	histogram_observe(&side->service_time,
+			  (uint64_t)((now - job->admit.started) / NS_PER_US));
+}
+
+static void on_response(enum http_end end, struct http_message *response,
+			void *ctx)
+{
+	CLEANUP(http_message_freep) struct http_message *owned = response;
+	struct relay_job *job = ctx;
+	struct backend_side *side = job->side;
+	enum failure_reason reason = end_reason(end, response);
+	struct relay_answer answer = { .reason = (int)reason };
+
+	end_run(side, job, reason);
+	probe_note_answer(side->probe);
+	answer.sent = reason != FAILURE_BACKEND_REFUSED;
+	answer.service_us =
+		(clock_monotonic_ns() - job->admit.started) / NS_PER_US;
+	if (reason == FAILURE_NONE)
+		fill_response(&answer, response);
+	if (reason == FAILURE_BACKEND_LOST && !response)
+		note_loss(side, job->request.fingerprint);
+	if (reason == FAILURE_NONE)
+		quarantine_success(side->context->quarantine,
+				   job->request.fingerprint,
+				   clock_monotonic_ns());
+	else if (reason != FAILURE_BACKEND_SHED)
+		probe_now(side->probe);
+	finish_job(side, job, &answer);
+	start_next(side);
+}
+
+static GString *build_head(const struct backend_side *side,
+			   const struct relay_job *job)
+{
+	const struct relay_request *request = &job->request;
+	GString *head = g_string_sized_new(512);
+	int64_t left = job->deadline - clock_monotonic_ns();
+	char number[24];
+
+	g_string_printf(head, "%s %s HTTP/1.1\r\n", request->method,
+			request->target);
+	g_string_append(head, request->fields);
+	snprintf(number, sizeof(number), "%" PRId64,
+		 MAX(left / NS_PER_MS, INT64_C(1)));
+	platform_add_field(head, HTTP_ROLE_TIME_LEFT_MS, number);
+	platform_add_field(head, HTTP_ROLE_CALLER_SERVICE,
+			   request->caller_service);
+	platform_add_field(head, HTTP_ROLE_EXPECTED_BACKEND, side->backend_id);
+	if (request->body.body_len || strcmp(request->method, "GET") != 0)
+		g_string_append_printf(head, "Content-Length: %u\r\n",
+				       request->body.body_len);
+	g_string_append(head, "\r\n");
+	return head;
+}
+
+static void run_job(struct backend_side *side, struct relay_job *job)
+{
+	const struct relay_request *request = &job->request;
+	GString *head = build_head(side, job);
+
+	counter_add(&side->admitted, 1);
+	cds_list_add_tail(&job->node, &side->running);
+	job->conn = backend_pool_send(side->pool, head, request->body.body_val,
+				      request->body.body_len,
+				      request->request_id,
+				      request->at_most_once, on_response, job);
+	g_string_free(head, TRUE);
+	if (job->conn)
+		return;
+	end_run(side, job, FAILURE_BACKEND_REFUSED);
+	refuse(side, job, FAILURE_BACKEND_REFUSED);
+}
+
+/* Why the server must not get a request now, or FAILURE_NONE. */
+static enum failure_reason blocked_reason(const struct backend_side *side)
+{
+	if (side->draining || !side->in_service)
+		return FAILURE_TARGET_DRAINING;
+	if (!side->backend_id)
+		return FAILURE_VERSION;
+	if (probe_is_down(side->probe))
+		return FAILURE_BACKEND_REFUSED;
+	return FAILURE_NONE;
+}
+
+static void refuse_list(struct backend_side *side, struct cds_list_head *list,
+			enum failure_reason reason)
+{
+	struct admit_request *request, *next;
+
+	cds_list_for_each_entry_safe (request, next, list, node) {
+		cds_list_del(&request->node);
+		refuse(side, caa_container_of(request, struct relay_job, admit),
+		       reason);
+	}
+}
+
+static void start_next(struct backend_side *side)
+{
+	int64_t now = clock_monotonic_ns();
+	struct admit_request *request;
+	struct cds_list_head expired;
+
+	CDS_INIT_LIST_HEAD(&expired);
+	while ((request = admit_next(side->admit, now, &expired))) {
+		struct relay_job *job =
+			caa_container_of(request, struct relay_job, admit);
+		enum failure_reason reason = blocked_reason(side);
+
+		if (reason == FAILURE_NONE) {
+			run_job(side, job);
+			continue;
+		}
+		admit_done(side->admit, request, ADMIT_SHED, now);
+		refuse(side, job, reason);
+	}
+	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
+}
+
+static enum failure_reason admission_reason(enum admit_verdict verdict)
+{
+	switch (verdict) {
+	case ADMIT_REFUSED_DEADLINE:
+		return FAILURE_TARGET_DEADLINE;
+	case ADMIT_REFUSED_DRAINING:
+		return FAILURE_TARGET_DRAINING;
+	default:
+		return FAILURE_QUEUE_FULL;
+	}
+}
+
+static enum failure_reason arrival_reason(const struct backend_side *side,
+					  const struct relay_job *job,
+					  int64_t now)
+{
+	const struct relay_request *request = &job->request;
+
+	if (strcmp(request->service, side->context->host->service) != 0)
+		return FAILURE_VERSION;
+	if (quarantine_check(side->context->quarantine, request->fingerprint,
+			     now, NULL))
+		return FAILURE_QUARANTINED;
+	if (job->deadline <= now)
+		return FAILURE_TARGET_DEADLINE;
+	return blocked_reason(side);
+}
+
+void backend_side_submit(struct backend_side *side, struct relay_job *job)
+{
+	int64_t now = clock_monotonic_ns();
+	struct admit_request *displaced = NULL;
+	enum failure_reason reason;
+	enum admit_verdict verdict;
+
+	side->nr_jobs++;
+	job->conn = NULL;
+	job->deadline = now + job->request.time_left_ms * NS_PER_MS;
+	memset(&job->admit, 0, sizeof(job->admit));
+	job->side = side;
+	job->admit.priority = (enum admit_priority)CLAMP(
+		job->request.priority, 0, ADMIT_NR_PRIORITIES - 1);
+	job->admit.caller = hash_string(job->request.caller_service);
+	job->admit.deadline = job->deadline;
+	reason = arrival_reason(side, job, now);
+	if (reason != FAILURE_NONE) {
+		refuse(side, job, reason);
+		return;
+	}
+	verdict = admit_arrive(side->admit, &job->admit, now, &displaced);
+	if (displaced)
+		refuse(side,
+		       caa_container_of(displaced, struct relay_job, admit),
+		       FAILURE_QUEUE_FULL);
+	if (verdict == ADMIT_RUN)
+		run_job(side, job);
+	else if (verdict != ADMIT_QUEUED)
+		refuse(side, job, admission_reason(verdict));
+	probe_note_use(side->probe);
+}
+
+void backend_side_cancel(struct backend_side *side, struct relay_job *job)
+{
+	struct backend_conn *conn = job->conn;
+
+	if (job->admit.state == ADMIT_WAITING) {
+		admit_cancel(side->admit, &job->admit);
+	} else if (job->admit.state == ADMIT_RUNNING && conn) {
+		end_run(side, job, FAILURE_CANCELLED);
+		backend_pool_cancel(side->pool, conn);
+	}
+	side->nr_jobs--;
+	start_next(side);
+}
+
+/* Views. */
+
+/* The server on this host that the view names, or NULL. */
+static const struct mesh_target *own_target(const struct backend_side *side)
+{
+	return mesh_view_at_address(side->view,
+				    side->context->host->backend_text,
+				    side->context->host->service);
+}
+
+static void take_target(struct backend_side *side,
+			const struct mesh_target *target, int64_t now)
+{
+	struct admit_options options = {
+		.slots = target->slots,
+		.cold_slots = target->slots,
+		.queue_max = target->slots * QUEUE_PER_SLOT,
+		.limit_policy = &admit_limit_fixed,
+	};
+	bool is_new = !side->backend_id ||
+		      strcmp(side->backend_id, target->id) != 0;
+
+	admit_set_policy(side->admit, &options, now);
+	side->slots = target->slots;
+	if (!is_new)
+		return;
+	log_event(LOG_NOTICE, "backend_registered", "backend=%s slots=%d",
+		  target->id, target->slots);
+	g_free(side->backend_id);
+	side->backend_id = g_strdup(target->id);
+	backend_pool_close_idle(side->pool);
+	/* Until a probe tells, a server that is new here counts as cold. */
+	probe_restart(side->probe, side->admit, now);
+}
+
+static void take_service(struct backend_side *side)
+{
+	const struct mesh_host *host = side->context->host;
+	const struct mesh_service *service =
+		g_hash_table_lookup(side->view->config->services,
+				    host->service);
+	struct admit_cold_rate rate = { 0 };
+
+	backend_pool_set_body_max(
+		side->pool, (size_t)side->view->config->limits.body_max_bytes);
+	if (!service)
+		return;
+	rate.per_s = service->cold_per_s;
+	rate.burst = MAX(1, (service->cold_per_s * (host->cold_overage - 1) +
+			     host->cold_slack) *
+				    COLD_BURST_SHARE);
+	probe_set_service(side->probe, service->health_path, &rate);
+}
+
+void backend_side_apply(struct backend_side *side, struct mesh_view *view)
+{
+	int64_t now = clock_monotonic_ns();
+	const struct mesh_target *target;
+
+	mesh_view_unref(side->view);
+	side->view = mesh_view_ref(view);
+	if (view->config)
+		take_service(side);
+	target = own_target(side);
+	if (target)
+		take_target(side, target, now);
+	else
+		g_clear_pointer(&side->backend_id, g_free);
+	if (target && !side->in_service && mesh_view_in_service(view, target))
+		/* It may have become cold while it got nothing. */
+		probe_restart(side->probe, side->admit, now);
+	side->in_service = target && mesh_view_in_service(view, target);
+	start_next(side);
+}
+
+void backend_side_drain(struct backend_side *side)
+{
+	side->draining = true;
+}
+
+bool backend_side_is_draining(const struct backend_side *side)
+{
+	return side->draining || !side->in_service;
+}
+
+int backend_side_nr_jobs(const struct backend_side *side)
+{
+	return side->nr_jobs;
+}
+
+/* Time. */
+
+static void end_late(struct backend_side *side, int64_t now)
+{
+	struct relay_job *job, *next;
+
+	cds_list_for_each_entry_safe (job, next, &side->running, node) {
+		struct relay_answer answer = { .reason = FAILURE_DEADLINE,
+					       .sent = true };
+		struct backend_conn *conn = job->conn;
+
+		if (job->deadline > now)
+			continue;
+		end_run(side, job, FAILURE_DEADLINE);
+		backend_pool_cancel(side->pool, conn);
+		finish_job(side, job, &answer);
+	}
+}
+
+void backend_side_turn(struct backend_side *side, int64_t now)
+{
+	struct cds_list_head expired;
+
+	if (backend_side_next_deadline(side) > now)
+		return;
+	CDS_INIT_LIST_HEAD(&expired);
+	end_late(side, now);
+	admit_expire(side->admit, now, &expired);
+	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
+	start_next(side);
+}
+
+int64_t backend_side_next_deadline(const struct backend_side *side)
+{
+	int64_t deadline = admit_next_timer(side->admit);
+	struct relay_job *job;
+
+	cds_list_for_each_entry (job, &side->running, node)
+		deadline = MIN(deadline, job->deadline);
+	return deadline;
+}
+
+/* Life. */
+
+static void add_metrics(struct backend_side *side)
+{
+	struct metrics *metrics = side->context->metrics;
+
+	side->admitted.name = "godwitspur_backend_requests_total";
+	side->admitted.help = "Requests sent to the backend server.";
+	side->refused.name = "godwitspur_backend_refused_total";
+	side->refused.help = "Requests refused before they were sent.";
+	side->crashes.name = "godwitspur_backend_crashes_total";
+	side->crashes.help = "Requests lost in a crash of the backend.";
+	side->service_time.name = "godwitspur_backend_seconds";
+	side->service_time.help = "Time of a request on the backend server.";
+	metrics_add_counter(metrics, &side->admitted);
+	metrics_add_counter(metrics, &side->refused);
+	metrics_add_counter(metrics, &side->crashes);
+	metrics_add_histogram(metrics, &side->service_time);
+}
+
+struct backend_side *backend_side_new(const struct relay_context *context)
+{
+	struct backend_side *side = g_new0(struct backend_side, 1);
+	struct admit_options admit = {
+		.slots = 1,
+		.cold_slots = 1,
+		.limit_policy = &admit_limit_fixed,
+	};
+	struct probe_options probe = {
+		.context = context,
+		.probed = on_probed,
+		.ended = on_backend_ended,
+		.ctx = side,
+	};
+
+	side->context = context;
+	side->life = 1;
+	side->view = mesh_view_new(NULL);
+	CDS_INIT_LIST_HEAD(&side->running);
+	side->admit = admit_new(&admit, clock_monotonic_ns());
+	side->pool = backend_pool_new(context);
+	probe.pool = side->pool;
+	side->probe = probe_new(&probe);
+	add_metrics(side);
+	return side;
+}
+
+json_t *backend_side_dump(const struct backend_side *side)
+{
+	return json_pack("{s:s, s:b, s:b, s:i, s:i, s:I, s:o}", "backend",
+			 side->backend_id ? side->backend_id : "",
+			 "in_service", side->in_service, "draining",
+			 side->draining, "jobs", side->nr_jobs, "connections",
+			 (int)backend_pool_nr_conns(side->pool),
+			 "connections_opened",
+			 (json_int_t)backend_pool_nr_opened(side->pool),
+			 "admit", admit_dump(side->admit));
+}
--- /dev/null
+++ b/relay/call.c
@@ -0,0 +1,311 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/call.h"
+
+/*
+ * Daemons that a request is offered to before it is refused. A refusal costs a
+ * round trip, and a service whose daemons all refuse is full.
+ */
+#define PLACED_MAX 4
+
+/*
+ * A repeatable request that has no answer after this share of its objective is
+ * sent to a second backend server as well.
+ */
+#define HEDGE_PERCENT 60
+
+/* One sending of a request to a backend server's daemon. */
+struct attempt {
+	struct cds_list_head node;
+	struct call *call;
+	balance_handle target;
+	bool is_local;
+	int64_t started;
+	struct peer_call peer;
+	struct relay_job job;
+};
+
+static void on_call_timer(struct timer *timer, int64_t now);
+static enum failure_reason try_place(struct call *call);
+
+/* Under way. */
+
+static int64_t hedge_time(const struct call *call)
+{
+	return call->arrival +
+	       call->route->objective_ms * NS_PER_MS * HEDGE_PERCENT / 100;
+}
+
+static bool may_hedge(const struct call *call)
+{
+	return !call->hedged && !call->route->at_most_once &&
+	       call->route->attempts > 1;
+}
+
+static void set_timer(struct call *call)
+{
+	int64_t deadline = call->deadline;
+
+	if (may_hedge(call))
+		deadline = MIN(deadline, hedge_time(call));
+	timers_set(call->side->context->timers, &call->timer, deadline);
+}
+
+static void free_attempt(struct attempt *attempt)
+{
+	cds_list_del(&attempt->node);
+	attempt->call->nr_attempts--;
+	g_free(attempt);
+}
+
+/* The message borrows all it points at from the call. */
+static void build_request(const struct call *call,
+			  struct relay_request *request)
+{
+	const struct http_message *message = call->message;
+	int64_t left = call->deadline - clock_monotonic_ns();
+
+	memset(request, 0, sizeof(*request));
+	request->service = (char *)call->service;
+	request->config_version = call->view->config->version;
+	request->method = (char *)message->method;
+	request->target = message->target->str;
+	request->fields = message->fields->str;
+	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
+	request->caller_service = call->side->context->host->service;
+	request->request_id =
+		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
+	request->priority =
+		call->route->at_most_once ? ADMIT_ORDER : ADMIT_LOOKUP;
+	request->at_most_once = call->route->at_most_once;
+	request->fingerprint = call->fingerprint;
+	request->body.body_len = message->body->len;
+	request->body.body_val = (char *)message->body->data;
+}
+
+static void note_result(struct attempt *attempt, enum failure_reason reason,
+			const struct relay_answer *answer)
+{
+	struct caller_side *side = attempt->call->side;
+	int64_t now = clock_monotonic_ns();
+	struct balance_result result = {
+		.reason = reason,
+		.latency_ns = now - attempt->started,
+		.reported = answer && answer->limit > 0,
+	};
+
+	if (answer) {
+		result.in_flight = (uint32_t)MAX(answer->in_flight, 0);
+		result.queue = (uint32_t)MAX(answer->queued, 0);
+		result.limit = (uint32_t)MAX(answer->limit, 1);
+		result.draining = answer->flags & TRAFFIC_DRAINING;
+	}
+	balance_finish(side->balance, attempt->target, &result, now);
+}
+
+/* Whether an attempt that ended so may be made again elsewhere. */
+static bool may_repeat(struct call *call, enum failure_reason reason, bool sent)
+{
+	const struct failure *failure = failure_get(reason);
+
+	if (!failure->another_may_help ||
+	    call->nr_excluded == BALANCE_EXCLUDED_MAX ||
+	    clock_monotonic_ns() >= call->deadline)
+		return false;
+	if (failure->outcome == OUTCOME_UNKNOWN && call->route->at_most_once)
+		return false;
+	if (!sent)
+		return call->nr_placed < PLACED_MAX;
+	/* It reached a backend server, so the next one is a repeat there. */
+	return call->nr_sent < call->route->attempts &&
+	       retry_budget_take(
+		       caller_side_budget(call->side, call->service_index));
+}
+
+static bool is_quarantined(const struct call *call)
+{
+	return quarantine_check(call->side->context->quarantine,
+				call->fingerprint, clock_monotonic_ns(), NULL);
+}
+
+/* An attempt failed: it is made again, another one goes on, or it is over. */
+static void go_on(struct call *call, enum failure_reason reason, bool sent)
+{
+	if (may_repeat(call, reason, sent) && !is_quarantined(call)) {
+		if (sent)
+			counter_add(&call->side->repeats, 1);
+		if (try_place(call) == FAILURE_NONE)
+			return;
+	}
+	if (!call->nr_attempts)
+		call_end(call, reason, NULL);
+}
+
+static void end_attempt(struct attempt *attempt, enum failure_reason reason,
+			struct relay_answer *answer)
+{
+	struct call *call = attempt->call;
+	/* A daemon that was lost may have passed the request on. */
+	bool sent = answer ? answer->sent : reason == FAILURE_LINK_LOST;
+
+	note_result(attempt, reason, answer);
+	free_attempt(attempt);
+	if (sent)
+		call->nr_sent++;
+	if (failure_get(reason)->outcome == OUTCOME_UNKNOWN)
+		call->may_have_run = true;
+	if (answer && answer->reason != FAILURE_NONE && !answer->sent)
+		call->wait_ms = call->wait_ms < 0
+					? answer->wait_ms
+					: MIN(call->wait_ms, answer->wait_ms);
+	if (reason == FAILURE_NONE)
+		call_end(call, FAILURE_NONE, answer);
+	else
+		go_on(call, reason, sent);
+}
+
+static enum failure_reason answer_reason(const struct relay_answer *answer)
+{
+	if (answer->reason < 0 || answer->reason >= FAILURE_REASONS)
+		return FAILURE_LINK_LOST;
+	return (enum failure_reason)answer->reason;
+}
+
+static void on_local_done(struct relay_job *job, struct relay_answer *answer)
+{
+	struct attempt *attempt = caa_container_of(job, struct attempt, job);
+
+	end_attempt(attempt, answer_reason(answer), answer);
+	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
+}
+
+static enum failure_reason status_reason(enum rpc_status status)
+{
+	switch (status) {
+	case RPC_NOT_SENT:
+		return FAILURE_LINK_REFUSED;
+	case RPC_REFUSED:
+		return FAILURE_VERSION;
+	default:
+		return FAILURE_LINK_LOST;
+	}
+}
+
+static void on_peer_done(struct peer_call *peer, enum rpc_status status,
+			 struct relay_answer *answer)
+{
+	struct attempt *attempt = caa_container_of(peer, struct attempt, peer);
+
+	if (!answer) {
+		end_attempt(attempt, status_reason(status), NULL);
+		return;
+	}
+	end_attempt(attempt, answer_reason(answer), answer);
+	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
+}
+
+static void start_attempt(struct call *call, const struct balance_choice *choice)
+{
+	struct caller_side *side = call->side;
+	struct attempt *attempt = g_new0(struct attempt, 1);
+	struct relay_request request;
+
+	attempt->call = call;
+	attempt->target = choice->target;
+	attempt->started = clock_monotonic_ns();
+	attempt->peer.done = on_peer_done;
+	attempt->job.done = on_local_done;
+	cds_list_add_tail(&attempt->node, &call->attempts);
+	call->nr_attempts++;
+	call->nr_placed++;
+	call->excluded[call->nr_excluded++] = choice->target;
+	build_request(call, &request);
+	attempt->is_local = !strcmp(choice->traffic, side->own_traffic);
+	/* From here the call may have ended and its memory be gone. */
+	if (attempt->is_local) {
+		attempt->job.request = request;
+		backend_side_submit(side->backend_side, &attempt->job);
+	} else {
+		peers_send(side->peers, choice->traffic, &request,
+			   &attempt->peer);
+	}
+}
+
+/* Sends the request once more; the reason when there is no place for it. */
+static enum failure_reason try_place(struct call *call)
+{
+	struct caller_side *side = call->side;
+	int64_t now = clock_monotonic_ns();
+	struct balance_request request = {
+		.service = call->service_index,
+		.excluded = call->excluded,
+		.nr_excluded = call->nr_excluded,
+		.retryable = !call->route->at_most_once,
+	};
+	struct balance_choice choice;
+
+	if (call->nr_excluded == BALANCE_EXCLUDED_MAX ||
+	    !balance_pick(side->balance, &request, now, &choice) ||
+	    !balance_start(side->balance, choice.target, now))
+		return FAILURE_NO_TARGET;
+	start_attempt(call, &choice);
+	return FAILURE_NONE;
+}
+
+static void hedge(struct call *call)
+{
+	struct retry_budget *budget =
+		caller_side_budget(call->side, call->service_index);
+
+	call->hedged = true;
+	set_timer(call);
+	if (call->nr_attempts != 1 ||
+	    call->nr_sent + call->nr_attempts >= call->route->attempts ||
+	    is_quarantined(call) || !retry_budget_take(budget))
+		return;
+	counter_add(&call->side->repeats, 1);
+	try_place(call);
+}
+
+static void on_call_timer(struct timer *timer, int64_t now)
+{
+	struct call *call = caa_container_of(timer, struct call, timer);
+
+	if (now < call->deadline) {
+		hedge(call);
+		return;
+	}
+	call->may_have_run = true;
+	call_end(call, FAILURE_DEADLINE, NULL);
+}
+
+void call_start(struct call *call)
+{
+	enum failure_reason reason;
+
+	call->timer.fire = on_call_timer;
+	call->wait_ms = -1;
+	CDS_INIT_LIST_HEAD(&call->attempts);
+	set_timer(call);
+	reason = try_place(call);
+	if (reason != FAILURE_NONE)
+		call_end(call, reason, NULL);
+}
+
+void call_cancel(struct call *call)
+{
+	struct attempt *attempt, *next;
+
+	timers_cancel(call->side->context->timers, &call->timer);
+	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
+		if (attempt->is_local)
+			backend_side_cancel(call->side->backend_side,
+					    &attempt->job);
+		else
+			peers_cancel(call->side->peers, &attempt->peer);
+		note_result(attempt, FAILURE_CANCELLED, NULL);
+		free_attempt(attempt);
+	}
+}
--- /dev/null
+++ b/relay/call.h
@@ -0,0 +1,74 @@
+#ifndef RELAY_CALL_H
+#define RELAY_CALL_H
+
+#include "balance/balance.h"
+#include "base/rng.h"
+#include "http/server.h"
+#include "relay/caller_side.h"
+#include "retry/retry.h"
+
+/*
+ * A caller's request on its way, shared by the files that serve it:
+ * caller_side.c reads and answers it, call.c sends it to backend servers.
+ */
+
+#define CALL_NR_OUTCOMES 3
+
+struct caller_side {
+	const struct relay_context *context;
+	struct backend_side *backend_side;
+	struct peers *peers;
+	struct mesh_view *view;
+	struct http_server *http;
+	struct balance *balance;
+	GArray *budgets; /* struct retry_budget by service index */
+	struct rng rng;
+	GHashTable *splits; /* route name -> struct split */
+	int nr_calls;
+	int nr_daemons;
+	char *own_traffic; /* address of the own daemon */
+	struct counter requests[CALL_NR_OUTCOMES];
+	struct counter repeats;
+	struct histogram added_time;
+};
+
+struct call {
+	struct caller_side *side;
+	struct http_server_conn *conn;
+	struct http_message *message;
+	struct mesh_view *view; /* the one it is served by */
+	const struct mesh_route *route;
+	const char *service; /* of the view */
+	int service_index;   /* in balance and budgets */
+	int64_t arrival;
+	int64_t deadline;
+	uint64_t fingerprint;
+	struct cds_list_head attempts; /* under way */
+	int nr_attempts;	       /* under way */
+	int nr_placed;		       /* sent to daemons */
+	int nr_sent;		       /* that reached a backend server */
+	balance_handle excluded[BALANCE_EXCLUDED_MAX];
+	size_t nr_excluded;
+	bool may_have_run;
+	int64_t wait_ms; /* the shortest wait that a daemon told; -1: none */
+	struct timer timer; /* the deadline, or the second attempt */
+	bool hedged;
+};
+
+/* Sends a request that was routed; it ends with call_end(). */
+void call_start(struct call *call);
+
+/* Withdraws all attempts, since the caller has gone or was answered. */
+void call_cancel(struct call *call);
+
+/*
+ * Answers the caller and frees the call. The answer is NULL unless the reason
+ * is FAILURE_NONE.
+ */
+void call_end(struct call *call, enum failure_reason reason,
+	      const struct relay_answer *answer);
+
+/* The retry budget of a service. */
+struct retry_budget *caller_side_budget(struct caller_side *side, int service);
+
+#endif
--- /dev/null
+++ b/relay/caller_side.c
@@ -0,0 +1,523 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/platform.h"
+#include "relay/call.h"
+
+/* Limits until the first configuration. */
+#define HEAD_MAX_BYTES_START 16384
+#define BODY_MAX_BYTES_START (1024 * 1024)
+#define HEAD_WAIT_NS_START (3 * NS_PER_SEC)
+#define IDLE_WAIT_NS_START (15 * NS_PER_SEC)
+
+/* When a refused caller is told to come back. */
+#define COME_BACK_LEAST_MS 50
+#define COME_BACK_MOST_MS 1000
+#define COME_BACK_UNKNOWN_MS 150
+
+/* A request that crashes servers is told to stay away for long. */
+#define COME_BACK_QUARANTINED_MS 30000
+
+/*
+ * A backend server left or crashed with its connection, so others take over at
+ * once; only half of a service may be out by what one daemon saw.
+ */
+#define EJECT_PERCENT_MAX 50
+#define ZONE_OVERFLOW_PERCENT 80
+#define REPORT_LIFE_NS (500 * NS_PER_MS)
+#define DRAINING_LIFE_NS (1 * NS_PER_SEC)
+#define EJECT_FIRST_NS (500 * NS_PER_MS)
+#define EJECT_LONGEST_NS (2 * NS_PER_SEC)
+#define EJECT_FAILURES 3
+
+/* Turns of the parts of a route, so that shares hold for small numbers too. */
+struct split {
+	char *route;
+	size_t nr_parts;
+	int64_t credits[]; /* by part */
+};
+
+struct retry_budget *caller_side_budget(struct caller_side *side, int service)
+{
+	return &g_array_index(side->budgets, struct retry_budget, service);
+}
+
+/* Answers. */
+
+static enum outcome outcome_of(const struct call *call,
+			       enum failure_reason reason)
+{
+	return call->may_have_run ? OUTCOME_UNKNOWN
+				  : failure_get(reason)->outcome;
+}
+
+static int64_t come_back_ms(struct caller_side *side, int64_t wait_ms)
+{
+	if (wait_ms < 0)
+		wait_ms = COME_BACK_UNKNOWN_MS;
+	wait_ms = CLAMP(wait_ms, COME_BACK_LEAST_MS, COME_BACK_MOST_MS);
+	/* Spread over 75 to 125%, so that they do not return in a wave. */
+	return wait_ms * (75 + (int64_t)rng_below(&side->rng, 51)) / 100;
+}
+
+static void reply_failure(struct caller_side *side,
+			  struct http_server_conn *conn, int status,
+			  int64_t retry_after_ms)
+{
+	g_autofree char *fields = NULL;
+	struct http_reply reply = { .status = status, .body = "" };
+
+	if (retry_after_ms > 0)
+		fields = g_strdup_printf("Retry-After: %" PRId64 ".%03d\r\n",
+					 retry_after_ms / 1000,
+					 (int)(retry_after_ms % 1000));
+	reply.fields = fields;
+	(void)side;
+	http_server_reply(conn, &reply);
+}
+
+static void free_call(struct call *call)
+{
+	call->side->nr_calls--;
+	mesh_view_unref(call->view);
+	http_message_free(call->message);
+	g_free(call);
+}
+
+static void log_failure(const struct call *call, enum failure_reason reason,
+			int status)
+{
+	const char *id =
+		http_message_value(call->message, HTTP_ROLE_REQUEST_ID);
+	int64_t now = clock_monotonic_ns();
+
+	log_event(LOG_INFO, "request_failed",
+		  "id=%s route=%s version=%" PRId64
+		  " service=%s reason=%s outcome=%s status=%d placed=%d "
+		  "sent=%d held_ms=%" PRId64 " left_ms=%" PRId64,
+		  log_quote(id ? id : ""), log_quote(call->route->name),
+		  call->view->config->version, log_quote(call->service),
+		  failure_get(reason)->name,
+		  outcome_name(outcome_of(call, reason)), status,
+		  call->nr_placed, call->nr_sent,
+		  (now - call->arrival) / NS_PER_MS,
+		  (call->deadline - now) / NS_PER_MS);
+}
+
+static void answer_failure(struct call *call, enum failure_reason reason)
+{
+	struct caller_side *side = call->side;
+	enum outcome outcome = outcome_of(call, reason);
+	int64_t retry_after_ms = 0;
+	int status = 502;
+
+	if (outcome == OUTCOME_NOT_RUN) {
+		status = 503;
+		retry_after_ms = reason == FAILURE_QUARANTINED
+					 ? COME_BACK_QUARANTINED_MS
+					 : come_back_ms(side, call->wait_ms);
+	} else if (reason == FAILURE_DEADLINE) {
+		status = 504;
+	}
+	counter_add(&side->requests[outcome], 1);
+	log_failure(call, reason, status);
+	reply_failure(side, call->conn, status, retry_after_ms);
+}
+
+static void answer_success(struct call *call, const struct relay_answer *answer)
+{
+	struct caller_side *side = call->side;
+	int64_t total_us =
+		(clock_monotonic_ns() - call->arrival) / NS_PER_US;
+	struct http_reply reply = {
+		.status = answer->status,
+		.fields = answer->fields,
+		.body = answer->body.body_val,
+		.body_len = answer->body.body_len,
+	};
+
+	counter_add(&side->requests[OUTCOME_RAN], 1);
+	histogram_observe(&side->added_time,
+			  (uint64_t)MAX(total_us - answer->service_us, 0));
+	http_server_reply(call->conn, &reply);
+}
+
+void call_end(struct call *call, enum failure_reason reason,
+	      const struct relay_answer *answer)
+{
+	call_cancel(call);
+	http_server_set_data(call->conn, NULL);
+	if (reason == FAILURE_NONE)
+		answer_success(call, answer);
+	else
+		answer_failure(call, reason);
+	free_call(call);
+}
+
+/* Routing. */
+
+static struct split *get_split(struct caller_side *side,
+			       const struct mesh_route *route)
+{
+	struct split *split = g_hash_table_lookup(side->splits, route->name);
+
+	if (split && split->nr_parts == route->nr_parts)
+		return split;
+	split = g_malloc0(sizeof(*split) +
+			  route->nr_parts * sizeof(split->credits[0]));
+	split->route = g_strdup(route->name);
+	split->nr_parts = route->nr_parts;
+	for (size_t i = 0; i < route->nr_parts; i++)
+		split->credits[i] = (int64_t)rng_below(
+			&side->rng, (uint64_t)route->parts[i].weight + 1);
+	g_hash_table_replace(side->splits, split->route, split);
+	return split;
+}
+
+static void free_split(void *arg)
+{
+	struct split *split = arg;
+
+	g_free(split->route);
+	g_free(split);
+}
+
+/*
+ * The part whose turn it is: each gains its weight, and the one with the most
+ * pays for all. The start is random, since the daemons would else all begin with
+ * the same part.
+ */
+static const char *pick_part(struct caller_side *side,
+			     const struct mesh_route *route)
+{
+	struct split *split;
+	int64_t sum = 0;
+	size_t best = 0;
+
+	if (route->nr_parts == 1)
+		return route->parts[0].service;
+	split = get_split(side, route);
+	for (size_t i = 0; i < route->nr_parts; i++)
+		sum += route->parts[i].weight;
+	for (size_t i = 0; i < route->nr_parts; i++) {
+		split->credits[i] += route->parts[i].weight;
+		if (route->parts[i].weight &&
+		    (!route->parts[best].weight ||
+		     split->credits[i] > split->credits[best]))
+			best = i;
+	}
+	split->credits[best] -= sum;
+	return route->parts[best].service;
+}
+
+static int64_t call_deadline(const struct call *call)
+{
+	int64_t wait_ms = call->route->deadline_ms;
+	int64_t asked_ms = http_message_number(
+		call->message, HTTP_ROLE_TIME_LEFT_MS, wait_ms);
+
+	return call->arrival + MIN(wait_ms, asked_ms) * NS_PER_MS;
+}
+
+static uint64_t fingerprint_of(const struct http_message *message)
+{
+	const char *host = http_message_value(message, HTTP_ROLE_HOST);
+
+	return quarantine_fingerprint(host ? host : "", message->method,
+				      message->target->str, message->body->data,
+				      message->body->len);
+}
+
+static struct call *new_call(struct caller_side *side,
+			     struct http_server_conn *conn,
+			     struct http_message *message,
+			     const struct mesh_route *route)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	side->nr_calls++;
+	call->side = side;
+	call->conn = conn;
+	call->message = message;
+	call->view = mesh_view_ref(side->view);
+	call->route = route;
+	call->arrival = clock_monotonic_ns();
+	call->deadline = call_deadline(call);
+	call->service = pick_part(side, route);
+	call->service_index =
+		balance_service_index(side->balance, call->service);
+	call->fingerprint = fingerprint_of(message);
+	http_server_set_data(conn, call);
+	return call;
+}
+
+static void serve(struct caller_side *side, struct http_server_conn *conn,
+		  struct http_message *message, const struct mesh_route *route)
+{
+	struct call *call = new_call(side, conn, message, route);
+
+	CDS_INIT_LIST_HEAD(&call->attempts);
+	call->wait_ms = -1;
+	if (call->service_index < 0) {
+		call_end(call, FAILURE_NO_TARGET, NULL);
+		return;
+	}
+	if (quarantine_check(side->context->quarantine, call->fingerprint,
+			     call->arrival, NULL)) {
+		call_end(call, FAILURE_QUARANTINED, NULL);
+		return;
+	}
+	retry_budget_request(caller_side_budget(side, call->service_index),
+			     (int)(side->context->host->retry_ratio *
+				   RETRY_SHARE_PERCENT));
+	call_start(call);
+}
+
+static void refuse(struct caller_side *side, struct http_server_conn *conn,
+		   struct http_message *message, int status,
+		   const char *reason)
+{
+	const char *id = http_message_value(message, HTTP_ROLE_REQUEST_ID);
+
+	log_event(LOG_INFO, "request_refused", "id=%s reason=%s status=%d",
+		  log_quote(id ? id : ""), reason, status);
+	counter_add(&side->requests[OUTCOME_NOT_RUN], 1);
+	reply_failure(side, conn, status,
+		      status == 503 ? come_back_ms(side, -1) : 0);
+	http_message_free(message);
+}
+
+static void on_request(struct http_server_conn *conn,
+		       struct http_message *message, void *ctx)
+{
+	const char *host = http_message_value(message, HTTP_ROLE_HOST);
+	struct caller_side *side = ctx;
+	const struct mesh_route *route;
+
+	if (!http_message_value(message, HTTP_ROLE_REQUEST_ID)) {
+		refuse(side, conn, message, 400, "no-request-id");
+		return;
+	}
+	if (!side->view || !side->view->config) {
+		refuse(side, conn, message, 503, "no-configuration");
+		return;
+	}
+	route = host ? mesh_config_find(side->view->config, host,
+					message->target->str)
+		     : NULL;
+	if (route)
+		serve(side, conn, message, route);
+	else
+		refuse(side, conn, message, 404, "no-route");
+}
+
+static void on_gone(struct http_server_conn *conn, void *ctx)
+{
+	struct call *call = http_server_data(conn);
+
+	(void)ctx;
+	if (!call)
+		return;
+	call_cancel(call);
+	free_call(call);
+}
+
+static const struct http_server_ops server_ops = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+/* Views. */
+
+static void apply_targets(struct caller_side *side,
+			  const struct mesh_view *view,
+			  const struct mesh_service *service, int64_t now)
+{
+	struct balance_service settings = {
+		.key = service->name,
+		.eject_percent_max = EJECT_PERCENT_MAX,
+		.zone_overflow_percent = ZONE_OVERFLOW_PERCENT,
+	};
+	struct balance_target *targets =
+		g_new0(struct balance_target, view->targets->len + 1);
+	g_autoptr(GPtrArray) addresses = g_ptr_array_new_with_free_func(g_free);
+	size_t nr = 0;
+
+	for (guint i = 0; i < view->targets->len; i++) {
+		const struct mesh_target *target =
+			g_ptr_array_index(view->targets, i);
+		char *address;
+
+		if (strcmp(target->service, service->name) != 0)
+			continue;
+		address = g_strdup_printf("%s:%u", target->ip,
+					  side->context->host->peers.port);
+		g_ptr_array_add(addresses, address);
+		targets[nr].host = target->id;
+		targets[nr].zone = target->zone;
+		targets[nr].region = side->context->host->region;
+		targets[nr].traffic = address;
+		targets[nr].slots = (uint32_t)target->slots;
+		targets[nr].cold_slots = (uint32_t)MAX(1, target->slots / 3);
+		targets[nr].in_service = mesh_view_in_service(view, target);
+		nr++;
+	}
+	balance_update(side->balance, &settings, targets, nr, now);
+	g_free(targets);
+}
+
+static int count_daemons(const struct mesh_view *view)
+{
+	g_autoptr(GHashTable) ips = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < view->targets->len; i++) {
+		struct mesh_target *target =
+			g_ptr_array_index(view->targets, i);
+
+		g_hash_table_add(ips, target->ip);
+	}
+	return (int)MAX(1, g_hash_table_size(ips));
+}
+
+static void apply_budget(struct caller_side *side, const char *name)
+{
+	guint index = (guint)balance_service_index(side->balance, name);
+
+	if (index >= side->budgets->len)
+		g_array_set_size(side->budgets, index + 1);
+	retry_budget_set_share(caller_side_budget(side, (int)index),
+			       side->context->host->retry_slack,
+			       side->nr_daemons);
+}
+
+static void apply_limits(struct caller_side *side,
+			 const struct mesh_limits *limits)
+{
+	struct http_server_limits server = {
+		.message = { .head_max = (size_t)limits->head_max_bytes,
+			     .body_max = (size_t)limits->body_max_bytes },
+		.head_wait_ns = limits->head_wait_ms * NS_PER_MS,
+		.idle_wait_ns = limits->idle_wait_ms * NS_PER_MS,
+	};
+
+	http_server_set_limits(side->http, &server);
+}
+
+void caller_side_apply(struct caller_side *side, struct mesh_view *view)
+{
+	int64_t now = clock_monotonic_ns();
+	struct mesh_service *service;
+	GHashTableIter iter;
+
+	mesh_view_unref(side->view);
+	side->view = mesh_view_ref(view);
+	side->nr_daemons = count_daemons(view);
+	if (!view->config)
+		return;
+	apply_limits(side, &view->config->limits);
+	balance_update_begin(side->balance);
+	g_hash_table_iter_init(&iter, view->config->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
+		apply_targets(side, view, service, now);
+		apply_budget(side, service->name);
+	}
+	balance_update_end(side->balance, now);
+}
+
+/* Life. */
+
+static void add_metrics(struct caller_side *side)
+{
+	static const char *const names[CALL_NR_OUTCOMES] = {
+		"godwitspur_requests_total{outcome=\"ran\"}",
+		"godwitspur_requests_total{outcome=\"not-run\"}",
+		"godwitspur_requests_total{outcome=\"unknown\"}",
+	};
+	struct metrics *metrics = side->context->metrics;
+
+	for (int i = 0; i < CALL_NR_OUTCOMES; i++) {
+		side->requests[i].name = names[i];
+		side->requests[i].help = "Callers' requests by outcome.";
+		metrics_add_counter(metrics, &side->requests[i]);
+	}
+	side->repeats.name = "godwitspur_repeats_total";
+	side->repeats.help = "Requests sent to a further backend server.";
+	metrics_add_counter(metrics, &side->repeats);
+	side->added_time.name = "godwitspur_added_seconds";
+	side->added_time.help =
+		"Time added to a request beside its time on the backend.";
+	metrics_add_histogram(metrics, &side->added_time);
+}
+
+struct caller_side *caller_side_new(const struct relay_context *context,
+				    struct backend_side *backend_side,
+				    struct peers *peers, GError **error)
+{
+	struct caller_side *side = g_new0(struct caller_side, 1);
+	struct balance_options balance = {
+		.host = context->host->name,
+		.zone = context->host->zone,
+		.region = context->host->region,
+		.eject_failures = EJECT_FAILURES,
+		.eject_first_ns = EJECT_FIRST_NS,
+		.eject_longest_ns = EJECT_LONGEST_NS,
+		.report_life_ns = REPORT_LIFE_NS,
+		.draining_life_ns = DRAINING_LIFE_NS,
+		.rng = &side->rng,
+	};
+	struct http_server_options http = {
+		.loop = context->loop,
+		.timers = context->timers,
+		.listen = context->host->callers,
+		.roles = &platform_roles,
+		.limits = { .message = { .head_max = HEAD_MAX_BYTES_START,
+					 .body_max = BODY_MAX_BYTES_START },
+			    .head_wait_ns = HEAD_WAIT_NS_START,
+			    .idle_wait_ns = IDLE_WAIT_NS_START },
+		.ops = &server_ops,
+		.ctx = side,
+	};
+
+	side->context = context;
+	side->backend_side = backend_side;
+	side->peers = peers;
+	side->own_traffic = g_strdup_printf("%s:%u", context->host->ip,
+					    context->host->peers.port);
+	rng_init(&side->rng, context->incarnation);
+	side->balance = balance_new(&balance);
+	side->budgets = g_array_new(FALSE, TRUE, sizeof(struct retry_budget));
+	side->splits = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     free_split);
+	add_metrics(side);
+	side->http = http_server_new(&http, error);
+	return side->http ? side : NULL;
+}
+
+void caller_side_drain(struct caller_side *side)
+{
+	http_server_drain(side->http);
+}
+
+void caller_side_stop(struct caller_side *side)
+{
+	http_server_stop(side->http);
+}
+
+int caller_side_nr_calls(const struct caller_side *side)
+{
+	return side->nr_calls;
+}
+
+json_t *caller_side_dump(const struct caller_side *side)
+{
+	return json_pack("{s:i, s:i, s:I, s:o}", "requests", side->nr_calls,
+			 "connections", (int)http_server_nr_conns(side->http),
+			 "version",
+			 side->view && side->view->config
+				 ? (json_int_t)side->view->config->version
+				 : (json_int_t)0,
+			 "balance",
+			 balance_dump(side->balance, clock_monotonic_ns()));
+}
--- /dev/null
+++ b/relay/caller_side.h
@@ -0,0 +1,36 @@
+#ifndef RELAY_CALLER_SIDE_H
+#define RELAY_CALLER_SIDE_H
+
+#include <jansson.h>
+
+#include "relay/backend_side.h"
+#include "relay/peers.h"
+#include "relay/relay.h"
+
+/*
+ * The side of the callers on this host: routes each request by the view in
+ * force, sends it to a backend server's daemon, sends it again where that is
+ * safe, and answers it with what is known of its outcome.
+ */
+
+struct caller_side;
+
+struct caller_side *caller_side_new(const struct relay_context *context,
+				    struct backend_side *backend_side,
+				    struct peers *peers, GError **error);
+
+/* Takes a new view, which stays referenced while requests use it. */
+void caller_side_apply(struct caller_side *side, struct mesh_view *view);
+
+/* Every further answer ends its connection. */
+void caller_side_drain(struct caller_side *side);
+
+/* Closes the listening socket and idle connections. */
+void caller_side_stop(struct caller_side *side);
+
+/* Requests that are being served. */
+int caller_side_nr_calls(const struct caller_side *side);
+
+json_t *caller_side_dump(const struct caller_side *side);
+
+#endif
--- /dev/null
+++ b/relay/control.c
@@ -0,0 +1,483 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/timer.h"
+#include "mesh/feed.h"
+#include "mesh/readers.h"
+#include "net/rpc.h"
+#include "platform/platform.h"
+#include "relay/control.h"
+#include "relay/feed_peers.h"
+#include "relay/store_reader.h"
+
+/*
+ * Entries of servers that lapse while the store is away come back within this
+ * time of its return, if the server lives; until then they hold on.
+ */
+#define LAPSE_HOLD_NS (2 * NS_PER_SEC)
+
+/* An outage shorter than this lets no entry lapse. */
+#define LAPSE_OUTAGE_NS (2 * NS_PER_SEC)
+
+/* Views are built at most this often, so that a storm costs little. */
+#define BUILD_INTERVAL_NS (50 * NS_PER_MS)
+
+struct control {
+	const struct mesh_host *host;
+	const struct control_ops *ops;
+	void *ctx;
+	struct net_loop *loop;
+	struct timers timers;
+	struct feed *feed;
+	struct store_reader *reader;
+	struct feed_peers *peers;
+	struct mesh_config *config;
+	GHashTable *targets; /* key -> struct mesh_target */
+	struct timer build_timer;
+	struct timer expiry_timer;
+	int64_t built_at;
+	int64_t lapse_deadline; /* deletions before it are held until then */
+	int64_t regained_at;
+	pthread_mutex_t lock; /* guards crashes and dump */
+	GArray *crashes;      /* struct quarantine_entry to tell */
+	char *dump;
+};
+
+/* Views. */
+
+static void add_target(const struct feed_item *item, const char *id,
+		       struct control *control, struct mesh_view *view)
+{
+	struct mesh_target *target =
+		g_hash_table_lookup(control->targets, item->key);
+
+	(void)id;
+	if (target)
+		g_ptr_array_add(view->targets, mesh_target_ref(target));
+}
+
+struct build {
+	struct control *control;
+	struct mesh_view *view;
+};
+
+static void add_item(const struct feed_item *item, void *ctx)
+{
+	struct build *build = ctx;
+	const char *name;
+
+	if (!item->value)
+		return;
+	switch (platform_item_kind(item->key, &name)) {
+	case PLATFORM_ITEM_TARGET:
+		add_target(item, name, build->control, build->view);
+		break;
+	case PLATFORM_ITEM_ZONE_OUT:
+		g_hash_table_add(build->view->zones_out, g_strdup(name));
+		break;
+	default:
+		break;
+	}
+}
+
+static void build_view(struct control *control, int64_t now)
+{
+	struct build build = { .control = control };
+
+	build.view = mesh_view_new(control->config);
+	feed_each_after(control->feed, 0, add_item, &build);
+	control->built_at = now;
+	log_event(LOG_INFO, "view",
+		  "version=%" PRId64 " revision=%" PRId64
+		  " targets=%u zones_out=%u",
+		  control->config ? control->config->version : 0,
+		  feed_revision(control->feed), build.view->targets->len,
+		  g_hash_table_size(build.view->zones_out));
+	feed_peers_set_view(control->peers, build.view);
+	control->ops->apply(control->ctx, build.view);
+}
+
+static void on_build_timer(struct timer *timer, int64_t now)
+{
+	build_view(caa_container_of(timer, struct control, build_timer), now);
+}
+
+/* The first change after a pause is taken up at once. */
+static void want_view(struct control *control)
+{
+	if (!control->build_timer.position)
+		timers_set(&control->timers, &control->build_timer,
+			   control->built_at + BUILD_INTERVAL_NS);
+}
+
+static void on_expiry_timer(struct timer *timer, int64_t now)
+{
+	struct control *control =
+		caa_container_of(timer, struct control, expiry_timer);
+
+	if (feed_expire(control->feed, now))
+		want_view(control);
+	if (feed_next_expiry(control->feed) != DEADLINE_NEVER)
+		timers_set(&control->timers, timer,
+			   feed_next_expiry(control->feed));
+}
+
+/* Items. */
+
+static void take_config(struct control *control, GBytes *value)
+{
+	g_autofree char *reason = NULL;
+	struct mesh_config *config = platform_decode_config(value, &reason);
+
+	if (!config) {
+		log_event(LOG_ERR, "config_refused", "reason=%s",
+			  log_quote(reason));
+		return;
+	}
+	if (control->config && config->version <= control->config->version) {
+		if (config->version < control->config->version)
+			log_event(LOG_ERR, "config_refused",
+				  "reason=older version=%" PRId64
+				  " in_force=%" PRId64,
+				  config->version, control->config->version);
+		mesh_config_unref(config);
+		return;
+	}
+	mesh_config_unref(control->config);
+	control->config = config;
+	want_view(control);
+}
+
+static bool same_target(const struct mesh_target *a,
+			const struct mesh_target *b)
+{
+	return a && b && !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) && !strcmp(a->zone, b->zone) &&
+	       a->slots == b->slots && a->draining == b->draining &&
+	       a->started_ms == b->started_ms;
+}
+
+/* Whether the entry says something new; a heartbeat alone does not. */
+static bool take_target(struct control *control, const char *key,
+			const char *id, GBytes *value)
+{
+	struct mesh_target *old = g_hash_table_lookup(control->targets, key);
+	struct mesh_target *target = platform_decode_target(id, value);
+
+	if (!target) {
+		/* It may come from another writer, so it names no server. */
+		if (old)
+			log_event(LOG_WARNING, "entry_unreadable", "key=%s",
+				  log_quote(key));
+		return g_hash_table_remove(control->targets, key);
+	}
+	if (same_target(old, target)) {
+		mesh_target_unref(target);
+		return false;
+	}
+	g_hash_table_insert(control->targets, g_strdup(key), target);
+	return true;
+}
+
+/* Whether the item changes what the daemons serve by. */
+static bool take_write(struct control *control, const char *key, GBytes *value,
+		       int64_t revision)
+{
+	bool changed = true;
+	const char *name;
+
+	if (!feed_is_news(control->feed, key, revision))
+		return false;
+	switch (platform_item_kind(key, &name)) {
+	case PLATFORM_ITEM_TARGET:
+		changed = take_target(control, key, name, value) ||
+			  !feed_holds(control->feed, key);
+		break;
+	case PLATFORM_ITEM_CONFIG:
+		take_config(control, value);
+		break;
+	case PLATFORM_ITEM_ZONE_OUT:
+		break;
+	default:
+		return false;
+	}
+	feed_write(control->feed, key, value, revision, changed);
+	if (changed)
+		want_view(control);
+	return changed;
+}
+
+static bool take_delete(struct control *control, const char *key,
+			int64_t revision, int64_t deadline)
+{
+	if (!feed_delete(control->feed, key, revision, deadline))
+		return false;
+	timers_set(&control->timers, &control->expiry_timer,
+		   feed_next_expiry(control->feed));
+	return true;
+}
+
+/* When a deletion that was read now takes effect. */
+static int64_t delete_deadline(const struct control *control, const char *key)
+{
+	const char *name;
+
+	if (platform_item_kind(key, &name) != PLATFORM_ITEM_TARGET)
+		return 0;
+	return control->lapse_deadline;
+}
+
+/* The store. */
+
+static void on_changes(void *ctx, const struct platform_page *page,
+		       int64_t started)
+{
+	struct control *control = ctx;
+	bool news = false;
+
+	for (guint i = 0; i < page->changes->len; i++) {
+		struct platform_change *change =
+			g_ptr_array_index(page->changes, i);
+
+		if (change->value)
+			news |= take_write(control, change->key, change->value,
+					   change->revision);
+		else
+			news |= take_delete(
+				control, change->key, change->revision,
+				delete_deadline(control, change->key));
+	}
+	if (!feed_revision(control->feed))
+		return; /* the first reading is not complete yet */
+	feed_advance(control->feed, page->revision);
+	feed_peers_confirmed(control->peers, started, news);
+}
+
+static void on_complete(void *ctx, GHashTable *keys, int64_t revision,
+			int64_t started)
+{
+	struct control *control = ctx;
+	bool news = false;
+
+	for (size_t i = 0; platform_prefixes[i]; i++)
+		news |= feed_delete_missing(
+			control->feed, platform_prefixes[i], keys, revision,
+			delete_deadline(control, platform_prefixes[i]));
+	if (news)
+		timers_set(&control->timers, &control->expiry_timer,
+			   feed_next_expiry(control->feed));
+	feed_advance(control->feed, revision);
+	feed_peers_confirmed(control->peers, started, news);
+}
+
+static void on_lost(void *ctx)
+{
+	(void)ctx;
+	log_event(LOG_WARNING, "store_lost", "%s", "");
+}
+
+static void on_regained(void *ctx)
+{
+	struct control *control = ctx;
+	int64_t now = clock_monotonic_ns();
+	int64_t away = now - store_reader_lost_since(control->reader);
+
+	log_event(LOG_NOTICE, "store_regained", "away_ms=%" PRId64,
+		  away / NS_PER_MS);
+	if (away >= LAPSE_OUTAGE_NS)
+		control->lapse_deadline = now + LAPSE_HOLD_NS;
+}
+
+static const struct store_reader_ops reader_ops = {
+	.changes = on_changes,
+	.complete = on_complete,
+	.lost = on_lost,
+	.regained = on_regained,
+};
+
+/* Other daemons. */
+
+static void on_entry(void *ctx, const struct feed_entry *entry)
+{
+	struct control *control = ctx;
+	int64_t now = clock_monotonic_ns();
+
+	if (entry->deleted) {
+		take_delete(control, entry->key, entry->revision,
+			    now + entry->hold_ms * NS_PER_MS);
+	} else {
+		g_autoptr(GBytes) value = g_bytes_new(
+			entry->value.value_val, entry->value.value_len);
+
+		take_write(control, entry->key, value, entry->revision);
+	}
+}
+
+static void on_crashes(void *ctx, const struct quarantine_entry *entries,
+		       size_t nr)
+{
+	struct control *control = ctx;
+
+	control->ops->crashes(control->ctx, entries, nr);
+}
+
+static void on_role(void *ctx, bool reads)
+{
+	struct control *control = ctx;
+
+	if (reads)
+		store_reader_start(control->reader,
+				   feed_revision(control->feed));
+	else
+		store_reader_stop(control->reader);
+}
+
+static const struct feed_peers_ops peers_ops = {
+	.entry = on_entry,
+	.crashes = on_crashes,
+	.role = on_role,
+};
+
+/* The thread. */
+
+static void write_dump(struct control *control)
+{
+	json_t *dump = json_pack(
+		"{s:I, s:b, s:I, s:o}", "revision",
+		(json_int_t)feed_revision(control->feed), "reads_store",
+		store_reader_is_running(control->reader), "store_calls",
+		(json_int_t)store_reader_nr_calls(control->reader), "peers",
+		feed_peers_dump(control->peers));
+	char *text = json_dumps(dump, JSON_COMPACT | JSON_SORT_KEYS);
+
+	json_decref(dump);
+	pthread_mutex_lock(&control->lock);
+	free(control->dump);
+	control->dump = text;
+	pthread_mutex_unlock(&control->lock);
+}
+
+static void on_turn(void *ctx, int64_t now)
+{
+	struct control *control = ctx;
+
+	timers_run(&control->timers, now);
+}
+
+static int64_t on_next_deadline(void *ctx)
+{
+	struct control *control = ctx;
+
+	return timers_next(&control->timers);
+}
+
+static void tell_crashes(void *arg)
+{
+	struct control *control = arg;
+	g_autoptr(GArray) crashes = NULL;
+
+	pthread_mutex_lock(&control->lock);
+	crashes = control->crashes;
+	control->crashes =
+		g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
+	pthread_mutex_unlock(&control->lock);
+	feed_peers_tell_crashes(control->peers,
+				(struct quarantine_entry *)crashes->data,
+				crashes->len);
+}
+
+void control_tell_crash(struct control *control,
+			const struct quarantine_entry *entry)
+{
+	pthread_mutex_lock(&control->lock);
+	g_array_append_val(control->crashes, *entry);
+	pthread_mutex_unlock(&control->lock);
+	net_loop_defer(control->loop, tell_crashes, control);
+}
+
+static void refresh_dump(void *arg)
+{
+	write_dump(arg);
+}
+
+char *control_dump_text(struct control *control)
+{
+	char *text;
+
+	/* The thread renews the text, which is therefore one request old. */
+	net_loop_defer(control->loop, refresh_dump, control);
+	pthread_mutex_lock(&control->lock);
+	text = g_strdup(control->dump ? control->dump : "{}");
+	pthread_mutex_unlock(&control->lock);
+	return text;
+}
+
+struct control *control_new(const struct mesh_host *host,
+			    const struct control_ops *ops, void *ctx,
+			    GError **error)
+{
+	struct control *control = g_new0(struct control, 1);
+	struct net_loop_options loop = {
+		.turn = on_turn,
+		.next_deadline = on_next_deadline,
+		.ctx = control,
+	};
+	struct store_reader_options reader = {
+		.timers = &control->timers,
+		.address = host->store,
+		.ops = &reader_ops,
+		.ctx = control,
+	};
+	struct feed_peers_options peers = {
+		.host = host,
+		.timers = &control->timers,
+		.ops = &peers_ops,
+		.ctx = control,
+	};
+
+	control->host = host;
+	control->ops = ops;
+	control->ctx = ctx;
+	control->loop = net_loop_new(&loop);
+	timers_init(&control->timers);
+	control->feed = feed_new();
+	control->targets = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free,
+		(GDestroyNotify)mesh_target_unref);
+	control->build_timer.fire = on_build_timer;
+	control->expiry_timer.fire = on_expiry_timer;
+	control->crashes =
+		g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
+	pthread_mutex_init(&control->lock, NULL);
+	reader.loop = control->loop;
+	control->reader = store_reader_new(&reader);
+	peers.loop = control->loop;
+	peers.feed = control->feed;
+	control->peers = feed_peers_new(&peers, error);
+	return control->peers ? control : NULL;
+}
+
+static void *run_thread(void *arg)
+{
+	struct control *control = arg;
+
+	pthread_setname_np(pthread_self(), "control");
+	feed_peers_start(control->peers);
+	net_loop_run(control->loop);
+	return NULL;
+}
+
+void control_start(struct control *control)
+{
+	pthread_attr_t attr;
+	pthread_t thread;
+
+	pthread_attr_init(&attr);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	pthread_attr_setstacksize(&attr, 256 * 1024);
+	if (pthread_create(&thread, &attr, run_thread, control))
+		log_event(LOG_ERR, "thread_failed", "thread=control");
+	pthread_attr_destroy(&attr);
+}
--- /dev/null
+++ b/relay/control.h
@@ -0,0 +1,39 @@
+#ifndef RELAY_CONTROL_H
+#define RELAY_CONTROL_H
+
+#include <jansson.h>
+
+#include "mesh/host.h"
+#include "mesh/view.h"
+#include "quarantine/quarantine.h"
+
+/*
+ * The control thread: learns what is published, from the store or from other
+ * daemons, builds views of it and hands them to the traffic thread.
+ */
+
+struct control;
+
+struct control_ops {
+	/* A new view, referenced for the callee; on the control thread. */
+	void (*apply)(void *ctx, struct mesh_view *view);
+	/* Crashes that another daemon told; on the control thread. */
+	void (*crashes)(void *ctx, const struct quarantine_entry *entries,
+			size_t nr);
+};
+
+struct control *control_new(const struct mesh_host *host,
+			    const struct control_ops *ops, void *ctx,
+			    GError **error);
+
+/* Starts the thread. */
+void control_start(struct control *control);
+
+/* Tells all daemons of a crash; any thread. */
+void control_tell_crash(struct control *control,
+			const struct quarantine_entry *entry);
+
+/* State as text of one JSON object, freed with g_free(); any thread. */
+char *control_dump_text(struct control *control);
+
+#endif
--- /dev/null
+++ b/relay/desk.c
@@ -0,0 +1,120 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "http/server.h"
+#include "platform/platform.h"
+#include "relay/desk.h"
+
+#define HEAD_MAX_BYTES 8192
+#define HEAD_WAIT_NS (3 * NS_PER_SEC)
+#define IDLE_WAIT_NS (30 * NS_PER_SEC)
+
+struct desk {
+	const struct relay_context *context;
+	const struct desk_ops *ops;
+	void *ctx;
+	struct http_server *ready;
+	struct http_server *operators;
+};
+
+static void reply_text(struct http_server_conn *conn, int status,
+		       const char *type, const char *text)
+{
+	g_autofree char *fields =
+		g_strdup_printf("Content-Type: %s\r\n", type);
+	struct http_reply reply = {
+		.status = status,
+		.fields = fields,
+		.body = text,
+		.body_len = strlen(text),
+	};
+
+	http_server_reply(conn, &reply);
+}
+
+static void on_ready_request(struct http_server_conn *conn,
+			     struct http_message *message, void *ctx)
+{
+	CLEANUP(http_message_freep) struct http_message *owned = message;
+	struct desk *desk = ctx;
+
+	if (strcmp(message->target->str, platform_ready_path) != 0)
+		reply_text(conn, 404, "text/plain", "");
+	else
+		reply_text(conn, desk->ops->is_ready(desk->ctx) ? 200 : 503,
+			   "text/plain", "");
+}
+
+static void on_operators_request(struct http_server_conn *conn,
+				 struct http_message *message, void *ctx)
+{
+	CLEANUP(http_message_freep) struct http_message *owned = message;
+	g_autoptr(GString) metrics = g_string_new(NULL);
+	struct desk *desk = ctx;
+
+	if (!strcmp(message->target->str, "/dump")) {
+		g_autofree char *dump = desk->ops->dump(desk->ctx);
+
+		reply_text(conn, 200, "application/json", dump);
+	} else if (!strcmp(message->target->str, "/metrics")) {
+		metrics_render(desk->context->metrics, metrics);
+		reply_text(conn, 200, "text/plain; version=0.0.4",
+			   metrics->str);
+	} else {
+		reply_text(conn, 404, "text/plain", "");
+	}
+}
+
+/* Nothing is kept for a request, so there is nothing to end. */
+static void on_gone(struct http_server_conn *conn, void *ctx)
+{
+	(void)conn;
+	(void)ctx;
+}
+
+static const struct http_server_ops ready_ops = {
+	.request = on_ready_request,
+	.gone = on_gone,
+};
+
+static const struct http_server_ops operators_ops = {
+	.request = on_operators_request,
+	.gone = on_gone,
+};
+
+static struct http_server *listen_at(struct desk *desk,
+				     const struct net_address *address,
+				     const struct http_server_ops *ops,
+				     GError **error)
+{
+	struct http_server_options options = {
+		.loop = desk->context->loop,
+		.timers = desk->context->timers,
+		.listen = *address,
+		.roles = &platform_roles,
+		.limits = { .message = { .head_max = HEAD_MAX_BYTES },
+			    .head_wait_ns = HEAD_WAIT_NS,
+			    .idle_wait_ns = IDLE_WAIT_NS },
+		.ops = ops,
+		.ctx = desk,
+	};
+
+	return http_server_new(&options, error);
+}
+
+struct desk *desk_new(const struct relay_context *context,
+		      const struct desk_ops *ops, void *ctx, GError **error)
+{
+	const struct mesh_host *host = context->host;
+	struct desk *desk = g_new0(struct desk, 1);
+
+	desk->context = context;
+	desk->ops = ops;
+	desk->ctx = ctx;
+	desk->ready = listen_at(desk, &host->ready, &ready_ops, error);
+	if (!desk->ready)
+		return NULL;
+	desk->operators =
+		listen_at(desk, &host->operators, &operators_ops, error);
+	return desk->operators ? desk : NULL;
+}
--- /dev/null
+++ b/relay/desk.h
@@ -0,0 +1,22 @@
+#ifndef RELAY_DESK_H
+#define RELAY_DESK_H
+
+#include "relay/relay.h"
+
+/*
+ * What is asked of the daemon from outside, besides requests: whether it is
+ * ready, its metrics and its state.
+ */
+
+struct desk;
+
+struct desk_ops {
+	bool (*is_ready)(void *ctx);
+	/* State as JSON text, freed with g_free(). */
+	char *(*dump)(void *ctx);
+};
+
+struct desk *desk_new(const struct relay_context *context,
+		      const struct desk_ops *ops, void *ctx, GError **error);
+
+#endif
--- /dev/null
+++ b/relay/feed_peers.c
@@ -0,0 +1,455 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "mesh/readers.h"
+#include "net/rpc.h"
+#include "relay/feed_peers.h"
+
+#define OUTPUT_MAX (32 * 1024 * 1024)
+#define RECORD_MAX (32 * 1024 * 1024)
+
+/* Without news a peer is told this often that there are none. */
+#define PUSH_INTERVAL_NS (700 * NS_PER_MS)
+
+/* A push that is not answered so long ends the connection. */
+#define PUSH_WAIT_NS (1500 * NS_PER_MS)
+
+/* After a failed push the next one waits this long. */
+#define PUSH_RETRY_NS (300 * NS_PER_MS)
+
+/* Another daemon. */
+struct peer {
+	char *ip;
+	struct net_address address;
+	struct feed_peers *peers;
+	struct rpc_conn *conn; /* NULL: none */
+	struct rpc_call call;
+	bool calling;
+	int64_t acked;	 /* revision that it has confirmed */
+	int64_t sent_to; /* revision of the push under way */
+	int64_t next_push;
+	bool named; /* by the view being taken */
+};
+
+struct feed_peers {
+	struct feed_peers_options options;
+	struct rpc_service service;
+	struct rpc_listener *listener;
+	GHashTable *peers; /* ip -> struct peer */
+	struct readers_state state;
+	struct timer timer;
+	bool reads;
+};
+
+static void update(struct feed_peers *peers, int64_t now);
+
+/* Pushes. */
+
+struct batch {
+	struct feed_push push;
+	GArray *entries; /* struct feed_entry */
+	int64_t now;
+};
+
+/* The strings and bytes of an entry are borrowed from the item. */
+static void add_entry(const struct feed_item *item, void *ctx)
+{
+	struct batch *batch = ctx;
+	struct feed_entry entry = {
+		.key = item->key,
+		.revision = item->revision,
+		.deleted = !item->value ||
+			   item->delete_deadline != DEADLINE_NEVER,
+	};
+
+	if (batch->entries->len == FEED_ITEMS_MAX)
+		return;
+	if (entry.deleted && item->value)
+		entry.hold_ms = MAX(0, item->delete_deadline - batch->now) /
+				NS_PER_MS;
+	if (!entry.deleted) {
+		gsize len;
+
+		entry.value.value_val =
+			(char *)g_bytes_get_data(item->value, &len);
+		entry.value.value_len = (u_int)len;
+	}
+	g_array_append_val(batch->entries, entry);
+}
+
+static void on_pushed(struct rpc_call *call, enum rpc_status status, XDR *xdr)
+{
+	struct peer *peer = caa_container_of(call, struct peer, call);
+	struct feed_peers *peers = peer->peers;
+	int64_t now = clock_monotonic_ns();
+	struct feed_reply reply;
+
+	peer->calling = false;
+	if (status == RPC_DONE && xdr_feed_reply(xdr, &reply)) {
+		/* A daemon that restarted may know less than before. */
+		peer->acked = reply.revision;
+		peer->next_push = MAX(peer->next_push, now);
+		if (peer->acked < peer->sent_to)
+			peer->next_push = now + PUSH_RETRY_NS;
+	} else {
+		peer->acked = 0;
+		peer->next_push = now + PUSH_RETRY_NS;
+	}
+	update(peers, now);
+}
+
+static bool connect_peer(struct peer *peer)
+{
+	struct rpc_options options = {
+		.loop = peer->peers->options.loop,
+		.record_max = RECORD_MAX,
+		.output_max = OUTPUT_MAX,
+	};
+
+	if (peer->conn && !rpc_conn_closed(peer->conn))
+		return true;
+	if (peer->conn)
+		rpc_conn_unref(peer->conn);
+	peer->conn = rpc_connect(&options, &peer->address, NULL);
+	return peer->conn != NULL;
+}
+
+static void send_push(struct peer *peer, struct batch *batch)
+{
+	struct feed_peers *peers = peer->peers;
+	struct feed_push *push = &batch->push;
+
+	push->ip = peers->options.host->ip;
+	push->from = peer->acked;
+	push->to = feed_revision(peers->options.feed);
+	push->confirmed_ms =
+		peers->state.confirmed
+			? (batch->now - peers->state.confirmed) / NS_PER_MS
+			: -1;
+	push->entries.entries_len = batch->entries->len;
+	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
+	peer->calling = true;
+	peer->sent_to = push->to;
+	peer->next_push = batch->now + PUSH_INTERVAL_NS;
+	peer->call.done = on_pushed;
+	peer->call.deadline = batch->now + PUSH_WAIT_NS;
+	rpc_call_start(peer->conn, &peer->call, FEED_PROGRAM, FEED_VERSION,
+		       FEED_PUSH, (xdrproc_t)xdr_feed_push, push);
+}
+
+static void push_to(struct peer *peer, const struct quarantine_entry *crashes,
+		    size_t nr, int64_t now)
+{
+	struct peer_crash told[PEER_CRASHES_MAX];
+	struct batch batch = { .now = now };
+
+	if (peer->calling || !connect_peer(peer))
+		return;
+	batch.entries = g_array_new(FALSE, TRUE, sizeof(struct feed_entry));
+	if (peer->acked < feed_revision(peer->peers->options.feed))
+		feed_each_after(peer->peers->options.feed, peer->acked,
+				add_entry, &batch);
+	for (size_t i = 0; i < MIN(nr, PEER_CRASHES_MAX); i++) {
+		told[i].fingerprint = crashes[i].fingerprint;
+		told[i].origin = crashes[i].origin;
+		told[i].count = crashes[i].count;
+		told[i].cleared = crashes[i].cleared;
+		told[i].left_ms = crashes[i].left_ms;
+	}
+	batch.push.crashes.crashes_len = (u_int)MIN(nr, PEER_CRASHES_MAX);
+	batch.push.crashes.crashes_val = told;
+	send_push(peer, &batch);
+	g_array_unref(batch.entries);
+}
+
+/* A connection whose push was never answered is given up. */
+static void check_call(struct peer *peer, int64_t now)
+{
+	if (!peer->calling || now < peer->call.deadline)
+		return;
+	rpc_forget(peer->conn, &peer->call);
+	rpc_conn_close(peer->conn);
+	rpc_conn_unref(peer->conn);
+	peer->conn = NULL;
+	peer->calling = false;
+	peer->acked = 0;
+	peer->next_push = now + PUSH_RETRY_NS;
+}
+
+static void push_due(struct feed_peers *peers, int64_t now)
+{
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		check_call(peer, now);
+		if (peer->next_push <= now)
+			push_to(peer, NULL, 0, now);
+	}
+}
+
+/* Roles. */
+
+static int64_t next_update(struct feed_peers *peers, int64_t now, bool tells)
+{
+	int64_t next = readers_next(&peers->state, now);
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->calling)
+			next = MIN(next, peer->call.deadline);
+		else if (tells)
+			next = MIN(next, MAX(peer->next_push,
+					     now + 10 * NS_PER_MS));
+	}
+	return next;
+}
+
+/* Takes up the present roles, pushes what is due and sets the timer. */
+static void update(struct feed_peers *peers, int64_t now)
+{
+	bool reads = readers_reads(&peers->state, now);
+	bool tells = readers_tells(&peers->state, now) &&
+		     feed_revision(peers->options.feed);
+	int64_t next;
+
+	if (reads != peers->reads) {
+		peers->reads = reads;
+		log_event(LOG_INFO, "role", "reads_store=%d rank=%d", reads,
+			  peers->state.rank);
+		peers->options.ops->role(peers->options.ctx, reads);
+	}
+	if (tells)
+		push_due(peers, now);
+	next = next_update(peers, now, tells);
+	if (next != DEADLINE_NEVER)
+		timers_set(peers->options.timers, &peers->timer, next);
+}
+
+static void on_timer(struct timer *timer, int64_t now)
+{
+	update(caa_container_of(timer, struct feed_peers, timer), now);
+}
+
+void feed_peers_confirmed(struct feed_peers *peers, int64_t started, bool news)
+{
+	int64_t now = clock_monotonic_ns();
+	struct peer *peer;
+	GHashTableIter iter;
+
+	peers->state.confirmed = MAX(peers->state.confirmed, started);
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (news &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		peer->next_push = now;
+	update(peers, now);
+}
+
+void feed_peers_tell_crashes(struct feed_peers *peers,
+			     const struct quarantine_entry *entries, size_t nr)
+{
+	int64_t now = clock_monotonic_ns();
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		push_to(peer, entries, nr, now);
+}
+
+/* Pushes of other daemons. */
+
+static void take_crashes(struct feed_peers *peers, const struct feed_push *push)
+{
+	struct quarantine_entry entries[PEER_CRASHES_MAX];
+	u_int nr = MIN(push->crashes.crashes_len, PEER_CRASHES_MAX);
+
+	for (u_int i = 0; i < nr; i++) {
+		const struct peer_crash *told = &push->crashes.crashes_val[i];
+
+		entries[i].fingerprint = told->fingerprint;
+		entries[i].origin = told->origin;
+		entries[i].count = told->count;
+		entries[i].cleared = told->cleared;
+		entries[i].left_ms = told->left_ms;
+	}
+	if (nr)
+		peers->options.ops->crashes(peers->options.ctx, entries, nr);
+}
+
+static void take_push(struct feed_peers *peers, const struct feed_push *push)
+{
+	struct feed *feed = peers->options.feed;
+	int64_t now = clock_monotonic_ns();
+	struct peer *peer = g_hash_table_lookup(peers->peers, push->ip);
+
+	/* Items before push->from are missing when this daemon lacks them. */
+	if (push->from <= feed_revision(feed)) {
+		for (u_int i = 0; i < push->entries.entries_len; i++)
+			peers->options.ops->entry(
+				peers->options.ctx,
+				&push->entries.entries_val[i]);
+		feed_advance(feed, push->to);
+	}
+	take_crashes(peers, push);
+	peers->state.heard = now;
+	if (push->confirmed_ms >= 0)
+		peers->state.confirmed =
+			MAX(peers->state.confirmed,
+			    now - push->confirmed_ms * NS_PER_MS);
+	/* It restarted, or missed something: it is told what it lacks. */
+	if (peer && push->to < feed_revision(feed)) {
+		peer->acked = MIN(peer->acked, push->to);
+		push_to(peer, NULL, 0, now);
+	}
+	update(peers, now);
+}
+
+static bool handle(struct rpc_conn *conn, void *ctx, uint32_t xid,
+		   uint32_t procedure, XDR *args, enum accept_stat *error)
+{
+	struct feed_push push = { 0 };
+	struct feed_peers *peers = ctx;
+	struct feed_reply reply;
+
+	*error = procedure == FEED_PUSH ? GARBAGE_ARGS : PROC_UNAVAIL;
+	if (procedure != FEED_PUSH)
+		return false;
+	if (!xdr_feed_push(args, &push)) {
+		xdr_free((xdrproc_t)xdr_feed_push, (char *)&push);
+		return false;
+	}
+	take_push(peers, &push);
+	xdr_free((xdrproc_t)xdr_feed_push, (char *)&push);
+	reply.revision = feed_revision(peers->options.feed);
+	rpc_reply(conn, xid, (xdrproc_t)xdr_feed_reply, &reply);
+	return true;
+}
+
+/* Membership. */
+
+static void free_peer(void *arg)
+{
+	struct peer *peer = arg;
+
+	if (peer->calling)
+		rpc_forget(peer->conn, &peer->call);
+	if (peer->conn) {
+		rpc_conn_close(peer->conn);
+		rpc_conn_unref(peer->conn);
+	}
+	g_free(peer->ip);
+	g_free(peer);
+}
+
+static void name_peer(struct feed_peers *peers, const char *ip)
+{
+	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
+	g_autofree char *text = NULL;
+
+	if (!peer) {
+		peer = g_new0(struct peer, 1);
+		peer->peers = peers;
+		peer->ip = g_strdup(ip);
+		text = g_strdup_printf("%s:%u", ip,
+				       peers->options.host->control.port);
+		net_address_parse(&peer->address, text, NULL);
+		g_hash_table_insert(peers->peers, peer->ip, peer);
+	}
+	peer->named = true;
+}
+
+static gboolean is_unnamed(gpointer key, gpointer value, gpointer ctx)
+{
+	struct peer *peer = value;
+	bool named = peer->named;
+
+	(void)key;
+	(void)ctx;
+	peer->named = false;
+	return !named;
+}
+
+static int rank_of(struct feed_peers *peers)
+{
+	uint64_t own = readers_hash(peers->options.host->ip);
+	struct peer *peer;
+	GHashTableIter iter;
+	int rank = 0;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		rank += readers_hash(peer->ip) < own;
+	return rank;
+}
+
+void feed_peers_set_view(struct feed_peers *peers, const struct mesh_view *view)
+{
+	const char *own = peers->options.host->ip;
+
+	for (guint i = 0; i < view->targets->len; i++) {
+		const struct mesh_target *target =
+			g_ptr_array_index(view->targets, i);
+
+		if (strcmp(target->ip, own) != 0)
+			name_peer(peers, target->ip);
+	}
+	g_hash_table_foreach_remove(peers->peers, is_unnamed, NULL);
+	peers->state.rank = rank_of(peers);
+	update(peers, clock_monotonic_ns());
+}
+
+struct feed_peers *feed_peers_new(const struct feed_peers_options *options,
+				  GError **error)
+{
+	struct feed_peers *peers = g_new0(struct feed_peers, 1);
+	struct rpc_options rpc = {
+		.loop = options->loop,
+		.record_max = RECORD_MAX,
+		.output_max = OUTPUT_MAX,
+		.service = &peers->service,
+	};
+
+	peers->options = *options;
+	peers->service.program = FEED_PROGRAM;
+	peers->service.version = FEED_VERSION;
+	peers->service.handle = handle;
+	peers->service.ctx = peers;
+	peers->timer.fire = on_timer;
+	peers->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+	peers->listener = rpc_listen(&rpc, &options->host->control, error);
+	if (peers->listener)
+		return peers;
+	g_hash_table_unref(peers->peers);
+	g_free(peers);
+	return NULL;
+}
+
+void feed_peers_start(struct feed_peers *peers)
+{
+	int64_t now = clock_monotonic_ns();
+
+	peers->state.heard = now;
+	update(peers, now);
+}
+
+json_t *feed_peers_dump(const struct feed_peers *peers)
+{
+	json_t *array = json_array();
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		json_array_append_new(array,
+				      json_pack("{s:s, s:I}", "ip", peer->ip,
+						"revision",
+						(json_int_t)peer->acked));
+	return array;
+}
--- /dev/null
+++ b/relay/job.h
@@ -0,0 +1,30 @@
+#ifndef RELAY_JOB_H
+#define RELAY_JOB_H
+
+#include "admit/admit.h"
+#include "wire/wire.h"
+
+struct backend_conn;
+struct backend_side;
+
+/*
+ * A request at the daemon beside its backend server; embedded by the side that
+ * submits it.
+ */
+struct relay_job {
+	struct relay_request request; /* owned; freed with xdr_free() */
+	/*
+	 * Takes the answer, which the callee frees with xdr_free(). Called
+	 * once, unless the job is cancelled first.
+	 */
+	void (*done)(struct relay_job *job, struct relay_answer *answer);
+
+	/* Private to backend_side.c. */
+	struct backend_side *side;
+	struct admit_request admit;
+	struct cds_list_head node; /* running jobs */
+	struct backend_conn *conn;
+	int64_t deadline;
+};
+
+#endif
--- /dev/null
+++ b/relay/peers.c
@@ -0,0 +1,381 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/peers.h"
+
+#define OUTPUT_MAX (64 * 1024 * 1024)
+
+/* After a failed connection the next attempt waits this long. */
+#define RECONNECT_NS (100 * NS_PER_MS)
+
+/*
+ * While requests are out and nothing has come for PING_AFTER_NS, the other
+ * daemon is asked for a sign of life; without one within PING_WAIT_NS the
+ * connection is given up.
+ */
+#define PING_AFTER_NS (300 * NS_PER_MS)
+#define PING_WAIT_NS (700 * NS_PER_MS)
+
+/* A request of another daemon. */
+struct remote_job {
+	struct relay_job job; /* first: callbacks cast back */
+	struct cds_list_head node;
+	struct peers *peers;
+	struct rpc_conn *conn;
+	uint32_t xid;
+};
+
+/* The connection to another daemon. */
+struct peer_link {
+	char *address;
+	struct peers *peers;
+	struct rpc_conn *conn; /* NULL: none */
+	int64_t retry_deadline;
+	int64_t heard_at;
+	unsigned nr_calls;
+	struct timer timer; /* the next ping, while requests are out */
+	struct rpc_call ping;
+	bool ping_out;
+};
+
+struct peers {
+	const struct relay_context *context;
+	struct backend_side *backend_side;
+	struct rpc_service service;
+	struct rpc_listener *listener;
+	GHashTable *links;	   /* address -> struct peer_link */
+	struct cds_list_head jobs; /* of other daemons */
+};
+
+/* Requests of this daemon. */
+
+static void send_ping(struct peer_link *link, int64_t now);
+
+static void watch_link(struct peer_link *link)
+{
+	if (link->nr_calls && !link->timer.position)
+		timers_set(link->peers->context->timers, &link->timer,
+			   clock_monotonic_ns() + PING_AFTER_NS);
+}
+
+static void drop_conn(struct peer_link *link)
+{
+	if (!link->conn)
+		return;
+	rpc_conn_close(link->conn);
+	rpc_conn_unref(link->conn);
+	link->conn = NULL;
+}
+
+static void on_link_timer(struct timer *timer, int64_t now)
+{
+	struct peer_link *link = caa_container_of(timer, struct peer_link,
+						  timer);
+
+	if (link->ping_out && now - link->ping.deadline >= 0) {
+		log_event(LOG_WARNING, "peer_silent", "peer=%s requests=%u",
+			  link->address, link->nr_calls);
+		link->ping_out = false;
+		if (link->conn)
+			rpc_forget(link->conn, &link->ping);
+		drop_conn(link);
+		return;
+	}
+	if (!link->nr_calls || !link->conn)
+		return;
+	if (!link->ping_out && now - link->heard_at >= PING_AFTER_NS)
+		send_ping(link, now);
+	timers_set(link->peers->context->timers, &link->timer,
+		   link->ping_out ? link->ping.deadline
+				  : link->heard_at + PING_AFTER_NS);
+}
+
+static void on_pong(struct rpc_call *call, enum rpc_status status, XDR *xdr)
+{
+	struct peer_link *link = caa_container_of(call, struct peer_link, ping);
+
+	(void)xdr;
+	link->ping_out = false;
+	if (status == RPC_DONE)
+		link->heard_at = clock_monotonic_ns();
+	watch_link(link);
+}
+
+static void send_ping(struct peer_link *link, int64_t now)
+{
+	struct relay_ping ping = { .draining = backend_side_is_draining(
+					   link->peers->backend_side) };
+
+	link->ping_out = true;
+	link->ping.done = on_pong;
+	link->ping.deadline = now + PING_WAIT_NS;
+	rpc_call_start(link->conn, &link->ping, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_PING, (xdrproc_t)xdr_relay_ping, &ping);
+}
+
+static struct peer_link *find_link(struct peers *peers, const char *address)
+{
+	struct peer_link *link = g_hash_table_lookup(peers->links, address);
+
+	if (link)
+		return link;
+	link = g_new0(struct peer_link, 1);
+	link->address = g_strdup(address);
+	link->peers = peers;
+	link->timer.fire = on_link_timer;
+	g_hash_table_insert(peers->links, link->address, link);
+	return link;
+}
+
+static void connect_link(struct peer_link *link)
+{
+	struct rpc_options options = {
+		.loop = link->peers->context->loop,
+		.record_max = WIRE_TRAFFIC_RECORD_MAX,
+		.output_max = OUTPUT_MAX,
+	};
+	int64_t now = clock_monotonic_ns();
+	struct net_address address;
+
+	drop_conn(link);
+	if (now < link->retry_deadline ||
+	    !net_address_parse(&address, link->address, NULL))
+		return;
+	link->retry_deadline = now + RECONNECT_NS;
+	link->conn = rpc_connect(&options, &address, NULL);
+}
+
+static void end_call(struct peer_call *call)
+{
+	call->ended = true;
+	call->link->nr_calls--;
+	if (call->conn)
+		rpc_conn_unref(call->conn);
+	call->conn = NULL;
+}
+
+static void on_done(struct rpc_call *rpc, enum rpc_status status, XDR *xdr)
+{
+	struct peer_call *call = caa_container_of(rpc, struct peer_call, rpc);
+	struct relay_answer answer = { 0 };
+
+	call->link->heard_at = clock_monotonic_ns();
+	end_call(call);
+	if (status == RPC_DONE && !xdr_relay_answer(xdr, &answer)) {
+		xdr_free((xdrproc_t)xdr_relay_answer, (char *)&answer);
+		status = RPC_LOST;
+	}
+	call->done(call, status, status == RPC_DONE ? &answer : NULL);
+}
+
+void peers_send(struct peers *peers, const char *address,
+		struct relay_request *request, struct peer_call *call)
+{
+	struct peer_link *link = find_link(peers, address);
+
+	call->link = link;
+	call->ended = false;
+	call->rpc.done = on_done;
+	call->rpc.deadline = DEADLINE_NEVER;
+	if (!link->conn || rpc_conn_closed(link->conn))
+		connect_link(link);
+	call->conn = link->conn ? rpc_conn_ref(link->conn) : NULL;
+	if (!link->nr_calls++)
+		link->heard_at = clock_monotonic_ns();
+	if (!call->conn) {
+		end_call(call);
+		call->done(call, RPC_NOT_SENT, NULL);
+		return;
+	}
+	watch_link(link);
+	rpc_call_start(call->conn, &call->rpc, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_REQUEST, (xdrproc_t)xdr_relay_request, request);
+}
+
+/* The answer to a cancellation only shows that the other side is there. */
+static void free_cancel(struct rpc_call *rpc, enum rpc_status status, XDR *xdr)
+{
+	(void)status;
+	(void)xdr;
+	g_free(rpc);
+}
+
+void peers_cancel(struct peers *peers, struct peer_call *call)
+{
+	struct relay_cancel cancel = { .xid = call->rpc.xid };
+	struct rpc_call *rpc;
+
+	(void)peers;
+	if (call->ended || !rpc_forget(call->conn, &call->rpc))
+		return;
+	rpc = g_new0(struct rpc_call, 1);
+	rpc->done = free_cancel;
+	rpc->deadline = DEADLINE_NEVER;
+	rpc_call_start(call->conn, rpc, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_CANCEL, (xdrproc_t)xdr_relay_cancel, &cancel);
+	end_call(call);
+}
+
+/* Requests of other daemons. */
+
+static void free_remote(struct remote_job *remote)
+{
+	cds_list_del(&remote->node);
+	rpc_conn_unref(remote->conn);
+	xdr_free((xdrproc_t)xdr_relay_request, (char *)&remote->job.request);
+	g_free(remote);
+}
+
+static void reply_remote(struct relay_job *job, struct relay_answer *answer)
+{
+	struct remote_job *remote = (struct remote_job *)job;
+
+	rpc_reply(remote->conn, remote->xid, (xdrproc_t)xdr_relay_answer,
+		  answer);
+	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
+	free_remote(remote);
+}
+
+static bool serve_request(struct peers *peers, struct rpc_conn *conn,
+			  uint32_t xid, XDR *args)
+{
+	struct remote_job *remote = g_new0(struct remote_job, 1);
+
+	if (!xdr_relay_request(args, &remote->job.request)) {
+		xdr_free((xdrproc_t)xdr_relay_request,
+			 (char *)&remote->job.request);
+		g_free(remote);
+		return false;
+	}
+	remote->peers = peers;
+	remote->conn = rpc_conn_ref(conn);
+	remote->xid = xid;
+	remote->job.done = reply_remote;
+	cds_list_add_tail(&remote->node, &peers->jobs);
+	backend_side_submit(peers->backend_side, &remote->job);
+	return true;
+}
+
+static void cancel_remote(struct peers *peers, struct remote_job *remote)
+{
+	backend_side_cancel(peers->backend_side, &remote->job);
+	free_remote(remote);
+}
+
+static bool serve_cancel(struct peers *peers, struct rpc_conn *conn,
+			 uint32_t xid, XDR *args)
+{
+	struct remote_job *remote;
+	struct relay_cancel cancel;
+
+	if (!xdr_relay_cancel(args, &cancel))
+		return false;
+	cds_list_for_each_entry (remote, &peers->jobs, node) {
+		if (remote->conn == conn && remote->xid == cancel.xid) {
+			cancel_remote(peers, remote);
+			break;
+		}
+	}
+	return rpc_reply(conn, xid, (xdrproc_t)xdr_relay_cancel, &cancel);
+}
+
+static bool serve_ping(struct peers *peers, struct rpc_conn *conn, uint32_t xid,
+		       XDR *args)
+{
+	struct relay_ping ping;
+
+	if (!xdr_relay_ping(args, &ping))
+		return false;
+	ping.draining = backend_side_is_draining(peers->backend_side);
+	return rpc_reply(conn, xid, (xdrproc_t)xdr_relay_ping, &ping);
+}
+
+static bool handle(struct rpc_conn *conn, void *ctx, uint32_t xid,
+		   uint32_t procedure, XDR *args, enum accept_stat *error)
+{
+	struct peers *peers = ctx;
+
+	*error = GARBAGE_ARGS;
+	switch (procedure) {
+	case RELAY_REQUEST:
+		return serve_request(peers, conn, xid, args);
+	case RELAY_CANCEL:
+		return serve_cancel(peers, conn, xid, args);
+	case RELAY_PING:
+		return serve_ping(peers, conn, xid, args);
+	default:
+		*error = PROC_UNAVAIL;
+		return false;
+	}
+}
+
+static struct remote_job *find_job(struct peers *peers,
+				   const struct rpc_conn *conn)
+{
+	struct remote_job *remote;
+
+	cds_list_for_each_entry (remote, &peers->jobs, node) {
+		if (remote->conn == conn)
+			return remote;
+	}
+	return NULL;
+}
+
+/* Nobody waits any more for the requests of a connection that ended. */
+static void on_closed(struct rpc_conn *conn, void *ctx, const char *reason)
+{
+	struct remote_job *remote;
+	struct peers *peers = ctx;
+
+	(void)reason;
+	/* A cancellation starts other jobs, which may end at once. */
+	while ((remote = find_job(peers, conn)))
+		cancel_remote(peers, remote);
+}
+
+struct peers *peers_new(const struct relay_context *context,
+			struct backend_side *backend_side, GError **error)
+{
+	struct peers *peers = g_new0(struct peers, 1);
+	struct rpc_options options = {
+		.loop = context->loop,
+		.record_max = WIRE_TRAFFIC_RECORD_MAX,
+		.output_max = OUTPUT_MAX,
+		.service = &peers->service,
+	};
+
+	peers->context = context;
+	peers->backend_side = backend_side;
+	peers->links = g_hash_table_new(g_str_hash, g_str_equal);
+	CDS_INIT_LIST_HEAD(&peers->jobs);
+	peers->service.program = RELAY_PROGRAM;
+	peers->service.version = RELAY_VERSION;
+	peers->service.handle = handle;
+	peers->service.closed = on_closed;
+	peers->service.ctx = peers;
+	peers->listener = rpc_listen(&options, &context->host->peers, error);
+	if (peers->listener)
+		return peers;
+	g_hash_table_unref(peers->links);
+	g_free(peers);
+	return NULL;
+}
+
+json_t *peers_dump(const struct peers *peers)
+{
+	json_t *array = json_array();
+	struct peer_link *link;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->links);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&link)) {
+		bool open = link->conn && !rpc_conn_closed(link->conn);
+
+		json_array_append_new(
+			array, json_pack("{s:s, s:b, s:i}", "address",
+					 link->address, "open", open,
+					 "requests", (int)link->nr_calls));
+	}
+	return array;
+}
--- /dev/null
+++ b/relay/probe.c
@@ -0,0 +1,193 @@
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/platform.h"
+#include "relay/probe.h"
+
+/* Between probes of a server in use: how late a change to cold is noticed. */
+#define INTERVAL_NS (1 * NS_PER_SEC)
+
+/* Between probes of a server that gets no requests. */
+#define IDLE_INTERVAL_NS (5 * NS_PER_SEC)
+
+/* Between probes of a server that refuses connections. */
+#define DOWN_INTERVAL_NS (250 * NS_PER_MS)
+
+/* Between two probes in any case. */
+#define LEAST_INTERVAL_NS (100 * NS_PER_MS)
+
+/* A probe that is not answered so long is given up. */
+#define ANSWER_WAIT_NS (1 * NS_PER_SEC)
+
+/* How long a server counts as cold when no probe could tell. */
+#define COLD_UNKNOWN_NS (3 * NS_PER_SEC)
+
+struct probe {
+	struct probe_options options;
+	char *path;
+	struct admit_cold_rate rate;
+	struct backend_conn *conn; /* of the probe under way */
+	struct timer timer;	   /* the next probe, or the end of this one */
+	int64_t started;
+	int64_t last_use;
+	int64_t last_answer; /* to any request */
+	bool down;
+	bool again; /* another one was asked for meanwhile */
+};
+
+static void set_timer(struct probe *probe, int64_t deadline)
+{
+	timers_set(probe->options.context->timers, &probe->timer, deadline);
+}
+
+static void set_next(struct probe *probe, int64_t now)
+{
+	int64_t wait = now - probe->last_use < INTERVAL_NS ? INTERVAL_NS
+							   : IDLE_INTERVAL_NS;
+
+	if (probe->down)
+		wait = DOWN_INTERVAL_NS;
+	if (probe->again)
+		wait = LEAST_INTERVAL_NS;
+	probe->again = false;
+	set_timer(probe, now + wait);
+}
+
+static void take_answer(struct probe *probe,
+			const struct http_message *response)
+{
+	if (probe->down)
+		log_event(LOG_NOTICE, "backend_back", "host=%s",
+			  probe->options.context->host->name);
+	probe->down = false;
+	probe->last_answer = clock_monotonic_ns();
+	probe->options.probed(
+		probe->options.ctx,
+		http_message_value(response, HTTP_ROLE_BACKEND_ID),
+		http_message_number(response, HTTP_ROLE_COLD_LEFT_MS, 0));
+}
+
+static void on_answer(enum http_end end, struct http_message *response,
+		      void *ctx)
+{
+	CLEANUP(http_message_freep) struct http_message *owned = response;
+	struct probe *probe = ctx;
+	int64_t now = clock_monotonic_ns();
+
+	probe->conn = NULL;
+	if (end == HTTP_END_ANSWERED) {
+		take_answer(probe, response);
+	} else if (end == HTTP_END_REFUSED) {
+		if (!probe->down)
+			probe->options.ended(probe->options.ctx);
+		probe->down = true;
+	}
+	set_next(probe, now);
+}
+
+static void send_probe(struct probe *probe, int64_t now)
+{
+	GString *head = g_string_new(NULL);
+
+	g_string_printf(head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+			probe->path,
+			probe->options.context->host->backend_text);
+	probe->started = now;
+	/* A connection that was lost is not found out by a kept one. */
+	probe->conn = backend_pool_send(probe->options.pool, head, "", 0, NULL,
+					probe->down, on_answer, probe);
+	g_string_free(head, TRUE);
+	set_timer(probe, now + (probe->conn ? ANSWER_WAIT_NS
+					    : DOWN_INTERVAL_NS));
+}
+
+/* A server that answers nothing at all has lost power or is cut off. */
+static void take_silence(struct probe *probe)
+{
+	if (probe->down || probe->last_answer >= probe->started)
+		return;
+	log_event(LOG_WARNING, "backend_silent", "host=%s",
+		  probe->options.context->host->name);
+	probe->down = true;
+	backend_pool_close_idle(probe->options.pool);
+}
+
+static void on_timer(struct timer *timer, int64_t now)
+{
+	struct probe *probe = caa_container_of(timer, struct probe, timer);
+
+	if (probe->conn) {
+		backend_pool_cancel(probe->options.pool, probe->conn);
+		probe->conn = NULL;
+		take_silence(probe);
+		set_next(probe, now);
+	} else if (probe->path) {
+		send_probe(probe, now);
+	}
+}
+
+struct probe *probe_new(const struct probe_options *options)
+{
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->options = *options;
+	probe->timer.fire = on_timer;
+	return probe;
+}
+
+void probe_set_service(struct probe *probe, const char *health_path,
+		       const struct admit_cold_rate *rate)
+{
+	bool is_first = !probe->path;
+
+	g_free(probe->path);
+	probe->path = g_strdup(health_path);
+	probe->rate = *rate;
+	if (is_first)
+		probe_now(probe);
+}
+
+void probe_restart(struct probe *probe, struct admit *admit, int64_t now)
+{
+	probe->down = false;
+	probe_set_cold(probe, admit, now + COLD_UNKNOWN_NS, now);
+	probe_now(probe);
+}
+
+void probe_set_cold(struct probe *probe, struct admit *admit,
+		    int64_t cold_deadline, int64_t now)
+{
+	if (probe->rate.per_s > 0)
+		admit_set_cold(admit, &probe->rate, cold_deadline, now);
+}
+
+void probe_now(struct probe *probe)
+{
+	int64_t now = clock_monotonic_ns();
+
+	if (!probe->path)
+		return;
+	if (probe->conn)
+		probe->again = true;
+	else
+		set_timer(probe, MAX(now, probe->started + LEAST_INTERVAL_NS));
+}
+
+void probe_note_use(struct probe *probe)
+{
+	int64_t now = clock_monotonic_ns();
+
+	/* The first request after a pause must not wait for the idle one. */
+	if (now - probe->last_use > IDLE_INTERVAL_NS)
+		probe_now(probe);
+	probe->last_use = now;
+}
+
+void probe_note_answer(struct probe *probe)
+{
+	probe->last_answer = clock_monotonic_ns();
+}
+
+bool probe_is_down(const struct probe *probe)
+{
+	return probe->down;
+}
--- /dev/null
+++ b/relay/relay.c
@@ -0,0 +1,380 @@
+#include <inttypes.h>
+#include <signal.h>
+#include <sys/epoll.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/platform.h"
+#include "relay/backend_side.h"
+#include "relay/caller_side.h"
+#include "relay/control.h"
+#include "relay/desk.h"
+#include "relay/peers.h"
+#include "relay/relay.h"
+
+/*
+ * A stopping daemon serves on so long, until callers and other daemons have
+ * seen that it is not ready. Readiness is asked once a second and counts after
+ * two misses.
+ */
+#define STOP_LEAST_NS (2600 * NS_PER_MS)
+
+/* The process ends so long before it would be killed. */
+#define STOP_MARGIN_NS (400 * NS_PER_MS)
+
+/* How often the settings file is looked at for changes. */
+#define SETTINGS_INTERVAL_NS (1 * NS_PER_SEC)
+
+/* How often a stopping daemon looks whether it can end. */
+#define STOP_CHECK_NS (50 * NS_PER_MS)
+
+/* Crashes after which a request is refused, and for how long. */
+#define QUARANTINE_CRASHES 2
+#define QUARANTINE_NS (60 * NS_PER_SEC)
+
+struct relay {
+	struct relay_context context;
+	struct timers timers;
+	struct metrics metrics;
+	const char *settings_path;
+	struct timespec settings_changed;
+	struct backend_side *backend_side;
+	struct peers *peers;
+	struct caller_side *caller_side;
+	struct control *control;
+	struct desk *desk;
+	struct net_source signals;
+	struct timer settings_timer;
+	struct timer stop_timer;
+	bool configured;
+	bool stopping;
+	int64_t stop_least;
+	int64_t stop_latest;
+};
+
+/* From the control thread. */
+
+struct handed_view {
+	struct relay *relay;
+	struct mesh_view *view;
+};
+
+static void take_view(void *arg)
+{
+	struct handed_view *handed = arg;
+	struct relay *relay = handed->relay;
+
+	if (handed->view->config && !relay->configured)
+		log_event(LOG_NOTICE, "serving", "host=%s version=%" PRId64,
+			  relay->context.host->name,
+			  handed->view->config->version);
+	relay->configured = handed->view->config != NULL;
+	caller_side_apply(relay->caller_side, handed->view);
+	backend_side_apply(relay->backend_side, handed->view);
+	mesh_view_unref(handed->view);
+	g_free(handed);
+}
+
+static void on_apply(void *ctx, struct mesh_view *view)
+{
+	struct relay *relay = ctx;
+	struct handed_view *handed = g_new0(struct handed_view, 1);
+
+	handed->relay = relay;
+	handed->view = view;
+	net_loop_defer(relay->context.loop, take_view, handed);
+}
+
+struct handed_crashes {
+	struct relay *relay;
+	GArray *entries; /* struct quarantine_entry */
+};
+
+static void take_crashes(void *arg)
+{
+	struct handed_crashes *handed = arg;
+	int64_t now = clock_monotonic_ns();
+
+	for (guint i = 0; i < handed->entries->len; i++)
+		quarantine_merge(handed->relay->context.quarantine,
+				 &g_array_index(handed->entries,
+						struct quarantine_entry, i),
+				 now);
+	g_array_unref(handed->entries);
+	g_free(handed);
+}
+
+static void on_crashes(void *ctx, const struct quarantine_entry *entries,
+		       size_t nr)
+{
+	struct relay *relay = ctx;
+	struct handed_crashes *handed = g_new0(struct handed_crashes, 1);
+
+	handed->relay = relay;
+	handed->entries =
+		g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
+	g_array_append_vals(handed->entries, entries, (guint)nr);
+	net_loop_defer(relay->context.loop, take_crashes, handed);
+}
+
+static const struct control_ops control_ops = {
+	.apply = on_apply,
+	.crashes = on_crashes,
+};
+
+static void on_crashed(void *ctx, const struct quarantine_entry *entry)
+{
+	struct relay *relay = ctx;
+
+	control_tell_crash(relay->control, entry);
+}
+
+/* What is asked from outside. */
+
+static bool on_is_ready(void *ctx)
+{
+	struct relay *relay = ctx;
+
+	return relay->configured && !relay->stopping;
+}
+
+static char *on_dump(void *ctx)
+{
+	struct relay *relay = ctx;
+	g_autofree char *control_text = control_dump_text(relay->control);
+	json_t *dump = json_pack(
+		"{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o}", "host",
+		relay->context.host->name, "zone", relay->context.host->zone,
+		"ready", on_is_ready(relay), "stopping", relay->stopping,
+		"control", json_loads(control_text, 0, NULL), "callers",
+		caller_side_dump(relay->caller_side), "backend",
+		backend_side_dump(relay->backend_side), "peers",
+		peers_dump(relay->peers));
+	char *json = json_dumps(dump, JSON_INDENT(2) | JSON_SORT_KEYS);
+	char *text = g_strdup(json ? json : "{}");
+
+	free(json);
+	json_decref(dump);
+	return text;
+}
+
+static const struct desk_ops desk_ops = {
+	.is_ready = on_is_ready,
+	.dump = on_dump,
+};
+
+/* Stopping. */
+
+static void on_stop_timer(struct timer *timer, int64_t now)
+{
+	struct relay *relay = caa_container_of(timer, struct relay, stop_timer);
+	int busy = caller_side_nr_calls(relay->caller_side) +
+		   backend_side_nr_jobs(relay->backend_side);
+
+	if (now >= relay->stop_latest || (now >= relay->stop_least && !busy)) {
+		log_event(LOG_NOTICE, "stopped", "host=%s busy=%d",
+			  relay->context.host->name, busy);
+		caller_side_stop(relay->caller_side);
+		net_loop_stop(relay->context.loop);
+		return;
+	}
+	timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
+}
+
+static void start_stop(struct relay *relay)
+{
+	int64_t now = clock_monotonic_ns();
+
+	if (relay->stopping)
+		return;
+	log_event(LOG_NOTICE, "stopping", "host=%s",
+		  relay->context.host->name);
+	relay->stopping = true;
+	relay->stop_least = now + STOP_LEAST_NS;
+	relay->stop_latest = now +
+			     relay->context.host->stop_grace_ms * NS_PER_MS -
+			     STOP_MARGIN_NS;
+	backend_side_drain(relay->backend_side);
+	caller_side_drain(relay->caller_side);
+	timers_set(&relay->timers, &relay->stop_timer, now + STOP_CHECK_NS);
+}
+
+/* Settings. */
+
+/* What a running daemon can take up; addresses hold until it restarts. */
+static void reload_settings(struct relay *relay)
+{
+	struct mesh_host *host = (struct mesh_host *)relay->context.host;
+	CLEANUP(mesh_host_freep) struct mesh_host *read = NULL;
+	struct findings findings;
+
+	findings_init(&findings);
+	read = platform_settings_read(relay->settings_path, &findings);
+	if (!read)
+		log_event(LOG_ERR, "settings_refused", "errors=%zu",
+			  findings.nr_errors);
+	findings_release(&findings);
+	if (!read)
+		return;
+	host->retry_ratio = read->retry_ratio;
+	host->retry_slack = read->retry_slack;
+	host->cold_overage = read->cold_overage;
+	host->cold_slack = read->cold_slack;
+	host->stop_grace_ms = read->stop_grace_ms;
+	if (g_strcmp0(host->service, read->service) != 0) {
+		g_free(host->service);
+		host->service = g_strdup(read->service);
+	}
+	log_event(LOG_NOTICE, "settings_read", "host=%s service=%s",
+		  host->name, host->service);
+}
+
+static void check_settings(struct relay *relay)
+{
+	struct stat info;
+
+	if (stat(relay->settings_path, &info) ||
+	    (info.st_mtim.tv_sec == relay->settings_changed.tv_sec &&
+	     info.st_mtim.tv_nsec == relay->settings_changed.tv_nsec))
+		return;
+	relay->settings_changed = info.st_mtim;
+	reload_settings(relay);
+}
+
+static void on_settings_timer(struct timer *timer, int64_t now)
+{
+	struct relay *relay =
+		caa_container_of(timer, struct relay, settings_timer);
+
+	check_settings(relay);
+	timers_set(&relay->timers, timer, now + SETTINGS_INTERVAL_NS);
+}
+
+static void on_signal(struct net_source *source, uint32_t events)
+{
+	struct relay *relay = caa_container_of(source, struct relay, signals);
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(source->fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGTERM || info.ssi_signo == SIGINT)
+			start_stop(relay);
+		else if (info.ssi_signo == SIGHUP)
+			reload_settings(relay);
+	}
+}
+
+/* Signals are read as events; both threads inherit the mask. */
+static void watch_signals(struct relay *relay)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	relay->signals.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	relay->signals.ready = on_signal;
+	net_loop_add(relay->context.loop, &relay->signals, EPOLLIN);
+}
+
+/* Life. */
+
+static void on_turn(void *ctx, int64_t now)
+{
+	struct relay *relay = ctx;
+
+	timers_run(&relay->timers, now);
+	backend_side_turn(relay->backend_side, now);
+}
+
+static int64_t on_next_deadline(void *ctx)
+{
+	struct relay *relay = ctx;
+
+	return MIN(timers_next(&relay->timers),
+		   backend_side_next_deadline(relay->backend_side));
+}
+
+static uint64_t make_incarnation(void)
+{
+	uint64_t incarnation = 0;
+
+	if (getrandom(&incarnation, sizeof(incarnation), 0) !=
+	    sizeof(incarnation))
+		incarnation = (uint64_t)clock_monotonic_ns();
+	return incarnation;
+}
+
+static bool build(struct relay *relay, GError **error)
+{
+	struct relay_context *context = &relay->context;
+	struct quarantine_options quarantine = {
+		.origin = quarantine_origin(context->host->name,
+					    context->incarnation),
+		.crashes = QUARANTINE_CRASHES,
+		.quarantine_ns = QUARANTINE_NS,
+	};
+
+	context->quarantine = quarantine_new(&quarantine);
+	relay->backend_side = backend_side_new(context);
+	relay->peers = peers_new(context, relay->backend_side, error);
+	if (!relay->peers)
+		return false;
+	relay->caller_side = caller_side_new(context, relay->backend_side,
+					     relay->peers, error);
+	if (!relay->caller_side)
+		return false;
+	relay->desk = desk_new(context, &desk_ops, relay, error);
+	if (!relay->desk)
+		return false;
+	relay->control =
+		control_new(context->host, &control_ops, relay, error);
+	return relay->control != NULL;
+}
+
+bool relay_run(const char *settings_path, struct mesh_host *host,
+	       GError **error)
+{
+	struct relay *relay = g_new0(struct relay, 1);
+	struct net_loop_options loop = {
+		.turn = on_turn,
+		.next_deadline = on_next_deadline,
+		.ctx = relay,
+	};
+	struct stat info;
+
+	log_set_output(STDOUT_FILENO);
+	relay->settings_path = settings_path;
+	if (!stat(settings_path, &info))
+		relay->settings_changed = info.st_mtim;
+	timers_init(&relay->timers);
+	metrics_init(&relay->metrics);
+	relay->context.host = host;
+	relay->context.incarnation = make_incarnation();
+	relay->context.loop = net_loop_new(&loop);
+	relay->context.timers = &relay->timers;
+	relay->context.metrics = &relay->metrics;
+	relay->context.crashed = on_crashed;
+	relay->context.ctx = relay;
+	relay->stop_timer.fire = on_stop_timer;
+	relay->settings_timer.fire = on_settings_timer;
+	watch_signals(relay);
+	if (!build(relay, error))
+		return false;
+	log_event(LOG_NOTICE, "started",
+		  "host=%s zone=%s service=%s incarnation=%016" PRIx64,
+		  host->name, host->zone, host->service,
+		  relay->context.incarnation);
+	timers_set(&relay->timers, &relay->settings_timer,
+		   clock_monotonic_ns() + SETTINGS_INTERVAL_NS);
+	control_start(relay->control);
+	net_loop_run(relay->context.loop);
+	return true;
+}
--- /dev/null
+++ b/relay/store_reader.c
@@ -0,0 +1,296 @@
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/client.h"
+#include "relay/store_reader.h"
+
+/* From the start of one watch to that of the next. */
+#define WATCH_INTERVAL_NS (600 * NS_PER_MS)
+
+/* How long the store may hold a watch when nothing changes. */
+#define WATCH_WAIT_MS 1000
+
+/* A call that is not answered so long beyond its own wait has failed. */
+#define CALL_WAIT_NS (1500 * NS_PER_MS)
+
+/* Pauses after failed calls, doubled each time. */
+#define RETRY_FIRST_NS (200 * NS_PER_MS)
+#define RETRY_LONGEST_NS (1600 * NS_PER_MS)
+
+#define HEAD_MAX_BYTES 16384
+#define BODY_MAX_BYTES (16 * 1024 * 1024)
+
+enum reader_state {
+	READER_STOPPED,
+	READER_RANGE, /* a complete reading, prefix by prefix */
+	READER_WATCH
+};
+
+struct store_reader {
+	struct store_reader_options options;
+	struct http_client *client;
+	struct timer timer; /* the next call, or the end of this one */
+	enum reader_state state;
+	bool calling;
+	int64_t started; /* when the last call was sent */
+	int64_t range_started;
+	int64_t retry_wait;
+	int64_t lost_since;
+	int64_t revision; /* watched from here */
+	size_t prefix;	  /* of the reading */
+	char *after_key;
+	GHashTable *keys;	/* found by the reading */
+	int64_t range_revision; /* of its first answer */
+	uint64_t nr_calls;
+};
+
+static void make_call(struct store_reader *reader, int64_t now);
+
+static void set_timer(struct store_reader *reader, int64_t deadline)
+{
+	timers_set(reader->options.timers, &reader->timer, deadline);
+}
+
+static void drop_client(struct store_reader *reader)
+{
+	if (reader->client)
+		http_client_free(reader->client);
+	reader->client = NULL;
+}
+
+static void fail(struct store_reader *reader, const char *reason)
+{
+	int64_t now = clock_monotonic_ns();
+
+	log_event(LOG_WARNING, "store_call_failed", "reason=%s", reason);
+	reader->calling = false;
+	drop_client(reader);
+	if (!reader->lost_since) {
+		reader->lost_since = reader->started;
+		reader->options.ops->lost(reader->options.ctx);
+	}
+	reader->retry_wait = CLAMP(2 * reader->retry_wait, RETRY_FIRST_NS,
+				   RETRY_LONGEST_NS);
+	if (reader->state != READER_STOPPED)
+		set_timer(reader, now + reader->retry_wait);
+}
+
+static void begin_range(struct store_reader *reader)
+{
+	reader->state = READER_RANGE;
+	reader->prefix = 0;
+	reader->range_revision = 0;
+	g_clear_pointer(&reader->after_key, g_free);
+	g_hash_table_remove_all(reader->keys);
+}
+
+static void note_answer(struct store_reader *reader)
+{
+	reader->retry_wait = 0;
+	if (!reader->lost_since)
+		return;
+	reader->options.ops->regained(reader->options.ctx);
+	reader->lost_since = 0;
+}
+
+static void take_range(struct store_reader *reader,
+		       const struct platform_page *page)
+{
+	const struct store_reader_ops *ops = reader->options.ops;
+
+	/*
+	 * Pages are no snapshot: later ones may miss what changed meanwhile,
+	 * so the watch goes on from the first.
+	 */
+	if (!reader->range_revision) {
+		reader->range_revision = page->revision;
+		reader->range_started = reader->started;
+	}
+	ops->changes(reader->options.ctx, page, reader->range_started);
+	for (guint i = 0; i < page->changes->len; i++) {
+		struct platform_change *change =
+			g_ptr_array_index(page->changes, i);
+
+		g_hash_table_add(reader->keys, g_strdup(change->key));
+		g_free(reader->after_key);
+		reader->after_key = g_strdup(change->key);
+	}
+	if (page->has_more && page->changes->len) {
+		make_call(reader, clock_monotonic_ns());
+		return;
+	}
+	g_clear_pointer(&reader->after_key, g_free);
+	if (platform_prefixes[++reader->prefix]) {
+		make_call(reader, clock_monotonic_ns());
+		return;
+	}
+	reader->state = READER_WATCH;
+	reader->revision = reader->range_revision;
+	set_timer(reader, reader->started + WATCH_INTERVAL_NS);
+	ops->complete(reader->options.ctx, reader->keys, reader->range_revision,
+		      reader->range_started);
+}
+
+static void take_watch(struct store_reader *reader,
+		       const struct platform_page *page)
+{
+	reader->revision = MAX(reader->revision, page->revision);
+	set_timer(reader, MAX(reader->started + WATCH_INTERVAL_NS,
+			      clock_monotonic_ns()));
+	reader->options.ops->changes(reader->options.ctx, page,
+				     reader->started);
+}
+
+static void take_response(struct store_reader *reader,
+			  const struct http_message *response)
+{
+	CLEANUP(platform_page_freep) struct platform_page *page = NULL;
+
+	reader->calling = false;
+	if (response->status == PLATFORM_STATUS_HISTORY_GONE &&
+	    reader->state == READER_WATCH) {
+		log_event(LOG_NOTICE, "store_history_gone",
+			  "revision=%" G_GINT64_FORMAT, reader->revision);
+		note_answer(reader);
+		begin_range(reader);
+		make_call(reader, clock_monotonic_ns());
+		return;
+	}
+	if (response->status == 200)
+		page = platform_parse_page(response->body);
+	if (!page) {
+		fail(reader, response->status == 200 ? "unreadable" : "status");
+		return;
+	}
+	note_answer(reader);
+	if (reader->state == READER_RANGE)
+		take_range(reader, page);
+	else if (reader->state == READER_WATCH)
+		take_watch(reader, page);
+}
+
+static void on_done(struct http_client *client, enum http_end end,
+		    struct http_message *response, void *ctx)
+{
+	CLEANUP(http_message_freep) struct http_message *owned = response;
+	struct store_reader *reader = ctx;
+
+	if (!http_client_is_idle(client))
+		drop_client(reader);
+	if (end == HTTP_END_ANSWERED)
+		take_response(reader, response);
+	else
+		fail(reader, "connection");
+}
+
+static void on_closed(struct http_client *client, void *ctx)
+{
+	(void)client;
+	drop_client(ctx);
+}
+
+static const struct http_client_ops client_ops = {
+	.done = on_done,
+	.closed = on_closed,
+};
+
+static bool connect_store(struct store_reader *reader)
+{
+	struct http_client_options options = {
+		.loop = reader->options.loop,
+		.address = reader->options.address,
+		.roles = &platform_roles,
+		.limits = { .head_max = HEAD_MAX_BYTES,
+			    .body_max = BODY_MAX_BYTES },
+		.ops = &client_ops,
+		.ctx = reader,
+	};
+
+	if (!reader->client)
+		reader->client = http_client_new(&options);
+	return reader->client != NULL;
+}
+
+static void make_call(struct store_reader *reader, int64_t now)
+{
+	int64_t wait = CALL_WAIT_NS;
+	GString *head;
+
+	reader->started = now;
+	if (!connect_store(reader)) {
+		fail(reader, "connect");
+		return;
+	}
+	if (reader->state == READER_RANGE) {
+		head = platform_range_call(platform_prefixes[reader->prefix],
+					   reader->after_key);
+	} else {
+		head = platform_watch_call("", reader->revision, WATCH_WAIT_MS);
+		wait += WATCH_WAIT_MS * NS_PER_MS;
+	}
+	reader->nr_calls++;
+	reader->calling = true;
+	set_timer(reader, now + wait);
+	http_client_send(reader->client, head, "", 0, NULL);
+	g_string_free(head, TRUE);
+}
+
+static void on_timer(struct timer *timer, int64_t now)
+{
+	struct store_reader *reader =
+		caa_container_of(timer, struct store_reader, timer);
+
+	if (reader->calling)
+		fail(reader, "no answer");
+	else if (reader->state != READER_STOPPED)
+		make_call(reader, now);
+}
+
+struct store_reader *
+store_reader_new(const struct store_reader_options *options)
+{
+	struct store_reader *reader = g_new0(struct store_reader, 1);
+
+	reader->options = *options;
+	reader->timer.fire = on_timer;
+	reader->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     NULL);
+	return reader;
+}
+
+void store_reader_start(struct store_reader *reader, int64_t revision)
+{
+	if (reader->state != READER_STOPPED)
+		return;
+	if (revision) {
+		reader->state = READER_WATCH;
+		reader->revision = revision;
+	} else {
+		begin_range(reader);
+	}
+	make_call(reader, clock_monotonic_ns());
+}
+
+void store_reader_stop(struct store_reader *reader)
+{
+	reader->state = READER_STOPPED;
+	reader->calling = false;
+	reader->lost_since = 0;
+	reader->retry_wait = 0;
+	timers_cancel(reader->options.timers, &reader->timer);
+	drop_client(reader);
+}
+
+bool store_reader_is_running(const struct store_reader *reader)
+{
+	return reader->state != READER_STOPPED;
+}
+
+int64_t store_reader_lost_since(const struct store_reader *reader)
+{
+	return reader->lost_since;
+}
+
+uint64_t store_reader_nr_calls(const struct store_reader *reader)
+{
+	return reader->nr_calls;
+}
