--- a/relay/control.c
+++ b/relay/mesh_control.c
@@ -8,7 +8,7 @@
 #include "mesh/readers.h"
 #include "net/rpc.h"
 #include "platform/platform.h"
-#include "relay/control.h"
+#include "relay/mesh_control.h"
 #include "relay/feed_peers.h"
 #include "relay/store_reader.h"
 
@@ -24,9 +24,9 @@
 /* Views are built at most this often, so that a storm costs little. */
 #define BUILD_INTERVAL_NS (50 * NS_PER_MS)
 
-struct control {
+struct mesh_control {
 	const struct mesh_host *host;
-	const struct control_ops *ops;
+	const struct mesh_control_ops *ops;
 	void *ctx;
 	struct net_loop *loop;
 	struct timers timers;
@@ -48,7 +48,7 @@
 /* Views. */
 
 static void add_target(const struct feed_item *item, const char *id,
-		       struct control *control, struct mesh_view *view)
+		       struct mesh_control *control, struct mesh_view *view)
 {
 	struct mesh_target *target =
 		g_hash_table_lookup(control->targets, item->key);
@@ -59,7 +59,7 @@
 }
 
 struct build {
-	struct control *control;
+	struct mesh_control *control;
 	struct mesh_view *view;
 };
 
@@ -82,7 +82,7 @@
 	}
 }
 
-static void build_view(struct control *control, int64_t now)
+static void build_view(struct mesh_control *control, int64_t now)
 {
 	struct build build = { .control = control };
 
@@ -101,11 +101,11 @@
 
 static void on_build_timer(struct timer *timer, int64_t now)
 {
-	build_view(caa_container_of(timer, struct control, build_timer), now);
+	build_view(caa_container_of(timer, struct mesh_control, build_timer), now);
 }
 
 /* The first change after a pause is taken up at once. */
-static void want_view(struct control *control)
+static void want_view(struct mesh_control *control)
 {
 	if (!control->build_timer.position)
 		timers_set(&control->timers, &control->build_timer,
@@ -114,8 +114,8 @@
 
 static void on_expiry_timer(struct timer *timer, int64_t now)
 {
-	struct control *control =
-		caa_container_of(timer, struct control, expiry_timer);
+	struct mesh_control *control =
+		caa_container_of(timer, struct mesh_control, expiry_timer);
 
 	if (feed_expire(control->feed, now))
 		want_view(control);
@@ -126,7 +126,7 @@
 
 /* Items. */
 
-static void take_config(struct control *control, GBytes *value)
+static void take_config(struct mesh_control *control, GBytes *value)
 {
 	g_autofree char *reason = NULL;
 	struct mesh_config *config = platform_decode_config(value, &reason);
@@ -160,7 +160,7 @@
 }
 
 /* Whether the entry says something new; a heartbeat alone does not. */
-static bool take_target(struct control *control, const char *key,
+static bool take_target(struct mesh_control *control, const char *key,
 			const char *id, GBytes *value)
 {
 	struct mesh_target *old = g_hash_table_lookup(control->targets, key);
@@ -182,7 +182,7 @@
 }
 
 /* Whether the item changes what the daemons serve by. */
-static bool take_write(struct control *control, const char *key, GBytes *value,
+static bool take_write(struct mesh_control *control, const char *key, GBytes *value,
 		       int64_t revision)
 {
 	bool changed = true;
@@ -209,7 +209,7 @@
 	return changed;
 }
 
-static bool take_delete(struct control *control, const char *key,
+static bool take_delete(struct mesh_control *control, const char *key,
 			int64_t revision, int64_t deadline)
 {
 	if (!feed_delete(control->feed, key, revision, deadline))
@@ -220,7 +220,7 @@
 }
 
 /* When a deletion that was read now takes effect. */
-static int64_t delete_deadline(const struct control *control, const char *key)
+static int64_t delete_deadline(const struct mesh_control *control, const char *key)
 {
 	const char *name;
 
@@ -234,7 +234,7 @@
 static void on_changes(void *ctx, const struct platform_page *page,
 		       int64_t started)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 	bool news = false;
 
 	for (guint i = 0; i < page->changes->len; i++) {
@@ -258,7 +258,7 @@
 static void on_complete(void *ctx, GHashTable *keys, int64_t revision,
 			int64_t started)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 	bool news = false;
 
 	for (size_t i = 0; platform_prefixes[i]; i++)
@@ -280,7 +280,7 @@
 
 static void on_regained(void *ctx)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 	int64_t now = clock_monotonic_ns();
 	int64_t away = now - store_reader_lost_since(control->reader);
 
@@ -301,7 +301,7 @@
 
 static void on_entry(void *ctx, const struct feed_entry *entry)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 	int64_t now = clock_monotonic_ns();
 
 	if (entry->deleted) {
@@ -318,14 +318,14 @@
 static void on_crashes(void *ctx, const struct quarantine_entry *entries,
 		       size_t nr)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 
 	control->ops->crashes(control->ctx, entries, nr);
 }
 
 static void on_role(void *ctx, bool reads)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 
 	if (reads)
 		store_reader_start(control->reader,
@@ -342,7 +342,7 @@
 
 /* The thread. */
 
-static void write_dump(struct control *control)
+static void write_dump(struct mesh_control *control)
 {
 	json_t *dump = json_pack(
 		"{s:I, s:b, s:I, s:o}", "revision",
@@ -361,21 +361,21 @@
 
 static void on_turn(void *ctx, int64_t now)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 
 	timers_run(&control->timers, now);
 }
 
 static int64_t on_next_deadline(void *ctx)
 {
-	struct control *control = ctx;
+	struct mesh_control *control = ctx;
 
 	return timers_next(&control->timers);
 }
 
 static void tell_crashes(void *arg)
 {
-	struct control *control = arg;
+	struct mesh_control *control = arg;
 	g_autoptr(GArray) crashes = NULL;
 
 	pthread_mutex_lock(&control->lock);
@@ -388,7 +388,7 @@
 				crashes->len);
 }
 
-void control_tell_crash(struct control *control,
+void mesh_control_tell_crash(struct mesh_control *control,
 			const struct quarantine_entry *entry)
 {
 	pthread_mutex_lock(&control->lock);
@@ -402,7 +402,7 @@
 	write_dump(arg);
 }
 
-char *control_dump_text(struct control *control)
+char *mesh_control_dump_text(struct mesh_control *control)
 {
 	char *text;
 
@@ -414,11 +414,11 @@
 	return text;
 }
 
-struct control *control_new(const struct mesh_host *host,
-			    const struct control_ops *ops, void *ctx,
+struct mesh_control *mesh_control_new(const struct mesh_host *host,
+			    const struct mesh_control_ops *ops, void *ctx,
 			    GError **error)
 {
-	struct control *control = g_new0(struct control, 1);
+	struct mesh_control *control = g_new0(struct mesh_control, 1);
 	struct net_loop_options loop = {
 		.turn = on_turn,
 		.next_deadline = on_next_deadline,
@@ -461,7 +461,7 @@
 
 static void *run_thread(void *arg)
 {
-	struct control *control = arg;
+	struct mesh_control *control = arg;
 
 	pthread_setname_np(pthread_self(), "control");
 	feed_peers_start(control->peers);
@@ -469,7 +469,7 @@
 	return NULL;
 }
 
-void control_start(struct control *control)
+void mesh_control_start(struct mesh_control *control)
 {
 	pthread_attr_t attr;
 	pthread_t thread;
--- a/relay/control.h
+++ b/relay/mesh_control.h
@@ -1,5 +1,5 @@
-#ifndef RELAY_CONTROL_H
-#define RELAY_CONTROL_H
+#ifndef RELAY_MESH_CONTROL_H
+#define RELAY_MESH_CONTROL_H
 
 #include <jansson.h>
 
@@ -12,9 +12,9 @@
  * daemons, builds views of it and hands them to the traffic thread.
  */
 
-struct control;
+struct mesh_control;
 
-struct control_ops {
+struct mesh_control_ops {
 	/* A new view, referenced for the callee; on the control thread. */
 	void (*apply)(void *ctx, struct mesh_view *view);
 	/* Crashes that another daemon told; on the control thread. */
@@ -22,18 +22,18 @@
 			size_t nr);
 };
 
-struct control *control_new(const struct mesh_host *host,
-			    const struct control_ops *ops, void *ctx,
+struct mesh_control *mesh_control_new(const struct mesh_host *host,
+			    const struct mesh_control_ops *ops, void *ctx,
 			    GError **error);
 
 /* Starts the thread. */
-void control_start(struct control *control);
+void mesh_control_start(struct mesh_control *control);
 
 /* Tells all daemons of a crash; any thread. */
-void control_tell_crash(struct control *control,
+void mesh_control_tell_crash(struct mesh_control *control,
 			const struct quarantine_entry *entry);
 
 /* State as text of one JSON object, freed with g_free(); any thread. */
-char *control_dump_text(struct control *control);
+char *mesh_control_dump_text(struct mesh_control *control);
 
 #endif
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -11,7 +11,7 @@
 #include "platform/platform.h"
 #include "relay/backend_side.h"
 #include "relay/caller_side.h"
-#include "relay/control.h"
+#include "relay/mesh_control.h"
 #include "relay/desk.h"
 #include "relay/peers.h"
 #include "relay/relay.h"
@@ -45,7 +45,7 @@
 	struct backend_side *backend_side;
 	struct peers *peers;
 	struct caller_side *caller_side;
-	struct control *control;
+	struct mesh_control *control;
 	struct desk *desk;
 	struct net_source signals;
 	struct timer settings_timer;
@@ -121,7 +121,7 @@
 	net_loop_defer(relay->context.loop, take_crashes, handed);
 }
 
-static const struct control_ops control_ops = {
+static const struct mesh_control_ops mesh_control_ops = {
 	.apply = on_apply,
 	.crashes = on_crashes,
 };
@@ -130,7 +130,7 @@
 {
 	struct relay *relay = ctx;
 
-	control_tell_crash(relay->control, entry);
+	mesh_control_tell_crash(relay->control, entry);
 }
 
 /* What is asked from outside. */
@@ -145,7 +145,7 @@
 static char *on_dump(void *ctx)
 {
 	struct relay *relay = ctx;
-	g_autofree char *control_text = control_dump_text(relay->control);
+	g_autofree char *control_text = mesh_control_dump_text(relay->control);
 	json_t *dump = json_pack(
 		"{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o}", "host",
 		relay->context.host->name, "zone", relay->context.host->zone,
@@ -335,7 +335,7 @@
 	if (!relay->desk)
 		return false;
 	relay->control =
-		control_new(context->host, &control_ops, relay, error);
+		mesh_control_new(context->host, &mesh_control_ops, relay, error);
 	return relay->control != NULL;
 }
 
@@ -374,7 +374,7 @@
 		  relay->context.incarnation);
 	timers_set(&relay->timers, &relay->settings_timer,
 		   clock_monotonic_ns() + SETTINGS_INTERVAL_NS);
-	control_start(relay->control);
+	mesh_control_start(relay->control);
 	net_loop_run(relay->context.loop);
 	return true;
 }
