End the busy loop of the control thread over an unanswered push

A daemon that no longer pushed did not end its push to a dead host, and its timer was set to the past deadline of that call again and again. Ruled out: a lost push (readers showed the peer as reached), a blocked log.

--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -10,8 +10,8 @@
 #define OUTPUT_MAX (32 * 1024 * 1024)
 #define RECORD_MAX (32 * 1024 * 1024)
 
-/* Without news a peer is told this often that there are none. */
-#define PUSH_INTERVAL_NS (700 * NS_PER_MS)
+/* While the store cannot be read, a peer is told this often how old news are. */
+#define PUSH_INTERVAL_NS (1500 * NS_PER_MS)
 
 /* A push that is not answered so long ends the connection. */
 #define PUSH_WAIT_NS (1500 * NS_PER_MS)
@@ -178,7 +178,7 @@
 	peer->next_push = now + PUSH_RETRY_NS;
 }
 
-static void push_due(struct feed_peers *peers, int64_t now)
+static void push_due(struct feed_peers *peers, bool tells, int64_t now)
 {
 	struct peer *peer;
 	GHashTableIter iter;
@@ -186,7 +186,7 @@
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		check_call(peer, now);
-		if (peer->next_push <= now)
+		if (tells && peer->next_push <= now)
 			push_to(peer, NULL, 0, now);
 	}
 }
@@ -224,8 +224,7 @@
 			  peers->state.rank);
 		peers->options.ops->role(peers->options.ctx, reads);
 	}
-	if (tells)
-		push_due(peers, now);
+	push_due(peers, tells, now);
 	next = next_update(peers, now, tells);
 	if (next != DEADLINE_NEVER)
 		timers_set(peers->options.timers, &peers->timer, next);
@@ -236,16 +235,15 @@
 	update(caa_container_of(timer, struct feed_peers, timer), now);
 }
 
-void feed_peers_confirmed(struct feed_peers *peers, int64_t started, bool news)
+void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed)
 {
 	int64_t now = clock_monotonic_ns();
 	struct peer *peer;
 	GHashTableIter iter;
 
-	peers->state.confirmed = MAX(peers->state.confirmed, started);
+	peers->state.confirmed = MAX(peers->state.confirmed, confirmed);
 	g_hash_table_iter_init(&iter, peers->peers);
-	while (news &&
-	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
 		peer->next_push = now;
 	update(peers, now);
 }
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -47,8 +47,8 @@
 void feed_peers_set_view(struct feed_peers *peers,
 			 const struct mesh_view *view);
 
-/* The store was read by a call that was sent at started. */
-void feed_peers_confirmed(struct feed_peers *peers, int64_t started, bool news);
+/* All that was published before confirmed is known; tells the others. */
+void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed);
 
 /* Tells all daemons at once. */
 void feed_peers_tell_crashes(struct feed_peers *peers,
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -181,15 +181,14 @@
 	return true;
 }
 
-/* Whether the item changes what the daemons serve by. */
-static bool take_write(struct mesh_control *control, const char *key, GBytes *value,
+static void take_write(struct mesh_control *control, const char *key, GBytes *value,
 		       int64_t revision)
 {
 	bool changed = true;
 	const char *name;
 
 	if (!feed_is_news(control->feed, key, revision))
-		return false;
+		return;
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
 		changed = take_target(control, key, name, value) ||
@@ -201,22 +200,19 @@
 	case PLATFORM_ITEM_ZONE_OUT:
 		break;
 	default:
-		return false;
+		return;
 	}
 	feed_write(control->feed, key, value, revision, changed);
 	if (changed)
 		want_view(control);
-	return changed;
 }
 
-static bool take_delete(struct mesh_control *control, const char *key,
+static void take_delete(struct mesh_control *control, const char *key,
 			int64_t revision, int64_t deadline)
 {
-	if (!feed_delete(control->feed, key, revision, deadline))
-		return false;
-	timers_set(&control->timers, &control->expiry_timer,
-		   feed_next_expiry(control->feed));
-	return true;
+	if (feed_delete(control->feed, key, revision, deadline))
+		timers_set(&control->timers, &control->expiry_timer,
+			   feed_next_expiry(control->feed));
 }
 
 /* When a deletion that was read now takes effect. */
@@ -232,31 +228,29 @@
 /* The store. */
 
 static void on_changes(void *ctx, const struct platform_page *page,
-		       int64_t started)
+		       int64_t confirmed)
 {
 	struct mesh_control *control = ctx;
-	bool news = false;
 
 	for (guint i = 0; i < page->changes->len; i++) {
 		struct platform_change *change =
 			g_ptr_array_index(page->changes, i);
 
 		if (change->value)
-			news |= take_write(control, change->key, change->value,
-					   change->revision);
+			take_write(control, change->key, change->value,
+				   change->revision);
 		else
-			news |= take_delete(
-				control, change->key, change->revision,
-				delete_deadline(control, change->key));
+			take_delete(control, change->key, change->revision,
+				    delete_deadline(control, change->key));
 	}
 	if (!feed_revision(control->feed))
 		return; /* the first reading is not complete yet */
 	feed_advance(control->feed, page->revision);
-	feed_peers_confirmed(control->peers, started, news);
+	feed_peers_confirmed(control->peers, confirmed);
 }
 
 static void on_complete(void *ctx, GHashTable *keys, int64_t revision,
-			int64_t started)
+			int64_t confirmed)
 {
 	struct mesh_control *control = ctx;
 	bool news = false;
@@ -269,7 +263,7 @@
 		timers_set(&control->timers, &control->expiry_timer,
 			   feed_next_expiry(control->feed));
 	feed_advance(control->feed, revision);
-	feed_peers_confirmed(control->peers, started, news);
+	feed_peers_confirmed(control->peers, confirmed);
 }
 
 static void on_lost(void *ctx)
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -16,18 +16,17 @@
 
 struct store_reader_ops {
 	/*
-	 * Changes, or items of a complete reading, up to page->revision.
-	 * started is when the call was sent: nothing published before is
-	 * missing.
+	 * Changes, or items of a complete reading, up to page->revision. With
+	 * them nothing that was published before confirmed is missing.
 	 */
 	void (*changes)(void *ctx, const struct platform_page *page,
-			int64_t started);
+			int64_t confirmed);
 	/*
 	 * A complete reading has ended. keys are those that it found; what it
 	 * did not find was deleted by the revision.
 	 */
 	void (*complete)(void *ctx, GHashTable *keys, int64_t revision,
-			 int64_t started);
+			 int64_t confirmed);
 	/* A call failed, after others that were answered. */
 	void (*lost)(void *ctx);
 	/* A call was answered after others that failed. */
