--- a/relay/relay.c
+++ b/relay/relay.c
@@ -23,6 +23,12 @@
  */
 #define STOP_LEAST_NS (2600 * NS_PER_MS)
 
+/*
+ * From then on a stopping daemon takes no request: it closes its listening
+ * socket and idle connections, so that those that it has read can end in time.
+ */
+#define STOP_TAKING_NS (3 * NS_PER_SEC)
+
 /* The process ends so long before it would be killed. */
 #define STOP_MARGIN_NS (400 * NS_PER_MS)
 
@@ -53,6 +59,7 @@
 	bool configured;
 	bool stopping;
 	int64_t stop_least;
+	int64_t stop_taking;
 	int64_t stop_latest;
 };
 
@@ -182,6 +189,8 @@
 		net_loop_stop(relay->context.loop);
 		return;
 	}
+	if (now >= relay->stop_taking)
+		caller_side_stop(relay->caller_side);
 	timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
 }
 
@@ -195,6 +204,7 @@
 		  relay->context.host->name);
 	relay->stopping = true;
 	relay->stop_least = now + STOP_LEAST_NS;
+	relay->stop_taking = now + STOP_TAKING_NS;
 	relay->stop_latest = now +
 			     relay->context.host->stop_grace_ms * NS_PER_MS -
 			     STOP_MARGIN_NS;
