Let a reader of the store step back only for working ones ahead of it

A daemon now tells the age of its own reading, and steps back only for two others ahead of it with fresh ones.

--- a/lib/mesh/readers.c
+++ b/lib/mesh/readers.c
@@ -25,28 +25,38 @@
 	return MIN(state->rank, RANK_STEPS_MAX) * RANK_STEP_NS;
 }
 
+static int64_t reads_from(const struct readers_state *state)
+{
+	return state->covered + STALE_NS + rank_wait(state);
+}
+
+static int64_t tells_from(const struct readers_state *state)
+{
+	return state->heard + SILENCE_NS + rank_wait(state);
+}
+
 bool readers_reads(const struct readers_state *state, int64_t now)
 {
-	return state->rank < READERS_USUAL || !state->confirmed ||
-	       now - state->confirmed > STALE_NS + rank_wait(state);
+	return state->rank < READERS_USUAL || !state->covered ||
+	       now > reads_from(state);
 }
 
 bool readers_tells(const struct readers_state *state, int64_t now)
 {
-	return readers_reads(state, now)
-		       ? state->rank < READERS_USUAL + RANK_STEPS_MAX
-		       : now - state->heard > SILENCE_NS + rank_wait(state);
+	bool has_read = state->read && now - state->read <= STALE_NS;
+
+	return state->rank < READERS_USUAL ||
+	       (has_read && readers_reads(state, now)) ||
+	       now > tells_from(state);
 }
 
 int64_t readers_next(const struct readers_state *state, int64_t now)
 {
-	int64_t reads = state->confirmed + STALE_NS + rank_wait(state);
-	int64_t tells = state->heard + SILENCE_NS + rank_wait(state);
 	int64_t next = DEADLINE_NEVER;
 
-	if (reads > now)
-		next = reads + 1;
-	if (tells > now)
-		next = MIN(next, tells + 1);
+	if (reads_from(state) >= now)
+		next = reads_from(state) + 1;
+	if (tells_from(state) >= now)
+		next = MIN(next, tells_from(state) + 1);
 	return next;
 }
--- a/lib/mesh/readers.h
+++ b/lib/mesh/readers.h
@@ -7,16 +7,22 @@
 
 /*
  * Which daemons read the store and tell the others. The daemons rank each
- * other by one hash, so all agree without a word; the first READERS_USUAL read,
- * and the next ones take over in their order when no news come. Pure.
+ * other by one hash, so all agree without a word. A daemon reads unless
+ * READERS_USUAL others before it in the ranking have told of readings of their
+ * own a moment ago; so the store may turn any of them away. Pure.
  */
 
 #define READERS_USUAL 2
 
 struct readers_state {
 	int rank; /* daemons before this one in the ranking */
-	int64_t confirmed; /* start of the newest reading known; 0: none */
-	int64_t heard;	   /* the last message of another daemon; 0: none */
+	/*
+	 * The newest reading that READERS_USUAL daemons before this one have
+	 * all reached; 0: none.
+	 */
+	int64_t covered;
+	int64_t read;  /* the own newest reading; 0: none */
+	int64_t heard; /* the last message of another daemon; 0: none */
 };
 
 /* The place of a daemon in the ranking; a lower one comes first. */
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -179,14 +179,13 @@
 
 /*
  * All items that changed after the revision from, up to the revision to. The
- * age is that of the newest reading of the store that the sender knows of; -1
- * when it knows of none.
+ * age is that of the sender's own newest reading of the store; -1 without one.
  */
 struct feed_push {
 	string ip<PEER_NAME_MAX>;
 	hyper from;
 	hyper to;
-	hyper confirmed_ms;
+	hyper read_age_ms;
 	peer_crash crashes<PEER_CRASHES_MAX>;
 	feed_entry entries<FEED_ITEMS_MAX>;
 };
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -447,7 +447,7 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->to))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->confirmed_ms))
+	 if (!xdr_quad_t (xdrs, &objp->read_age_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PEER_CRASHES_MAX,
 		sizeof (struct peer_crash), (xdrproc_t) xdr_peer_crash))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -206,7 +206,7 @@
 	char *ip;
 	quad_t from;
 	quad_t to;
-	quad_t confirmed_ms;
+	quad_t read_age_ms;
 	struct {
 		u_int crashes_len;
 		struct peer_crash *crashes_val;
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -30,6 +30,7 @@
 	int64_t acked;	 /* revision that it has confirmed */
 	int64_t sent_to; /* revision of the push under way */
 	int64_t next_push;
+	int64_t read; /* its newest reading of the store; 0: none */
 	bool named; /* by the view being taken */
 };
 
@@ -124,9 +125,9 @@
 	push->ip = peers->options.host->ip;
 	push->from = peer->acked;
 	push->to = feed_revision(peers->options.feed);
-	push->confirmed_ms =
-		peers->state.confirmed
-			? (batch->now - peers->state.confirmed) / NS_PER_MS
+	push->read_age_ms =
+		peers->state.read
+			? (batch->now - peers->state.read) / NS_PER_MS
 			: -1;
 	push->entries.entries_len = batch->entries->len;
 	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
@@ -241,7 +242,7 @@
 	struct peer *peer;
 	GHashTableIter iter;
 
-	peers->state.confirmed = MAX(peers->state.confirmed, confirmed);
+	peers->state.read = MAX(peers->state.read, confirmed);
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
 		peer->next_push = now;
@@ -280,6 +281,36 @@
 		peers->options.ops->crashes(peers->options.ctx, entries, nr);
 }
 
+/* The newest reading that READERS_USUAL daemons ahead have all reached. */
+static int64_t covered_reading(struct feed_peers *peers)
+{
+	uint64_t own = readers_hash(peers->options.host->ip);
+	int64_t newest[READERS_USUAL] = { 0 };
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		int64_t read = peer->read;
+
+		if (readers_hash(peer->ip) > own)
+			continue;
+		for (int i = 0; i < READERS_USUAL; i++) {
+			int64_t other = newest[i];
+
+			newest[i] = MAX(other, read);
+			read = MIN(other, read);
+		}
+	}
+	return newest[READERS_USUAL - 1];
+}
+
+static void note_reading(struct peer *peer, int64_t read)
+{
+	peer->read = MAX(peer->read, read);
+	peer->peers->state.covered = covered_reading(peer->peers);
+}
+
 static void take_push(struct feed_peers *peers, const struct feed_push *push)
 {
 	struct feed *feed = peers->options.feed;
@@ -296,10 +327,8 @@
 	}
 	take_crashes(peers, push);
 	peers->state.heard = now;
-	if (push->confirmed_ms >= 0)
-		peers->state.confirmed =
-			MAX(peers->state.confirmed,
-			    now - push->confirmed_ms * NS_PER_MS);
+	if (peer && push->read_age_ms >= 0)
+		note_reading(peer, now - push->read_age_ms * NS_PER_MS);
 	/* It restarted, or missed something: it is told what it lacks. */
 	if (peer && push->to < feed_revision(feed)) {
 		peer->acked = MIN(peer->acked, push->to);
@@ -399,6 +428,7 @@
 	}
 	g_hash_table_foreach_remove(peers->peers, is_unnamed, NULL);
 	peers->state.rank = rank_of(peers);
+	peers->state.covered = covered_reading(peers);
 	update(peers, clock_monotonic_ns());
 }
 
