Let requests wait only while they gain by it; put inner calls with the orders

The backend side now refuses a request at once that would miss its objective by waiting, so that the sender offers it elsewhere; one that finds a free slot runs all the same. A caller that tells less time than others of its route has used it up in earlier attempts, and its objective is earlier by that. Calls that a backend server makes are served with the orders.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -93,6 +93,24 @@
 	return admit->ramp.limit;
 }
 
+/*
+ * Whether a request that has waited, or would wait, ends too late to gain by
+ * it. While none of its priority runs, its service time is not known.
+ */
+static bool waits_too_long(const struct admit *admit,
+			   const struct admit_request *request, int64_t wait_ns)
+{
+	const struct service *service = &admit->services[request->priority];
+	int64_t left;
+
+	if (!request->objective)
+		return false;
+	left = queue_wait_deadline(request) - admit->latest;
+	if (!service->nr_running)
+		return wait_ns >= left;
+	return wait_ns + service->mean_ns > left;
+}
+
 /*
  * Whether a request that could start after wait_ns would end too late by the
  * mean service time of its priority. While none of its priority runs, only
@@ -200,6 +218,7 @@
 				struct admit_request **displaced)
 {
 	int limit = admit_limit(admit, now);
+	int64_t wait_ns;
 
 	*displaced = NULL;
 	request->state = ADMIT_IDLE;
@@ -215,7 +234,9 @@
 		start(admit, request);
 		return ADMIT_RUN;
 	}
-	if (is_too_late(admit, request, expected_wait(admit, request)))
+	wait_ns = expected_wait(admit, request);
+	if (is_too_late(admit, request, wait_ns) ||
+	    waits_too_long(admit, request, wait_ns))
 		return ADMIT_REFUSED_DEADLINE;
 	if (admit->queue.nr_requests >= admit->queue_max) {
 		*displaced =
@@ -307,11 +328,12 @@
 		/* The caller is freed with its last request. */
 		bool last = &next->node == &caller->requests;
 
-		if (is_too_late(admit, request, 0)) {
+		if (is_too_late(admit, request, 0) ||
+		    waits_too_long(admit, request, 0)) {
 			admit_cancel(admit, request);
 			cds_list_add_tail(&request->node, expired);
 		} else {
-			*earliest = MIN(*earliest, request->deadline);
+			*earliest = MIN(*earliest, queue_wait_deadline(request));
 		}
 		if (last)
 			return;
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -61,6 +61,12 @@
 	enum admit_priority priority;
 	uint64_t caller;  /* hash of the caller's name */
 	int64_t deadline; /* INT64_MAX: none */
+	/*
+	 * Until when the answer is worth most; 0: none. A request that would
+	 * miss it by waiting does not wait, so that the queue holds those that
+	 * still gain by it; when a slot is free it runs all the same.
+	 */
+	int64_t objective;
 	int cost; /* share of a caller's turn, 1 (also 0) to ADMIT_COST_MAX */
 
 	/* Set by the library. */
--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -18,6 +18,12 @@
 	[ADMIT_BACKGROUND] = 1,
 };
 
+int64_t queue_wait_deadline(const struct admit_request *request)
+{
+	return request->objective ? MIN(request->objective, request->deadline)
+				  : request->deadline;
+}
+
 void queue_init(struct admit_queue *queue)
 {
 	queue->nr_requests = 0;
@@ -75,7 +81,7 @@
 	class->nr_requests++;
 	queue->nr_requests++;
 	class->earliest_deadline =
-		MIN(class->earliest_deadline, request->deadline);
+		MIN(class->earliest_deadline, queue_wait_deadline(request));
 }
 
 void queue_remove(struct admit_queue *queue, struct admit_request *request)
--- a/lib/admit/queue.h
+++ b/lib/admit/queue.h
@@ -23,7 +23,7 @@
 	int nr_callers;
 	int nr_requests;
 	int credit; /* starts left in this round */
-	/* Not above any queued deadline; made exact by admit_expire(). */
+	/* Not above any wait deadline; made exact by admit_expire(). */
 	int64_t earliest_deadline;
 };
 
@@ -32,6 +32,9 @@
 	int nr_requests;
 };
 
+/* Until when a request may wait: its objective, if it has one. */
+int64_t queue_wait_deadline(const struct admit_request *request);
+
 void queue_init(struct admit_queue *queue);
 void queue_release(struct admit_queue *queue);
 void queue_push(struct admit_queue *queue, struct admit_request *request);
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -128,7 +128,10 @@
 	unsigned int xid;
 };
 
-/* fields are the header lines that are passed on. */
+/*
+ * fields are the header lines that are passed on. Within objective_left_ms the
+ * answer is worth most; it may have passed.
+ */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
 	hyper config_version;
@@ -136,6 +139,7 @@
 	string target<RELAY_TARGET_MAX>;
 	string fields<RELAY_FIELDS_MAX>;
 	hyper time_left_ms;
+	hyper objective_left_ms;
 	string caller_service<PEER_NAME_MAX>;
 	string request_id<RELAY_ID_MAX>;
 	int priority;
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -272,6 +272,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->time_left_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->objective_left_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->caller_service, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->request_id, RELAY_ID_MAX))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -154,6 +154,7 @@
 	char *target;
 	char *fields;
 	quad_t time_left_ms;
+	quad_t objective_left_ms;
 	char *caller_service;
 	char *request_id;
 	int priority;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -374,6 +374,8 @@
 		job->request.priority, 0, ADMIT_NR_PRIORITIES - 1);
 	job->admit.caller = hash_string(job->request.caller_service);
 	job->admit.deadline = job->deadline;
+	job->admit.objective =
+		now + job->request.objective_left_ms * NS_PER_MS;
 	reason = arrival_reason(side, job, now);
 	if (reason != FAILURE_NONE) {
 		refuse(side, job, reason);
--- a/relay/call.c
+++ b/relay/call.c
@@ -60,12 +60,23 @@
 	g_free(attempt);
 }
 
+/*
+ * Calls of a running request come first, with the orders: a refused one would
+ * spoil the work already done, which holds a slot meanwhile.
+ */
+static enum admit_priority call_priority(const struct call *call)
+{
+	return call->route->at_most_once || call->is_inner ? ADMIT_ORDER
+							   : ADMIT_LOOKUP;
+}
+
 /* The message borrows all it points at from the call. */
 static void build_request(const struct call *call,
 			  struct relay_request *request)
 {
 	const struct http_message *message = call->message;
-	int64_t left = call->deadline - clock_monotonic_ns();
+	int64_t now = clock_monotonic_ns();
+	int64_t left = call->deadline - now;
 
 	memset(request, 0, sizeof(*request));
 	request->service = (char *)call->service;
@@ -74,11 +85,11 @@
 	request->target = message->target->str;
 	request->fields = message->fields->str;
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
+	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
 	request->caller_service = call->side->context->host->service;
 	request->request_id =
 		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
-	request->priority =
-		call->route->at_most_once ? ADMIT_ORDER : ADMIT_LOOKUP;
+	request->priority = call_priority(call);
 	request->at_most_once = call->route->at_most_once;
 	request->fingerprint = call->fingerprint;
 	request->body.body_len = message->body->len;
--- a/relay/call.h
+++ b/relay/call.h
@@ -23,7 +23,7 @@
 	struct balance *balance;
 	GArray *budgets; /* struct retry_budget by service index */
 	struct rng rng;
-	GHashTable *splits; /* route name -> struct split */
+	GHashTable *routes; /* route name -> struct route_state */
 	int nr_calls;
 	int nr_daemons;
 	char *own_traffic; /* address of the own daemon */
@@ -42,6 +42,8 @@
 	int service_index;   /* in balance and budgets */
 	int64_t arrival;
 	int64_t deadline;
+	int64_t objective; /* until when the answer is worth most */
+	bool is_inner;	   /* a call of the backend server on this host */
 	uint64_t fingerprint;
 	struct cds_list_head attempts; /* under way */
 	int nr_attempts;	       /* under way */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -32,9 +32,22 @@
 #define EJECT_LONGEST_NS (2 * NS_PER_SEC)
 #define EJECT_FAILURES 3
 
-/* Turns of the parts of a route, so that shares hold for small numbers too. */
-struct split {
+/*
+ * How long the longest of a route's callers waits is forgotten after this time,
+ * as a configuration may change it.
+ */
+#define WAIT_LIFE_NS (10 * NS_PER_SEC)
+
+/* What a route's requests have shown, kept over configurations. */
+struct route_state {
 	char *route;
+	/*
+	 * The longest wait that callers told. One that tells less has used up
+	 * the difference in earlier attempts.
+	 */
+	int64_t longest_wait_ms;
+	int64_t longest_seen;
+	/* Turns of the parts, so that shares hold for small numbers too. */
 	size_t nr_parts;
 	int64_t credits[]; /* by part */
 };
@@ -158,30 +171,31 @@
 
 /* Routing. */
 
-static struct split *get_split(struct caller_side *side,
-			       const struct mesh_route *route)
+static struct route_state *get_state(struct caller_side *side,
+				     const struct mesh_route *route)
 {
-	struct split *split = g_hash_table_lookup(side->splits, route->name);
-
-	if (split && split->nr_parts == route->nr_parts)
-		return split;
-	split = g_malloc0(sizeof(*split) +
-			  route->nr_parts * sizeof(split->credits[0]));
-	split->route = g_strdup(route->name);
-	split->nr_parts = route->nr_parts;
+	struct route_state *state =
+		g_hash_table_lookup(side->routes, route->name);
+
+	if (state && state->nr_parts == route->nr_parts)
+		return state;
+	state = g_malloc0(sizeof(*state) +
+			  route->nr_parts * sizeof(state->credits[0]));
+	state->route = g_strdup(route->name);
+	state->nr_parts = route->nr_parts;
 	for (size_t i = 0; i < route->nr_parts; i++)
-		split->credits[i] = (int64_t)rng_below(
+		state->credits[i] = (int64_t)rng_below(
 			&side->rng, (uint64_t)route->parts[i].weight + 1);
-	g_hash_table_replace(side->splits, split->route, split);
-	return split;
+	g_hash_table_replace(side->routes, state->route, state);
+	return state;
 }
 
-static void free_split(void *arg)
+static void free_state(void *arg)
 {
-	struct split *split = arg;
+	struct route_state *state = arg;
 
-	g_free(split->route);
-	g_free(split);
+	g_free(state->route);
+	g_free(state);
 }
 
 /*
@@ -192,33 +206,53 @@
 static const char *pick_part(struct caller_side *side,
 			     const struct mesh_route *route)
 {
-	struct split *split;
+	struct route_state *state;
 	int64_t sum = 0;
 	size_t best = 0;
 
 	if (route->nr_parts == 1)
 		return route->parts[0].service;
-	split = get_split(side, route);
+	state = get_state(side, route);
 	for (size_t i = 0; i < route->nr_parts; i++)
 		sum += route->parts[i].weight;
 	for (size_t i = 0; i < route->nr_parts; i++) {
-		split->credits[i] += route->parts[i].weight;
+		state->credits[i] += route->parts[i].weight;
 		if (route->parts[i].weight &&
 		    (!route->parts[best].weight ||
-		     split->credits[i] > split->credits[best]))
+		     state->credits[i] > state->credits[best]))
 			best = i;
 	}
-	split->credits[best] -= sum;
+	state->credits[best] -= sum;
 	return route->parts[best].service;
 }
 
-static int64_t call_deadline(const struct call *call)
+/* How long the caller of a route has waited in earlier attempts. */
+static int64_t waited_before_ms(struct route_state *state, int64_t asked_ms,
+				int64_t now)
 {
-	int64_t wait_ms = call->route->deadline_ms;
-	int64_t asked_ms = http_message_number(
-		call->message, HTTP_ROLE_TIME_LEFT_MS, wait_ms);
+	if (asked_ms >= state->longest_wait_ms ||
+	    now - state->longest_seen > WAIT_LIFE_NS) {
+		state->longest_wait_ms = asked_ms;
+		state->longest_seen = now;
+	}
+	return state->longest_wait_ms - asked_ms;
+}
 
-	return call->arrival + MIN(wait_ms, asked_ms) * NS_PER_MS;
+static void set_times(struct call *call)
+{
+	const struct mesh_route *route = call->route;
+	int64_t asked_ms = http_message_number(
+		call->message, HTTP_ROLE_TIME_LEFT_MS, route->deadline_ms);
+	int64_t waited_ms = 0;
+
+	/* A backend server's calls wait as long as what they are part of. */
+	if (!call->is_inner)
+		waited_ms = waited_before_ms(get_state(call->side, route),
+					     asked_ms, call->arrival);
+	call->deadline = call->arrival +
+			 MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
+	call->objective = call->arrival +
+			  (route->objective_ms - waited_ms) * NS_PER_MS;
 }
 
 static uint64_t fingerprint_of(const struct http_message *message)
@@ -244,7 +278,9 @@
 	call->view = mesh_view_ref(side->view);
 	call->route = route;
 	call->arrival = clock_monotonic_ns();
-	call->deadline = call_deadline(call);
+	call->is_inner = !strcmp(http_server_peer_ip(conn),
+				 side->context->host->ip);
+	set_times(call);
 	call->service = pick_part(side, route);
 	call->service_index =
 		balance_service_index(side->balance, call->service);
@@ -488,8 +524,8 @@
 	rng_init(&side->rng, context->incarnation);
 	side->balance = balance_new(&balance);
 	side->budgets = g_array_new(FALSE, TRUE, sizeof(struct retry_budget));
-	side->splits = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					     free_split);
+	side->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     free_state);
 	add_metrics(side);
 	side->http = http_server_new(&http, error);
 	return side->http ? side : NULL;
