Class requests by their route's rank; urgent ones wait to their deadline

The rank of the route tells: 0 and 1, which orders and inner lookups have, wait to their deadline; rank 2 waits while it gains.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -45,7 +44,6 @@
 	bool is_head;
 	bool ended; /* the caller sent its last byte */
 	void *data;
-	char peer_ip[INET6_ADDRSTRLEN];
 };
 
 static void conn_close(struct http_server_conn *conn);
@@ -182,11 +180,6 @@
 	conn_close(conn);
 }
 
-const char *http_server_peer_ip(const struct http_server_conn *conn)
-{
-	return conn->peer_ip;
-}
-
 void http_server_set_data(struct http_server_conn *conn, void *data)
 {
 	conn->data = data;
@@ -327,27 +320,11 @@
 		conn_close(conn);
 }
 
-static void note_peer(struct http_server_conn *conn,
-		      const struct sockaddr_storage *peer)
-{
-	const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)peer;
-	const struct sockaddr_in *in4 = (const struct sockaddr_in *)peer;
-
-	if (peer->ss_family == AF_INET)
-		inet_ntop(AF_INET, &in4->sin_addr, conn->peer_ip,
-			  sizeof(conn->peer_ip));
-	else if (peer->ss_family == AF_INET6)
-		inet_ntop(AF_INET6, &in6->sin6_addr, conn->peer_ip,
-			  sizeof(conn->peer_ip));
-}
-
-static void add_conn(struct http_server *server, int fd,
-		     const struct sockaddr_storage *peer)
+static void add_conn(struct http_server *server, int fd)
 {
 	struct http_server_conn *conn = g_new0(struct http_server_conn, 1);
 
 	conn->server = server;
-	note_peer(conn, peer);
 	conn->source.fd = fd;
 	conn->source.ready = on_conn_ready;
 	conn->timer.fire = on_conn_timer;
@@ -366,16 +343,12 @@
 {
 	struct http_server *server =
 		caa_container_of(source, struct http_server, listener);
-	struct sockaddr_storage peer = { 0 };
-	socklen_t len = sizeof(peer);
 	int fd;
 
 	(void)events;
-	while ((fd = accept4(source->fd, (struct sockaddr *)&peer, &len,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		add_conn(server, fd, &peer);
-		len = sizeof(peer);
-	}
+	while ((fd = accept4(source->fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		add_conn(server, fd);
 	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
 		log_event(LOG_ERR, "accept_failed", "errno=%d", errno);
 }
--- a/relay/call.c
+++ b/relay/call.c
@@ -61,13 +61,17 @@
 }
 
 /*
- * Calls of a running request come first, with the orders: a refused one would
- * spoil the work already done, which holds a slot meanwhile.
+ * Routes rank from 0, the most urgent. Rank 1 has the orders, and the calls
+ * that backend servers make: a refused one would spoil the work already done,
+ * which holds a slot meanwhile.
  */
-static enum admit_priority call_priority(const struct call *call)
+enum admit_priority call_priority(const struct call *call)
 {
-	return call->route->at_most_once || call->is_inner ? ADMIT_ORDER
-							   : ADMIT_LOOKUP;
+	int rank = call->route->priority;
+
+	if (rank <= 1)
+		return ADMIT_ORDER;
+	return rank == 2 ? ADMIT_LOOKUP : ADMIT_BACKGROUND;
 }
 
 /* The message borrows all it points at from the call. */
--- a/relay/call.h
+++ b/relay/call.h
@@ -43,7 +43,6 @@
 	int64_t arrival;
 	int64_t deadline;
 	int64_t objective; /* until when the answer is worth most */
-	bool is_inner;	   /* a call of the backend server on this host */
 	uint64_t fingerprint;
 	struct cds_list_head attempts; /* under way */
 	int nr_attempts;	       /* under way */
@@ -57,6 +56,9 @@
 	bool hedged;
 };
 
+/* The class in which a request waits at its backend server. */
+enum admit_priority call_priority(const struct call *call);
+
 /* Sends a request that was routed; it ends with call_end(). */
 void call_start(struct call *call);
 
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -243,16 +243,16 @@
 	const struct mesh_route *route = call->route;
 	int64_t asked_ms = http_message_number(
 		call->message, HTTP_ROLE_TIME_LEFT_MS, route->deadline_ms);
-	int64_t waited_ms = 0;
-
-	/* A backend server's calls wait as long as what they are part of. */
-	if (!call->is_inner)
-		waited_ms = waited_before_ms(get_state(call->side, route),
+	int64_t waited_ms = waited_before_ms(get_state(call->side, route),
 					     asked_ms, call->arrival);
+
 	call->deadline = call->arrival +
 			 MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
 	call->objective = call->arrival +
 			  (route->objective_ms - waited_ms) * NS_PER_MS;
+	/* Urgent requests wait as long as they can be answered at all. */
+	if (call_priority(call) == ADMIT_ORDER)
+		call->objective = call->deadline;
 }
 
 static uint64_t fingerprint_of(const struct http_message *message)
@@ -278,8 +278,6 @@
 	call->view = mesh_view_ref(side->view);
 	call->route = route;
 	call->arrival = clock_monotonic_ns();
-	call->is_inner = !strcmp(http_server_peer_ip(conn),
-				 side->context->host->ip);
 	set_times(call);
 	call->service = pick_part(side, route);
 	call->service_index =
