Pack configurations between daemons; take large answers from the own zone

A version of 40 to 100 KB went to every daemon as it was, and downloads of 90 KB left their zone at 80% of its slots, at a price of 8 a MB. Values above 1 KB are now packed by zlib, once for all daemons, and routes whose answers are 16 KB or more leave the zone at twice its slots.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -124,6 +124,12 @@
 	size_t nr_excluded; /* at most BALANCE_EXCLUDED_MAX */
 	/* May be sent again after any failure, so it can be a trial. */
 	bool retryable;
+	/*
+	 * Use of the own zone, in percent of what it can run at once, up to
+	 * which no other zone is used; 0: as the service says. Large answers
+	 * are worth some waiting near by.
+	 */
+	int overflow_percent;
 };
 
 /* How a request ended at a target. */
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -90,15 +90,15 @@
  * use. If all requests did, the own zone would be left far more than its excess
  * of load needs, and ingresses would swing between the zones together.
  */
-static bool overflows(const struct balance *balance,
-		      const struct service *service, uint64_t load,
-		      uint64_t limit)
+static bool overflows(const struct balance *balance, uint64_t percent,
+		      uint64_t load, uint64_t limit)
 {
-	uint64_t percent = (uint64_t)service->zone_overflow_percent;
 	uint64_t above;
 
 	if (load * 100 <= limit * percent)
 		return false;
+	if (percent >= 100)
+		return true;
 	above = load * 100 - limit * percent;
 	return rng_below(balance->options.rng, limit * (100 - percent)) < above;
 }
@@ -111,6 +111,9 @@
 		      const struct balance_request *request, enum pass pass,
 		      int64_t now)
 {
+	int percent = request->overflow_percent
+			      ? request->overflow_percent
+			      : service->zone_overflow_percent;
 	uint64_t load = 0, limit = 0;
 	size_t n = 0, i = 0;
 
@@ -125,7 +128,7 @@
 			limit += balance->candidates[n].limit;
 			n++;
 		}
-		if (n && !overflows(balance, service, load, limit))
+		if (n && !overflows(balance, (uint64_t)percent, load, limit))
 			break;
 	}
 	return n;
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -172,12 +172,16 @@
 	bool draining;
 };
 
-/* An item as it was published; without value it was deleted. */
+/*
+ * An item as it was published; a deleted one has no value. The value is in
+ * the zlib format when plain_bytes, its length without it, is not 0.
+ */
 struct feed_entry {
 	string key<FEED_KEY_MAX>;
 	hyper revision;
 	bool deleted;
 	hyper hold_ms;
+	unsigned int plain_bytes;
 	opaque value<PEER_VALUE_MAX>;
 };
 
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -433,6 +433,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->hold_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->plain_bytes))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_VALUE_MAX))
 		 return FALSE;
 	return TRUE;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -197,6 +197,7 @@
 	quad_t revision;
 	bool_t deleted;
 	quad_t hold_ms;
+	u_int plain_bytes;
 	struct {
 		u_int value_len;
 		char *value_val;
--- a/relay/call.c
+++ b/relay/call.c
@@ -16,6 +16,10 @@
  */
 #define HEDGE_PERCENT 100
 
+/* Answers from this length on are taken from near by, if at all possible. */
+#define LARGE_ANSWER_BYTES 16384
+#define LARGE_ANSWER_OVERFLOW_PERCENT 200
+
 /* One sending of a request to a backend server's daemon. */
 struct attempt {
 	struct cds_list_head node;
@@ -261,6 +265,8 @@
 	};
 	struct balance_choice choice;
 
+	if (call->state->answer_bytes >= LARGE_ANSWER_BYTES)
+		request.overflow_percent = LARGE_ANSWER_OVERFLOW_PERCENT;
 	if (call->nr_excluded == BALANCE_EXCLUDED_MAX ||
 	    !balance_pick(side->balance, &request, now, &choice) ||
 	    !balance_start(side->balance, choice.target, now))
--- a/relay/call.h
+++ b/relay/call.h
@@ -14,6 +14,20 @@
 
 #define CALL_NR_OUTCOMES 3
 
+/* What a route's requests have shown, kept over configurations. */
+struct route_state {
+	char *route;
+	/*
+	 * The longest wait that callers told. One that tells less has used up
+	 * the difference in earlier attempts.
+	 */
+	int64_t longest_wait_ms;
+	int64_t longest_seen;
+	int64_t answer_bytes; /* smoothed */
+	/* Turns of the parts, so that shares hold for small numbers too. */
+	GArray *credits; /* int64_t by part */
+};
+
 struct caller_side {
 	const struct relay_context *context;
 	struct backend_side *backend_side;
@@ -42,6 +56,7 @@
 	int service_index;   /* in balance and budgets */
 	int64_t arrival;
 	int64_t deadline;
+	struct route_state *state; /* of its route */
 	int64_t objective; /* until when the answer is worth most */
 	uint64_t fingerprint;
 	struct cds_list_head attempts; /* under way */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -38,19 +38,8 @@
  */
 #define WAIT_LIFE_NS (10 * NS_PER_SEC)
 
-/* What a route's requests have shown, kept over configurations. */
-struct route_state {
-	char *route;
-	/*
-	 * The longest wait that callers told. One that tells less has used up
-	 * the difference in earlier attempts.
-	 */
-	int64_t longest_wait_ms;
-	int64_t longest_seen;
-	/* Turns of the parts, so that shares hold for small numbers too. */
-	size_t nr_parts;
-	int64_t credits[]; /* by part */
-};
+/* Weight of a new answer's length in the mean: one in this many. */
+#define ANSWER_BYTES_WEIGHT 8
 
 struct retry_budget *caller_side_budget(struct caller_side *side, int service)
 {
@@ -151,6 +140,9 @@
 		.body_len = answer->body.body_len,
 	};
 
+	call->state->answer_bytes +=
+		((int64_t)answer->body.body_len - call->state->answer_bytes) /
+		ANSWER_BYTES_WEIGHT;
 	counter_add(&side->requests[OUTCOME_RAN], 1);
 	histogram_observe(&side->added_time,
 			  (uint64_t)MAX(total_us - answer->service_us, 0));
@@ -177,16 +169,12 @@
 	struct route_state *state =
 		g_hash_table_lookup(side->routes, route->name);
 
-	if (state && state->nr_parts == route->nr_parts)
-		return state;
-	state = g_malloc0(sizeof(*state) +
-			  route->nr_parts * sizeof(state->credits[0]));
-	state->route = g_strdup(route->name);
-	state->nr_parts = route->nr_parts;
-	for (size_t i = 0; i < route->nr_parts; i++)
-		state->credits[i] = (int64_t)rng_below(
-			&side->rng, (uint64_t)route->parts[i].weight + 1);
-	g_hash_table_replace(side->routes, state->route, state);
+	if (!state) {
+		state = g_new0(struct route_state, 1);
+		state->route = g_strdup(route->name);
+		state->credits = g_array_new(FALSE, TRUE, sizeof(int64_t));
+		g_hash_table_insert(side->routes, state->route, state);
+	}
 	return state;
 }
 
@@ -194,35 +182,55 @@
 {
 	struct route_state *state = arg;
 
+	g_array_unref(state->credits);
 	g_free(state->route);
 	g_free(state);
 }
 
+/* The credits of a route's parts, begun anew when their number changes. */
+static int64_t *get_credits(struct caller_side *side,
+			    struct route_state *state,
+			    const struct mesh_route *route)
+{
+	int64_t *credits;
+
+	if (state->credits->len != route->nr_parts) {
+		g_array_set_size(state->credits, (guint)route->nr_parts);
+		credits = (int64_t *)state->credits->data;
+		for (size_t i = 0; i < route->nr_parts; i++)
+			credits[i] = (int64_t)rng_below(
+				&side->rng,
+				(uint64_t)route->parts[i].weight + 1);
+	}
+	return (int64_t *)state->credits->data;
+}
+
 /*
  * The part whose turn it is: each gains its weight, and the one with the most
  * pays for all. The start is random, since the daemons would else all begin with
  * the same part.
  */
 static const char *pick_part(struct caller_side *side,
+			     struct route_state *state,
 			     const struct mesh_route *route)
 {
-	struct route_state *state;
+	int64_t *credits;
 	int64_t sum = 0;
 	size_t best = 0;
 
 	if (route->nr_parts == 1)
 		return route->parts[0].service;
-	state = get_state(side, route);
+	credits = get_credits(side, state, route);
 	for (size_t i = 0; i < route->nr_parts; i++)
 		sum += route->parts[i].weight;
 	for (size_t i = 0; i < route->nr_parts; i++) {
-		state->credits[i] += route->parts[i].weight;
+		credits[i] += route->parts[i].weight;
 		if (route->parts[i].weight &&
 		    (!route->parts[best].weight ||
-		     state->credits[i] > state->credits[best]))
+		     credits[i] > credits[best]))
 			best = i;
 	}
-	state->credits[best] -= sum;
+	credits[best] -= sum;
 	return route->parts[best].service;
 }
 
@@ -243,8 +251,8 @@
 	const struct mesh_route *route = call->route;
 	int64_t asked_ms = http_message_number(
 		call->message, HTTP_ROLE_TIME_LEFT_MS, route->deadline_ms);
-	int64_t waited_ms = waited_before_ms(get_state(call->side, route),
-					     asked_ms, call->arrival);
+	int64_t waited_ms =
+		waited_before_ms(call->state, asked_ms, call->arrival);
 
 	call->deadline = call->arrival +
 			 MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
@@ -278,8 +286,9 @@
 	call->view = mesh_view_ref(side->view);
 	call->route = route;
 	call->arrival = clock_monotonic_ns();
+	call->state = get_state(side, route);
 	set_times(call);
-	call->service = pick_part(side, route);
+	call->service = pick_part(side, call->state, route);
 	call->service_index =
 		balance_service_index(side->balance, call->service);
 	call->fingerprint = fingerprint_of(message);
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/pack.h"
 #include "mesh/readers.h"
 #include "net/rpc.h"
 #include "relay/feed_peers.h"
@@ -16,6 +17,9 @@
 /* A push that is not answered so long ends the connection. */
 #define PUSH_WAIT_NS (1500 * NS_PER_MS)
 
+/* Values from this length on are packed; configurations are most of them. */
+#define PACK_FROM_BYTES 1024
+
 /* After a failed push the next one waits this long. */
 #define PUSH_RETRY_NS (300 * NS_PER_MS)
 
@@ -42,6 +46,9 @@
 	struct readers_state state;
 	struct timer timer;
 	bool reads;
+	/* The last value that was packed, since it goes to all daemons. */
+	GBytes *plain;
+	GBytes *packed; /* NULL: does not get shorter */
 };
 
 static void update(struct feed_peers *peers, int64_t now);
@@ -49,11 +56,37 @@
 /* Pushes. */
 
 struct batch {
+	struct feed_peers *peers;
 	struct feed_push push;
 	GArray *entries; /* struct feed_entry */
 	int64_t now;
 };
 
+static GBytes *packed_value(struct feed_peers *peers, GBytes *value)
+{
+	if (g_bytes_get_size(value) < PACK_FROM_BYTES)
+		return NULL;
+	if (peers->plain == value)
+		return peers->packed;
+	g_clear_pointer(&peers->plain, g_bytes_unref);
+	g_clear_pointer(&peers->packed, g_bytes_unref);
+	peers->plain = g_bytes_ref(value);
+	peers->packed = pack_bytes(value);
+	return peers->packed;
+}
+
+static void set_value(struct batch *batch, struct feed_entry *entry,
+		      GBytes *value)
+{
+	GBytes *packed = packed_value(batch->peers, value);
+	gsize len;
+
+	entry->plain_bytes = packed ? (u_int)g_bytes_get_size(value) : 0;
+	entry->value.value_val =
+		(char *)g_bytes_get_data(packed ? packed : value, &len);
+	entry->value.value_len = (u_int)len;
+}
+
 /* The strings and bytes of an entry are borrowed from the item. */
 static void add_entry(const struct feed_item *item, void *ctx)
 {
@@ -70,13 +103,8 @@
 	if (entry.deleted && item->value)
 		entry.hold_ms = MAX(0, item->delete_deadline - batch->now) /
 				NS_PER_MS;
-	if (!entry.deleted) {
-		gsize len;
-
-		entry.value.value_val =
-			(char *)g_bytes_get_data(item->value, &len);
-		entry.value.value_len = (u_int)len;
-	}
+	if (!entry.deleted)
+		set_value(batch, &entry, item->value);
 	g_array_append_val(batch->entries, entry);
 }
 
@@ -144,7 +172,7 @@
 		    size_t nr, int64_t now)
 {
 	struct peer_crash told[PEER_CRASHES_MAX];
-	struct batch batch = { .now = now };
+	struct batch batch = { .peers = peer->peers, .now = now };
 
 	if (peer->calling || !connect_peer(peer))
 		return;
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/pack.h"
 #include "base/timer.h"
 #include "mesh/feed.h"
 #include "mesh/readers.h"
@@ -293,20 +294,36 @@
 
 /* Other daemons. */
 
+static GBytes *entry_value(const struct feed_entry *entry)
+{
+	const void *data = entry->value.value_val;
+	gsize len = entry->value.value_len;
+
+	if (!entry->plain_bytes)
+		return g_bytes_new(data, len);
+	if (entry->plain_bytes > PEER_VALUE_MAX)
+		return NULL;
+	return unpack_bytes(data, len, entry->plain_bytes);
+}
+
 static void on_entry(void *ctx, const struct feed_entry *entry)
 {
 	struct mesh_control *control = ctx;
 	int64_t now = clock_monotonic_ns();
 
+	g_autoptr(GBytes) value = NULL;
+
 	if (entry->deleted) {
 		take_delete(control, entry->key, entry->revision,
 			    now + entry->hold_ms * NS_PER_MS);
-	} else {
-		g_autoptr(GBytes) value = g_bytes_new(
-			entry->value.value_val, entry->value.value_len);
-
-		take_write(control, entry->key, value, entry->revision);
+		return;
 	}
+	value = entry_value(entry);
+	if (value)
+		take_write(control, entry->key, value, entry->revision);
+	else
+		log_event(LOG_ERR, "entry_unpackable", "key=%s",
+			  log_quote(entry->key));
 }
 
 static void on_crashes(void *ctx, const struct quarantine_entry *entries,
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -66,7 +66,8 @@
 	/* Picks and starts; an empty host when there is no target. */
 	struct balance_choice send(bool retryable = true)
 	{
-		struct balance_request request = { 0, nullptr, 0, retryable };
+		struct balance_request request = { 0, nullptr, 0, retryable,
+						   0 };
 		struct balance_choice choice = {};
 
 		if (balance_pick(balance, &request, now, &choice)) {
@@ -263,7 +264,7 @@
 	in.update();
 	for (int i = 0; i < 4; i++) {
 		struct balance_choice first = in.send(), second;
-		struct balance_request retry = { 0, &first.target, 1, true };
+		struct balance_request retry = { 0, &first.target, 1, true, 0 };
 
 		ASSERT_TRUE(first.own_zone);
 		in.end(first, i % 2 ? FAILURE_LINK_LOST : FAILURE_QUEUE_FULL);
