Tell the news to daemons whose backend server has left; see a reader's end at once

A daemon is now told the news for 20 s after its entry has gone, without a place in the ranking. A reader counts as long as it is heard, and the end of its connection hands over at once instead of after the wait. Ruled out: a late watch of the readers (their views follow each other by 0.8 s).

--- a/lib/mesh/readers.c
+++ b/lib/mesh/readers.c
@@ -2,12 +2,6 @@
 #include "base/rng.h"
 #include "mesh/readers.h"
 
-/*
- * News older than this are missing. Configurations must be in force within 2 s
- * of their publication, and the watch of the next reader comes on top.
- */
-#define STALE_NS (1700 * NS_PER_MS)
-
 /* Each further rank waits longer, so that they do not all read at once. */
 #define RANK_STEP_NS (120 * NS_PER_MS)
 #define RANK_STEPS_MAX 8
@@ -27,7 +21,7 @@
 
 static int64_t reads_from(const struct readers_state *state)
 {
-	return state->covered + STALE_NS + rank_wait(state);
+	return state->covered + READERS_STALE_NS + rank_wait(state);
 }
 
 static int64_t tells_from(const struct readers_state *state)
@@ -43,7 +37,9 @@
 
 bool readers_tells(const struct readers_state *state, int64_t now)
 {
-	bool has_read = state->read && now - state->read <= STALE_NS;
+	bool has_read =
+		state->read &&
+		now - state->read <= READERS_READ_AGE_MAX_MS * NS_PER_MS;
 
 	return state->rank < READERS_USUAL ||
 	       (has_read && readers_reads(state, now)) ||
--- a/lib/mesh/readers.h
+++ b/lib/mesh/readers.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/clock.h"
+
 /*
  * Which daemons read the store and tell the others. The daemons rank each
  * other by one hash, so all agree without a word. A daemon reads unless
@@ -17,14 +19,27 @@
 struct readers_state {
 	int rank; /* daemons before this one in the ranking */
 	/*
-	 * The newest reading that READERS_USUAL daemons before this one have
-	 * all reached; 0: none.
+	 * When READERS_USUAL daemons before this one were last all heard to
+	 * read the store; 0: never.
 	 */
 	int64_t covered;
 	int64_t read;  /* the own newest reading; 0: none */
 	int64_t heard; /* the last message of another daemon; 0: none */
 };
 
+/*
+ * A reader that was not heard for this long has gone. Configurations must be in
+ * force within 2 s of their publication, and the watch of the next reader comes
+ * on top.
+ */
+#define READERS_STALE_NS (1300 * NS_PER_MS)
+
+/* A daemon whose newest reading is older does not count as reading. */
+#define READERS_READ_AGE_MAX_MS 2000
+
+/* How often a reading daemon tells so, though nothing changed. */
+#define READERS_TELL_INTERVAL_MS 600
+
 /* The place of a daemon in the ranking; a lower one comes first. */
 uint64_t readers_hash(const char *ip);
 
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -11,8 +11,13 @@
 #define OUTPUT_MAX (32 * 1024 * 1024)
 #define RECORD_MAX (32 * 1024 * 1024)
 
-/* While the store cannot be read, a peer is told this often how old news are. */
-#define PUSH_INTERVAL_NS (1500 * NS_PER_MS)
+#define PUSH_INTERVAL_NS (READERS_TELL_INTERVAL_MS * NS_PER_MS)
+
+/*
+ * A daemon whose backend server has left is told the news so long, since it
+ * serves its callers until it is stopped.
+ */
+#define LINGER_NS (20 * NS_PER_SEC)
 
 /* A push that is not answered so long ends the connection. */
 #define PUSH_WAIT_NS (1500 * NS_PER_MS)
@@ -34,8 +39,9 @@
 	int64_t acked;	 /* revision that it has confirmed */
 	int64_t sent_to; /* revision of the push under way */
 	int64_t next_push;
-	int64_t read; /* its newest reading of the store; 0: none */
-	bool named; /* by the view being taken */
+	int64_t reads_at; /* when it was last heard to read; 0: never */
+	int64_t named_at; /* when the last view that has it was taken */
+	bool named; /* by the present view: counts in the ranking */
 };
 
 struct feed_peers {
@@ -309,8 +315,8 @@
 		peers->options.ops->crashes(peers->options.ctx, entries, nr);
 }
 
-/* The newest reading that READERS_USUAL daemons ahead have all reached. */
-static int64_t covered_reading(struct feed_peers *peers)
+/* When READERS_USUAL daemons ahead were last all heard to read. */
+static int64_t covered_at(struct feed_peers *peers)
 {
 	uint64_t own = readers_hash(peers->options.host->ip);
 	int64_t newest[READERS_USUAL] = { 0 };
@@ -319,24 +325,26 @@
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		int64_t read = peer->read;
+		int64_t at = peer->reads_at;
 
-		if (readers_hash(peer->ip) > own)
+		if (!peer->named || readers_hash(peer->ip) > own)
 			continue;
 		for (int i = 0; i < READERS_USUAL; i++) {
 			int64_t other = newest[i];
 
-			newest[i] = MAX(other, read);
-			read = MIN(other, read);
+			newest[i] = MAX(other, at);
+			at = MIN(other, at);
 		}
 	}
 	return newest[READERS_USUAL - 1];
 }
 
-static void note_reading(struct peer *peer, int64_t read)
+static void note_reading(struct peer *peer, int64_t read_age_ms, int64_t now)
 {
-	peer->read = MAX(peer->read, read);
-	peer->peers->state.covered = covered_reading(peer->peers);
+	if (read_age_ms < 0 || read_age_ms > READERS_READ_AGE_MAX_MS)
+		return;
+	peer->reads_at = now;
+	peer->peers->state.covered = covered_at(peer->peers);
 }
 
 static void take_push(struct feed_peers *peers, const struct feed_push *push)
@@ -355,8 +363,8 @@
 	}
 	take_crashes(peers, push);
 	peers->state.heard = now;
-	if (peer && push->read_age_ms >= 0)
-		note_reading(peer, now - push->read_age_ms * NS_PER_MS);
+	if (peer)
+		note_reading(peer, push->read_age_ms, now);
 	/* It restarted, or missed something: it is told what it lacks. */
 	if (peer && push->to < feed_revision(feed)) {
 		peer->acked = MIN(peer->acked, push->to);
@@ -365,6 +373,25 @@
 	update(peers, now);
 }
 
+/*
+ * The process of a reader ended, so that the next ones take over at once, in
+ * their order.
+ */
+static void on_closed(struct rpc_conn *conn, void *ctx, const char *reason)
+{
+	struct feed_peers *peers = ctx;
+	const char *ip = rpc_conn_data(conn);
+	struct peer *peer = ip ? g_hash_table_lookup(peers->peers, ip) : NULL;
+	int64_t now = clock_monotonic_ns();
+
+	(void)reason;
+	if (!peer || !peer->reads_at)
+		return;
+	peer->reads_at = MIN(peer->reads_at, now - READERS_STALE_NS);
+	peers->state.covered = covered_at(peers);
+	update(peers, now);
+}
+
 static bool handle(struct rpc_conn *conn, void *ctx, uint32_t xid,
 		   uint32_t procedure, XDR *args, enum accept_stat *error)
 {
@@ -379,6 +406,8 @@
 		xdr_free((xdrproc_t)xdr_feed_push, (char *)&push);
 		return false;
 	}
+	if (!rpc_conn_data(conn))
+		rpc_conn_set_data(conn, g_strdup(push.ip), g_free);
 	take_push(peers, &push);
 	xdr_free((xdrproc_t)xdr_feed_push, (char *)&push);
 	reply.revision = feed_revision(peers->options.feed);
@@ -402,7 +431,7 @@
 	g_free(peer);
 }
 
-static void name_peer(struct feed_peers *peers, const char *ip)
+static void name_peer(struct feed_peers *peers, const char *ip, int64_t now)
 {
 	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
 	g_autofree char *text = NULL;
@@ -417,17 +446,26 @@
 		g_hash_table_insert(peers->peers, peer->ip, peer);
 	}
 	peer->named = true;
+	peer->named_at = now;
 }
 
-static gboolean is_unnamed(gpointer key, gpointer value, gpointer ctx)
+static gboolean has_left(gpointer key, gpointer value, gpointer ctx)
 {
-	struct peer *peer = value;
-	bool named = peer->named;
+	const struct peer *peer = value;
+	const int64_t *now = ctx;
 
 	(void)key;
-	(void)ctx;
-	peer->named = false;
-	return !named;
+	return !peer->named && *now - peer->named_at > LINGER_NS;
+}
+
+static void unname_all(struct feed_peers *peers)
+{
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		peer->named = false;
 }
 
 static int rank_of(struct feed_peers *peers)
@@ -439,25 +477,27 @@
 
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		rank += readers_hash(peer->ip) < own;
+		rank += peer->named && readers_hash(peer->ip) < own;
 	return rank;
 }
 
 void feed_peers_set_view(struct feed_peers *peers, const struct mesh_view *view)
 {
 	const char *own = peers->options.host->ip;
+	int64_t now = clock_monotonic_ns();
 
+	unname_all(peers);
 	for (guint i = 0; i < view->targets->len; i++) {
 		const struct mesh_target *target =
 			g_ptr_array_index(view->targets, i);
 
 		if (strcmp(target->ip, own) != 0)
-			name_peer(peers, target->ip);
+			name_peer(peers, target->ip, now);
 	}
-	g_hash_table_foreach_remove(peers->peers, is_unnamed, NULL);
+	g_hash_table_foreach_remove(peers->peers, has_left, &now);
 	peers->state.rank = rank_of(peers);
-	peers->state.covered = covered_reading(peers);
-	update(peers, clock_monotonic_ns());
+	peers->state.covered = covered_at(peers);
+	update(peers, now);
 }
 
 struct feed_peers *feed_peers_new(const struct feed_peers_options *options,
@@ -475,6 +515,7 @@
 	peers->service.program = FEED_PROGRAM;
 	peers->service.version = FEED_VERSION;
 	peers->service.handle = handle;
+	peers->service.closed = on_closed;
 	peers->service.ctx = peers;
 	peers->timer.fire = on_timer;
 	peers->peers =
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -136,12 +136,9 @@
 	reader->revision = MAX(reader->revision, page->revision);
 	set_timer(reader, MAX(reader->started + WATCH_INTERVAL_NS,
 			      clock_monotonic_ns()));
-	/* An empty answer says that nothing changed while the store waited. */
-	reader->options.ops->changes(
-		reader->options.ctx, page,
-		page->changes->len
-			? reader->started
-			: reader->started + WATCH_WAIT_MS * NS_PER_MS);
+	/* The store answers by what it knows then. */
+	reader->options.ops->changes(reader->options.ctx, page,
+				     clock_monotonic_ns());
 }
 
 static void take_response(struct store_reader *reader,
--- /dev/null
+++ b/standins/target.c
@@ -0,0 +1,178 @@
+/*
+ * Stand-in of a backend server on the users' platform: it runs requests that
+ * name it, one in each slot, and tells who it is, its load and how long it
+ * stays cold.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "standin.h"
+
+#define BODY_MAX_BYTES (16 * 1024 * 1024)
+
+enum {
+	FAULT_NONE,
+	FAULT_SLOW,	/* ms longer */
+	FAULT_SHED,	/* refuses without running */
+	FAULT_FAIL,	/* runs and answers 500 */
+	FAULT_NO_PROOF, /* runs and answers without receipt */
+	FAULT_CLOSE,	/* runs and closes without an answer */
+	FAULT_OTHER_ID, /* runs and answers with another request's id */
+	FAULT_ENCODED	/* runs and answers with an encoding */
+};
+static const char *const modes[] = { "none",	 "slow",  "shed",
+				     "fail",	 "no-proof", "close",
+				     "other-id", "encoded",  NULL };
+
+static struct setting settings[] = {
+	{ "id", "TEXT", "of this start", 0, "i-1" },
+	{ "service-ms", "N", "time of a request", 5, NULL },
+	{ "slots", "N", "requests at once", 4, NULL },
+	{ "cold-ms", "N", "how long it is cold", 0, NULL },
+	{ "body-bytes", "N", "length of its answers", 5, NULL },
+	{ NULL },
+};
+
+/* Everything below is protected by standin.lock. */
+static json_t *runs; /* array of what it ran */
+static int nr_running, most_running, nr_shed, nr_misdirected;
+static int64_t started;
+
+static void init(void)
+{
+	runs = json_array();
+	started = clock_monotonic_ns();
+}
+
+static int64_t cold_left_ms(void)
+{
+	int64_t end = started + settings[3].number * NS_PER_MS;
+
+	return MAX(0, end - clock_monotonic_ns()) / NS_PER_MS;
+}
+
+static enum MHD_Result answer(const struct request *request, unsigned status,
+			      const char *proof, const char *id,
+			      const char *encoding)
+{
+	size_t len = (size_t)settings[4].number;
+	g_autofree char *body = g_malloc(len + 1);
+	struct MHD_Response *response;
+	char load[64], cold[32];
+
+	memset(body, 'x', len);
+	snprintf(load, sizeof(load), "%d,0,%d", nr_running,
+		 settings[2].number);
+	snprintf(cold, sizeof(cold), "%lld", (long long)cold_left_ms());
+	response = MHD_create_response_from_buffer(len, body,
+						   MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(response, "X-Instance-Id", settings[0].text);
+	MHD_add_response_header(response, "X-Server-Load", load);
+	MHD_add_response_header(response, "X-Warmup-Ms", cold);
+	if (id)
+		MHD_add_response_header(response, "X-Request-Id", id);
+	if (proof)
+		MHD_add_response_header(response, "X-Server-Signature", proof);
+	if (encoding)
+		MHD_add_response_header(response, "Content-Encoding", encoding);
+	if (status == 503)
+		MHD_add_response_header(response, "X-Not-Executed", "1");
+	return reply_with(request, status, response);
+}
+
+static void note_run(const struct request *request, const char *id)
+{
+	json_array_append_new(
+		runs,
+		json_pack("{s:o, s:s, s:o, s:o, s:o, s:o, s:I}", "id",
+			  json_text(id), "method", request->method, "target",
+			  json_text(request->target), "caller",
+			  json_text(request_header(request,
+						   "X-Caller-Service")),
+			  "time_left_ms",
+			  json_text(request_header(request, "X-Timeout-Ms")),
+			  "other", json_text(request_header(request, "X-Other")),
+			  "body_bytes", (json_int_t)request->body_len));
+}
+
+/* Runs the request with the lock held. */
+static enum MHD_Result run(struct request *request, const char *id)
+{
+	int64_t wait_ms = settings[1].number;
+	int64_t end;
+
+	nr_running++;
+	most_running = MAX(most_running, nr_running);
+	note_run(request, id);
+	if (standin.fault.mode == FAULT_SLOW)
+		wait_ms += standin.fault.ms;
+	end = clock_monotonic_ns() + wait_ms * NS_PER_MS;
+	while (standin_wait(end))
+		;
+	nr_running--;
+	switch (standin.fault.mode) {
+	case FAULT_FAIL:
+		return answer(request, 500, "proof", id, NULL);
+	case FAULT_NO_PROOF:
+		return answer(request, 200, NULL, id, NULL);
+	case FAULT_CLOSE:
+		return MHD_NO;
+	case FAULT_OTHER_ID:
+		return answer(request, 200, "proof", "another", NULL);
+	case FAULT_ENCODED:
+		return answer(request, 200, "proof", id, "gzip");
+	default:
+		return answer(request, 200, "proof", id, NULL);
+	}
+}
+
+static enum MHD_Result on_request(struct request *request)
+{
+	const char *expected = request_header(request, "X-Expected-Instance");
+	const char *id = request_header(request, "X-Request-Id");
+	enum MHD_Result result;
+
+	if (!strcmp(request->path, "/health"))
+		return answer(request, 200, NULL, NULL, NULL);
+	pthread_mutex_lock(&standin.lock);
+	if (expected && strcmp(expected, settings[0].text) != 0) {
+		nr_misdirected++;
+		result = answer(request, 421, NULL, id, NULL);
+	} else if (standin.fault.mode == FAULT_SHED ||
+		   nr_running >= settings[2].number) {
+		nr_shed++;
+		result = answer(request, 503, NULL, id, NULL);
+	} else {
+		result = run(request, id);
+	}
+	pthread_mutex_unlock(&standin.lock);
+	return result;
+}
+
+static enum MHD_Result on_control(struct request *request)
+{
+	json_t *state, *copy;
+
+	if (request_is(request, "POST", "/fault"))
+		return fault_control(request, modes, NULL);
+	if (!request_is(request, "GET", "/state"))
+		return reply_text(request, 404, "unknown control request");
+	pthread_mutex_lock(&standin.lock);
+	state = json_pack("{s:O, s:i, s:i, s:i, s:i}", "runs", runs, "running",
+			  nr_running, "most_running", most_running, "shed",
+			  nr_shed, "misdirected", nr_misdirected);
+	copy = json_deep_copy(state);
+	json_decref(state);
+	pthread_mutex_unlock(&standin.lock);
+	return reply_json(request, 200, copy);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct server listen = { .body_max = BODY_MAX_BYTES,
+					      .handle = on_request };
+	static const struct server control = { .handle = on_control };
+
+	return standin_main(argc, argv, settings, init, &listen, &control);
+}
