--- a/godwitspur/cmd_relay.c
+++ b/godwitspur/cmd_relay.c
@@ -27,8 +27,9 @@
 int cmd_relay(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_file *file = arg_file0(
-		NULL, NULL, "FILE", "settings, if the platform gives none");
+	struct arg_file *file =
+		arg_file0(NULL, NULL, "FILE",
+			  "settings, if the platform gives none");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, file, end };
 	const char *path = platform_settings_path();
--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -166,8 +166,9 @@
 	if (!is_cold(admit) || missing <= 0 || admit->cold_rate.per_s <= 0)
 		return admit->cold_deadline;
 	return MIN(admit->cold_deadline,
-		   admit->cold_filled + (int64_t)(missing * NS_PER_SEC /
-						  admit->cold_rate.per_s) +
+		   admit->cold_filled +
+			   (int64_t)(missing * NS_PER_SEC /
+				     admit->cold_rate.per_s) +
 			   1);
 }
 
@@ -333,7 +334,8 @@
 			admit_cancel(admit, request);
 			cds_list_add_tail(&request->node, expired);
 		} else {
-			*earliest = MIN(*earliest, queue_wait_deadline(request));
+			*earliest =
+				MIN(*earliest, queue_wait_deadline(request));
 		}
 		if (last)
 			return;
--- a/lib/base/pack.c
+++ b/lib/base/pack.c
@@ -9,8 +9,8 @@
 	uLongf len = compressBound(plain_len);
 	guint8 *packed = g_malloc(len);
 
-	if (!data || compress2(packed, &len, data, plain_len,
-			       Z_BEST_SPEED) != Z_OK ||
+	if (!data ||
+	    compress2(packed, &len, data, plain_len, Z_BEST_SPEED) != Z_OK ||
 	    len >= plain_len) {
 		g_free(packed);
 		return NULL;
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -89,8 +89,7 @@
 {
 	const char *id = http_message_value(response, HTTP_ROLE_REQUEST_ID);
 
-	return client->request_id && id &&
-	       strcmp(id, client->request_id) != 0;
+	return client->request_id && id && strcmp(id, client->request_id) != 0;
 }
 
 /* Returns whether the bytes that follow are still read. */
@@ -172,10 +171,10 @@
 static void write_out(struct http_client *client)
 {
 	while (client->out_done < client->out->len) {
-		ssize_t n = send(client->source.fd,
-				 client->out->data + client->out_done,
-				 client->out->len - client->out_done,
-				 MSG_NOSIGNAL);
+		ssize_t n =
+			send(client->source.fd,
+			     client->out->data + client->out_done,
+			     client->out->len - client->out_done, MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -269,8 +268,7 @@
 }
 
 void http_client_send(struct http_client *client, const GString *head,
-		      const void *body, size_t body_len,
-		      const char *request_id)
+		      const void *body, size_t body_len, const char *request_id)
 {
 	client->busy = true;
 	g_free(client->request_id);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -115,9 +115,9 @@
 static void write_out(struct http_server_conn *conn)
 {
 	while (conn->out_done < conn->out->len) {
-		ssize_t n = send(conn->source.fd,
-				 conn->out->data + conn->out_done,
-				 conn->out->len - conn->out_done, MSG_NOSIGNAL);
+		ssize_t n =
+			send(conn->source.fd, conn->out->data + conn->out_done,
+			     conn->out->len - conn->out_done, MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR)
 			continue;
--- a/lib/mesh/feed.c
+++ b/lib/mesh/feed.c
@@ -28,8 +28,8 @@
 {
 	struct feed *feed = g_new0(struct feed, 1);
 
-	feed->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    free_item);
+	feed->items =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
 	return feed;
 }
 
--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -13,13 +13,13 @@
 	char *zone;
 	char *region;
 	char *ip;
-	char *service;		     /* of the backend server on this host */
-	struct net_address backend;  /* the backend server */
-	char *backend_text;	     /* the same as IP:PORT */
-	struct net_address callers;  /* where callers connect */
-	struct net_address peers;    /* where daemons send requests */
-	struct net_address control;  /* where daemons send configuration */
-	struct net_address ready;    /* where readiness is asked */
+	char *service;		      /* of the backend server on this host */
+	struct net_address backend;   /* the backend server */
+	char *backend_text;	      /* the same as IP:PORT */
+	struct net_address callers;   /* where callers connect */
+	struct net_address peers;     /* where daemons send requests */
+	struct net_address control;   /* where daemons send configuration */
+	struct net_address ready;     /* where readiness is asked */
 	struct net_address operators; /* where the state dump is asked */
 	struct net_address store;
 	/* Repeats that a service bears, for all daemons together. */
--- a/lib/mesh/readers.c
+++ b/lib/mesh/readers.c
@@ -4,7 +4,7 @@
 
 /* Each further rank waits longer, so that they do not all read at once. */
 #define RANK_STEP_NS (120 * NS_PER_MS)
-#define RANK_STEPS_MAX 8
+#define RANK_STEPS_MAX 16
 
 /* Silence of all others after which a daemon tells what it knows. */
 #define SILENCE_NS (1800 * NS_PER_MS)
--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -34,8 +34,8 @@
 	config->routes = g_ptr_array_new_with_free_func(free_route);
 	config->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_service);
-	config->by_prefix = g_hash_table_new_full(g_str_hash, g_str_equal,
-						  g_free, NULL);
+	config->by_prefix =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return config;
 }
 
@@ -106,8 +106,7 @@
 char *mesh_config_finish(struct mesh_config *config)
 {
 	for (guint i = 0; i < config->routes->len; i++) {
-		struct mesh_route *route =
-			g_ptr_array_index(config->routes, i);
+		struct mesh_route *route = g_ptr_array_index(config->routes, i);
 		char *reason = check_route(config, route);
 		char *key;
 
@@ -177,8 +176,8 @@
 	view->refs = 1;
 	view->config = config ? mesh_config_ref(config) : NULL;
 	view->targets = g_ptr_array_new_with_free_func(unref_target);
-	view->zones_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						NULL);
+	view->zones_out =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return view;
 }
 
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -68,10 +68,10 @@
 	char *address; /* IP:PORT, reached from its own host only */
 	char *ip;      /* of its host, where its daemon listens */
 	char *zone;
-	int slots;	       /* requests that it runs at once */
-	bool draining;	       /* it said that it is leaving */
-	int64_t cold_left_ms;  /* when it registered; 0: warm */
-	int64_t started_ms;    /* wall time of its start; 0: not told */
+	int slots;	      /* requests that it runs at once */
+	bool draining;	      /* it said that it is leaving */
+	int64_t cold_left_ms; /* when it registered; 0: warm */
+	int64_t started_ms;   /* wall time of its start; 0: not told */
 };
 
 struct mesh_view {
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -273,10 +273,10 @@
 
 	counter_add(&side->admitted, 1);
 	cds_list_add_tail(&job->node, &side->running);
-	job->conn = backend_pool_send(side->pool, head, request->body.body_val,
-				      request->body.body_len,
-				      request->request_id,
-				      request->at_most_once, on_response, job);
+	job->conn =
+		backend_pool_send(side->pool, head, request->body.body_val,
+				  request->body.body_len, request->request_id,
+				  request->at_most_once, on_response, job);
 	g_string_free(head, TRUE);
 	if (job->conn)
 		return;
@@ -370,12 +370,12 @@
 	job->deadline = now + job->request.time_left_ms * NS_PER_MS;
 	memset(&job->admit, 0, sizeof(job->admit));
 	job->side = side;
-	job->admit.priority = (enum admit_priority)CLAMP(
-		job->request.priority, 0, ADMIT_NR_PRIORITIES - 1);
+	job->admit.priority =
+		(enum admit_priority)CLAMP(job->request.priority, 0,
+					   ADMIT_NR_PRIORITIES - 1);
 	job->admit.caller = hash_string(job->request.caller_service);
 	job->admit.deadline = job->deadline;
-	job->admit.objective =
-		now + job->request.objective_left_ms * NS_PER_MS;
+	job->admit.objective = now + job->request.objective_left_ms * NS_PER_MS;
 	reason = arrival_reason(side, job, now);
 	if (reason != FAILURE_NONE) {
 		refuse(side, job, reason);
@@ -426,8 +426,8 @@
 		.queue_max = target->slots * QUEUE_PER_SLOT,
 		.limit_policy = &admit_limit_fixed,
 	};
-	bool is_new = !side->backend_id ||
-		      strcmp(side->backend_id, target->id) != 0;
+	bool is_new =
+		!side->backend_id || strcmp(side->backend_id, target->id) != 0;
 
 	admit_set_policy(side->admit, &options, now);
 	side->slots = target->slots;
@@ -589,9 +589,9 @@
 json_t *backend_side_dump(const struct backend_side *side)
 {
 	return json_pack("{s:s, s:b, s:b, s:i, s:i, s:I, s:o}", "backend",
-			 side->backend_id ? side->backend_id : "",
-			 "in_service", side->in_service, "draining",
-			 side->draining, "jobs", side->nr_jobs, "connections",
+			 side->backend_id ? side->backend_id : "", "in_service",
+			 side->in_service, "draining", side->draining, "jobs",
+			 side->nr_jobs, "connections",
 			 (int)backend_pool_nr_conns(side->pool),
 			 "connections_opened",
 			 (json_int_t)backend_pool_nr_opened(side->pool),
--- a/relay/call.c
+++ b/relay/call.c
@@ -225,7 +225,8 @@
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
-static void start_attempt(struct call *call, const struct balance_choice *choice)
+static void start_attempt(struct call *call,
+			  const struct balance_choice *choice)
 {
 	struct caller_side *side = call->side;
 	struct attempt *attempt = g_new0(struct attempt, 1);
--- a/relay/call.h
+++ b/relay/call.h
@@ -57,7 +57,7 @@
 	int64_t arrival;
 	int64_t deadline;
 	struct route_state *state; /* of its route */
-	int64_t objective; /* until when the answer is worth most */
+	int64_t objective;	   /* until when the answer is worth most */
 	uint64_t fingerprint;
 	struct cds_list_head attempts; /* under way */
 	int nr_attempts;	       /* under way */
@@ -66,7 +66,7 @@
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
 	bool may_have_run;
-	int64_t wait_ms; /* the shortest wait that a daemon told; -1: none */
+	int64_t wait_ms;    /* the shortest wait that a daemon told; -1: none */
 	struct timer timer; /* the deadline, or the second attempt */
 	bool hedged;
 };
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -131,8 +131,7 @@
 static void answer_success(struct call *call, const struct relay_answer *answer)
 {
 	struct caller_side *side = call->side;
-	int64_t total_us =
-		(clock_monotonic_ns() - call->arrival) / NS_PER_US;
+	int64_t total_us = (clock_monotonic_ns() - call->arrival) / NS_PER_US;
 	struct http_reply reply = {
 		.status = answer->status,
 		.fields = answer->fields,
@@ -188,8 +187,7 @@
 }
 
 /* The credits of a route's parts, begun anew when their number changes. */
-static int64_t *get_credits(struct caller_side *side,
-			    struct route_state *state,
+static int64_t *get_credits(struct caller_side *side, struct route_state *state,
 			    const struct mesh_route *route)
 {
 	int64_t *credits;
@@ -198,17 +196,17 @@
 		g_array_set_size(state->credits, (guint)route->nr_parts);
 		credits = (int64_t *)state->credits->data;
 		for (size_t i = 0; i < route->nr_parts; i++)
-			credits[i] = (int64_t)rng_below(
-				&side->rng,
-				(uint64_t)route->parts[i].weight + 1);
+			credits[i] = (int64_t)
+				rng_below(&side->rng,
+					  (uint64_t)route->parts[i].weight + 1);
 	}
 	return (int64_t *)state->credits->data;
 }
 
 /*
  * The part whose turn it is: each gains its weight, and the one with the most
- * pays for all. The start is random, since the daemons would else all begin with
- * the same part.
+ * pays for all. The start is random, since the daemons would else all begin
+ * with the same part.
  */
 static const char *pick_part(struct caller_side *side,
 			     struct route_state *state,
@@ -226,8 +224,7 @@
 	for (size_t i = 0; i < route->nr_parts; i++) {
 		credits[i] += route->parts[i].weight;
 		if (route->parts[i].weight &&
-		    (!route->parts[best].weight ||
-		     credits[i] > credits[best]))
+		    (!route->parts[best].weight || credits[i] > credits[best]))
 			best = i;
 	}
 	credits[best] -= sum;
@@ -249,15 +246,16 @@
 static void set_times(struct call *call)
 {
 	const struct mesh_route *route = call->route;
-	int64_t asked_ms = http_message_number(
-		call->message, HTTP_ROLE_TIME_LEFT_MS, route->deadline_ms);
+	int64_t asked_ms =
+		http_message_number(call->message, HTTP_ROLE_TIME_LEFT_MS,
+				    route->deadline_ms);
 	int64_t waited_ms =
 		waited_before_ms(call->state, asked_ms, call->arrival);
 
-	call->deadline = call->arrival +
-			 MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
-	call->objective = call->arrival +
-			  (route->objective_ms - waited_ms) * NS_PER_MS;
+	call->deadline =
+		call->arrival + MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
+	call->objective =
+		call->arrival + (route->objective_ms - waited_ms) * NS_PER_MS;
 	/* Urgent requests wait as long as they can be answered at all. */
 	if (call_priority(call) == ADMIT_ORDER)
 		call->objective = call->deadline;
@@ -319,8 +317,7 @@
 }
 
 static void refuse(struct caller_side *side, struct http_server_conn *conn,
-		   struct http_message *message, int status,
-		   const char *reason)
+		   struct http_message *message, int status, const char *reason)
 {
 	const char *id = http_message_value(message, HTTP_ROLE_REQUEST_ID);
 
--- a/relay/desk.c
+++ b/relay/desk.c
@@ -20,8 +20,7 @@
 static void reply_text(struct http_server_conn *conn, int status,
 		       const char *type, const char *text)
 {
-	g_autofree char *fields =
-		g_strdup_printf("Content-Type: %s\r\n", type);
+	g_autofree char *fields = g_strdup_printf("Content-Type: %s\r\n", type);
 	struct http_reply reply = {
 		.status = status,
 		.fields = fields,
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -41,7 +41,7 @@
 	int64_t next_push;
 	int64_t reads_at; /* when it was last heard to read; 0: never */
 	int64_t named_at; /* when the last view that has it was taken */
-	bool named; /* by the present view: counts in the ranking */
+	bool named;	  /* by the present view: counts in the ranking */
 };
 
 struct feed_peers {
@@ -100,15 +100,15 @@
 	struct feed_entry entry = {
 		.key = item->key,
 		.revision = item->revision,
-		.deleted = !item->value ||
-			   item->delete_deadline != DEADLINE_NEVER,
+		.deleted =
+			!item->value || item->delete_deadline != DEADLINE_NEVER,
 	};
 
 	if (batch->entries->len == FEED_ITEMS_MAX)
 		return;
 	if (entry.deleted && item->value)
-		entry.hold_ms = MAX(0, item->delete_deadline - batch->now) /
-				NS_PER_MS;
+		entry.hold_ms =
+			MAX(0, item->delete_deadline - batch->now) / NS_PER_MS;
 	if (!entry.deleted)
 		set_value(batch, &entry, item->value);
 	g_array_append_val(batch->entries, entry);
@@ -160,9 +160,8 @@
 	push->from = peer->acked;
 	push->to = feed_revision(peers->options.feed);
 	push->read_age_ms =
-		peers->state.read
-			? (batch->now - peers->state.read) / NS_PER_MS
-			: -1;
+		peers->state.read ? (batch->now - peers->state.read) / NS_PER_MS
+				  : -1;
 	push->entries.entries_len = batch->entries->len;
 	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
 	peer->calling = true;
@@ -239,8 +238,8 @@
 		if (peer->calling)
 			next = MIN(next, peer->call.deadline);
 		else if (tells)
-			next = MIN(next, MAX(peer->next_push,
-					     now + 10 * NS_PER_MS));
+			next = MIN(next,
+				   MAX(peer->next_push, now + 10 * NS_PER_MS));
 	}
 	return next;
 }
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -102,7 +102,8 @@
 
 static void on_build_timer(struct timer *timer, int64_t now)
 {
-	build_view(caa_container_of(timer, struct mesh_control, build_timer), now);
+	build_view(caa_container_of(timer, struct mesh_control, build_timer),
+		   now);
 }
 
 /* The first change after a pause is taken up at once. */
@@ -182,8 +183,8 @@
 	return true;
 }
 
-static void take_write(struct mesh_control *control, const char *key, GBytes *value,
-		       int64_t revision)
+static void take_write(struct mesh_control *control, const char *key,
+		       GBytes *value, int64_t revision)
 {
 	bool changed = true;
 	const char *name;
@@ -217,7 +218,8 @@
 }
 
 /* When a deletion that was read now takes effect. */
-static int64_t delete_deadline(const struct mesh_control *control, const char *key)
+static int64_t delete_deadline(const struct mesh_control *control,
+			       const char *key)
 {
 	const char *name;
 
@@ -355,12 +357,14 @@
 
 static void write_dump(struct mesh_control *control)
 {
-	json_t *dump = json_pack(
-		"{s:I, s:b, s:I, s:o}", "revision",
-		(json_int_t)feed_revision(control->feed), "reads_store",
-		store_reader_is_running(control->reader), "store_calls",
-		(json_int_t)store_reader_nr_calls(control->reader), "peers",
-		feed_peers_dump(control->peers));
+	json_t *dump =
+		json_pack("{s:I, s:b, s:I, s:o}", "revision",
+			  (json_int_t)feed_revision(control->feed),
+			  "reads_store",
+			  store_reader_is_running(control->reader),
+			  "store_calls",
+			  (json_int_t)store_reader_nr_calls(control->reader),
+			  "peers", feed_peers_dump(control->peers));
 	char *text = json_dumps(dump, JSON_COMPACT | JSON_SORT_KEYS);
 
 	json_decref(dump);
@@ -400,7 +404,7 @@
 }
 
 void mesh_control_tell_crash(struct mesh_control *control,
-			const struct quarantine_entry *entry)
+			     const struct quarantine_entry *entry)
 {
 	pthread_mutex_lock(&control->lock);
 	g_array_append_val(control->crashes, *entry);
@@ -426,8 +430,8 @@
 }
 
 struct mesh_control *mesh_control_new(const struct mesh_host *host,
-			    const struct mesh_control_ops *ops, void *ctx,
-			    GError **error)
+				      const struct mesh_control_ops *ops,
+				      void *ctx, GError **error)
 {
 	struct mesh_control *control = g_new0(struct mesh_control, 1);
 	struct net_loop_options loop = {
@@ -454,9 +458,9 @@
 	control->loop = net_loop_new(&loop);
 	timers_init(&control->timers);
 	control->feed = feed_new();
-	control->targets = g_hash_table_new_full(
-		g_str_hash, g_str_equal, g_free,
-		(GDestroyNotify)mesh_target_unref);
+	control->targets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)mesh_target_unref);
 	control->build_timer.fire = on_build_timer;
 	control->expiry_timer.fire = on_expiry_timer;
 	control->crashes =
--- a/relay/mesh_control.h
+++ b/relay/mesh_control.h
@@ -23,15 +23,15 @@
 };
 
 struct mesh_control *mesh_control_new(const struct mesh_host *host,
-			    const struct mesh_control_ops *ops, void *ctx,
-			    GError **error);
+				      const struct mesh_control_ops *ops,
+				      void *ctx, GError **error);
 
 /* Starts the thread. */
 void mesh_control_start(struct mesh_control *control);
 
 /* Tells all daemons of a crash; any thread. */
 void mesh_control_tell_crash(struct mesh_control *control,
-			const struct quarantine_entry *entry);
+			     const struct quarantine_entry *entry);
 
 /* State as text of one JSON object, freed with g_free(); any thread. */
 char *mesh_control_dump_text(struct mesh_control *control);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -70,8 +70,8 @@
 
 static void on_link_timer(struct timer *timer, int64_t now)
 {
-	struct peer_link *link = caa_container_of(timer, struct peer_link,
-						  timer);
+	struct peer_link *link =
+		caa_container_of(timer, struct peer_link, timer);
 
 	if (link->ping_out && now - link->ping.deadline >= 0) {
 		log_event(LOG_WARNING, "peer_silent", "peer=%s requests=%u",
@@ -372,10 +372,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&link)) {
 		bool open = link->conn && !rpc_conn_closed(link->conn);
 
-		json_array_append_new(
-			array, json_pack("{s:s, s:b, s:i}", "address",
-					 link->address, "open", open,
-					 "requests", (int)link->nr_calls));
+		json_array_append_new(array, json_pack("{s:s, s:b, s:i}",
+						       "address", link->address,
+						       "open", open, "requests",
+						       (int)link->nr_calls));
 	}
 	return array;
 }
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -60,10 +60,11 @@
 			  probe->options.context->host->name);
 	probe->down = false;
 	probe->last_answer = clock_monotonic_ns();
-	probe->options.probed(
-		probe->options.ctx,
-		http_message_value(response, HTTP_ROLE_BACKEND_ID),
-		http_message_number(response, HTTP_ROLE_COLD_LEFT_MS, 0));
+	probe->options.probed(probe->options.ctx,
+			      http_message_value(response,
+						 HTTP_ROLE_BACKEND_ID),
+			      http_message_number(response,
+						  HTTP_ROLE_COLD_LEFT_MS, 0));
 }
 
 static void on_answer(enum http_end end, struct http_message *response,
@@ -96,8 +97,8 @@
 	probe->conn = backend_pool_send(probe->options.pool, head, "", 0, NULL,
 					probe->down, on_answer, probe);
 	g_string_free(head, TRUE);
-	set_timer(probe, now + (probe->conn ? ANSWER_WAIT_NS
-					    : DOWN_INTERVAL_NS));
+	set_timer(probe,
+		  now + (probe->conn ? ANSWER_WAIT_NS : DOWN_INTERVAL_NS));
 }
 
 /* A server that answers nothing at all has lost power or is cut off. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -153,14 +153,15 @@
 {
 	struct relay *relay = ctx;
 	g_autofree char *control_text = mesh_control_dump_text(relay->control);
-	json_t *dump = json_pack(
-		"{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o}", "host",
-		relay->context.host->name, "zone", relay->context.host->zone,
-		"ready", on_is_ready(relay), "stopping", relay->stopping,
-		"control", json_loads(control_text, 0, NULL), "callers",
-		caller_side_dump(relay->caller_side), "backend",
-		backend_side_dump(relay->backend_side), "peers",
-		peers_dump(relay->peers));
+	json_t *dump =
+		json_pack("{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o}", "host",
+			  relay->context.host->name, "zone",
+			  relay->context.host->zone, "ready",
+			  on_is_ready(relay), "stopping", relay->stopping,
+			  "control", json_loads(control_text, 0, NULL),
+			  "callers", caller_side_dump(relay->caller_side),
+			  "backend", backend_side_dump(relay->backend_side),
+			  "peers", peers_dump(relay->peers));
 	char *json = json_dumps(dump, JSON_INDENT(2) | JSON_SORT_KEYS);
 	char *text = g_strdup(json ? json : "{}");
 
@@ -200,8 +201,7 @@
 
 	if (relay->stopping)
 		return;
-	log_event(LOG_NOTICE, "stopping", "host=%s",
-		  relay->context.host->name);
+	log_event(LOG_NOTICE, "stopping", "host=%s", relay->context.host->name);
 	relay->stopping = true;
 	relay->stop_least = now + STOP_LEAST_NS;
 	relay->stop_taking = now + STOP_TAKING_NS;
@@ -239,8 +239,8 @@
 		g_free(host->service);
 		host->service = g_strdup(read->service);
 	}
-	log_event(LOG_NOTICE, "settings_read", "host=%s service=%s",
-		  host->name, host->service);
+	log_event(LOG_NOTICE, "settings_read", "host=%s service=%s", host->name,
+		  host->service);
 }
 
 static void check_settings(struct relay *relay)
@@ -344,8 +344,8 @@
 	relay->desk = desk_new(context, &desk_ops, relay, error);
 	if (!relay->desk)
 		return false;
-	relay->control =
-		mesh_control_new(context->host, &mesh_control_ops, relay, error);
+	relay->control = mesh_control_new(context->host, &mesh_control_ops,
+					  relay, error);
 	return relay->control != NULL;
 }
 
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -68,8 +68,8 @@
 		reader->lost_since = reader->started;
 		reader->options.ops->lost(reader->options.ctx);
 	}
-	reader->retry_wait = CLAMP(2 * reader->retry_wait, RETRY_FIRST_NS,
-				   RETRY_LONGEST_NS);
+	reader->retry_wait =
+		CLAMP(2 * reader->retry_wait, RETRY_FIRST_NS, RETRY_LONGEST_NS);
 	if (reader->state != READER_STOPPED)
 		set_timer(reader, now + reader->retry_wait);
 }
@@ -253,8 +253,8 @@
 
 	reader->options = *options;
 	reader->timer.fire = on_timer;
-	reader->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     NULL);
+	reader->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return reader;
 }
 
--- a/standins/store.c
+++ b/standins/store.c
@@ -102,13 +102,14 @@
 static json_t *range(const struct request *request)
 {
 	const char *prefix = request_query(request, "path_prefix");
-	g_autoptr(GPtrArray) items = find_items(
-		prefix ? prefix : "", request_query(request, "after"));
+	g_autoptr(GPtrArray) items =
+		find_items(prefix ? prefix : "",
+			   request_query(request, "after"));
 	json_t *array = json_array();
 
 	for (guint i = 0; i < MIN(items->len, PAGE_ITEMS); i++)
-		json_array_append_new(
-			array, change_json(g_ptr_array_index(items, i)));
+		json_array_append_new(array,
+				      change_json(g_ptr_array_index(items, i)));
 	return json_pack("{s:o, s:b, s:I}", "items", array, "has_more",
 			 items->len > PAGE_ITEMS, "at", (json_int_t)revision);
 }
--- a/standins/target.c
+++ b/standins/target.c
@@ -21,7 +21,7 @@
 	FAULT_OTHER_ID, /* runs and answers with another request's id */
 	FAULT_ENCODED	/* runs and answers with an encoding */
 };
-static const char *const modes[] = { "none",	 "slow",  "shed",
+static const char *const modes[] = { "none",	 "slow",     "shed",
 				     "fail",	 "no-proof", "close",
 				     "other-id", "encoded",  NULL };
 
@@ -62,8 +62,7 @@
 	char load[64], cold[32];
 
 	memset(body, 'x', len);
-	snprintf(load, sizeof(load), "%d,0,%d", nr_running,
-		 settings[2].number);
+	snprintf(load, sizeof(load), "%d,0,%d", nr_running, settings[2].number);
 	snprintf(cold, sizeof(cold), "%lld", (long long)cold_left_ms());
 	response = MHD_create_response_from_buffer(len, body,
 						   MHD_RESPMEM_MUST_COPY);
@@ -88,11 +87,12 @@
 		json_pack("{s:o, s:s, s:o, s:o, s:o, s:o, s:I}", "id",
 			  json_text(id), "method", request->method, "target",
 			  json_text(request->target), "caller",
-			  json_text(request_header(request,
-						   "X-Caller-Service")),
+			  json_text(
+				  request_header(request, "X-Caller-Service")),
 			  "time_left_ms",
 			  json_text(request_header(request, "X-Timeout-Ms")),
-			  "other", json_text(request_header(request, "X-Other")),
+			  "other",
+			  json_text(request_header(request, "X-Other")),
 			  "body_bytes", (json_int_t)request->body_len));
 }
 
--- /dev/null
+++ b/tests/admit/test_load.cc
@@ -0,0 +1,289 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <list>
+#include <vector>
+
+extern "C" {
+#include "admit/admit.h"
+#include "base/clock.h"
+#include "base/rng.h"
+}
+
+/* Load patterns replayed in virtual time against one backend server. */
+
+namespace
+{
+
+struct Request {
+	struct admit_request admit; /* first: cast back from results */
+	int64_t service_ns;
+	int64_t objective;
+};
+
+struct Load {
+	double per_s = 100;
+	double seconds = 20;
+	int slots = 12;
+	int64_t service_ms = 160;
+	int64_t objective_ms = 500;
+	int64_t deadline_ms = 1000;
+	double orders = 0; /* share of requests in the order class */
+	bool keep_objective = true;
+};
+
+struct Outcome {
+	int arrived = 0, in_objective = 0, late = 0, refused = 0;
+	int orders = 0, orders_refused = 0;
+	int64_t most_held_ns = 0; /* by requests that were refused in the end */
+	std::vector<int64_t> starts;
+};
+
+class Replay
+{
+      public:
+	explicit Replay(const Load &load) : load(load)
+	{
+		struct admit_options options = {};
+
+		options.slots = load.slots;
+		options.cold_slots = load.slots;
+		options.queue_max = 3 * load.slots;
+		options.limit_policy = &admit_limit_fixed;
+		admit = admit_new(&options, 0);
+		rng_init(&rng, 7);
+	}
+
+	~Replay()
+	{
+		for (Request *request : running)
+			delete request;
+		while (step(INT64_MAX))
+			;
+		admit_free(admit);
+	}
+
+	Outcome run()
+	{
+		int64_t end = (int64_t)(load.seconds * NS_PER_SEC);
+
+		for (int64_t at = gap(); at < end; at += gap()) {
+			while (step(at))
+				;
+			now = at;
+			arrive();
+		}
+		while (step(INT64_MAX))
+			;
+		return outcome;
+	}
+
+	struct admit *admit;
+
+      private:
+	/* Exponential times between arrivals and of service. */
+	double draw()
+	{
+		double u = (double)(rng_next(&rng) >> 11) / (1ull << 53);
+
+		return -std::log(1 - u);
+	}
+
+	int64_t gap()
+	{
+		return (int64_t)(draw() / load.per_s * NS_PER_SEC) + 1;
+	}
+
+	void refuse(struct admit_request *admitted)
+	{
+		Request *request = (Request *)admitted;
+
+		outcome.refused++;
+		if (admitted->priority == ADMIT_ORDER)
+			outcome.orders_refused++;
+		outcome.most_held_ns =
+			std::max(outcome.most_held_ns, now - admitted->arrival);
+		delete request;
+	}
+
+	void start(struct admit_request *admitted)
+	{
+		outcome.starts.push_back(now);
+		running.push_back((Request *)admitted);
+	}
+
+	void arrive()
+	{
+		struct admit_request *displaced = nullptr;
+		Request *request = new Request();
+
+		outcome.arrived++;
+		request->service_ns = (int64_t)(load.service_ms * NS_PER_MS *
+						(0.5 + draw() / 2));
+		request->objective = now + load.objective_ms * NS_PER_MS;
+		request->admit.deadline = now + load.deadline_ms * NS_PER_MS;
+		request->admit.priority =
+			rng_below(&rng, 1000) < load.orders * 1000
+				? ADMIT_ORDER
+				: ADMIT_LOOKUP;
+		if (request->admit.priority == ADMIT_ORDER)
+			outcome.orders++;
+		else if (load.keep_objective)
+			request->admit.objective = request->objective;
+		switch (admit_arrive(admit, &request->admit, now, &displaced)) {
+		case ADMIT_RUN:
+			start(&request->admit);
+			break;
+		case ADMIT_QUEUED:
+			break;
+		default:
+			refuse(&request->admit);
+		}
+		if (displaced)
+			refuse(displaced);
+	}
+
+	void start_next()
+	{
+		struct admit_request *next, *after;
+		struct cds_list_head expired;
+
+		CDS_INIT_LIST_HEAD(&expired);
+		admit_expire(admit, now, &expired);
+		while ((next = admit_next(admit, now, &expired)))
+			start(next);
+		cds_list_for_each_entry_safe (next, after, &expired, node)
+			refuse(next);
+	}
+
+	void finish(Request *request)
+	{
+		running.remove(request);
+		admit_done(admit, &request->admit, ADMIT_ANSWERED, now);
+		if (now <= request->objective)
+			outcome.in_objective++;
+		else
+			outcome.late++;
+		delete request;
+	}
+
+	/* The next end or timer up to a time; false when there is none. */
+	bool step(int64_t until)
+	{
+		int64_t timer = admit_next_timer(admit);
+		Request *first = nullptr;
+
+		for (Request *request : running)
+			if (!first || ends(request) < ends(first))
+				first = request;
+		if (first && ends(first) <= std::min(until, timer)) {
+			now = ends(first);
+			finish(first);
+		} else if (timer < until) {
+			now = std::max(now, timer);
+		} else {
+			return false;
+		}
+		start_next();
+		return true;
+	}
+
+	static int64_t ends(const Request *request)
+	{
+		return request->admit.started + request->service_ns;
+	}
+
+	Load load;
+	struct rng rng;
+	int64_t now = 0;
+	std::list<Request *> running;
+	Outcome outcome;
+};
+
+/*
+ * Two thirds of the servers remain and callers come 1.3 times as fast as those
+ * can serve. If all wait, nearly all are late; so a request waits only while
+ * it gains, and what a server can do is done in time.
+ */
+TEST(AdmitLoad, OverloadIsServedInTimeAndRefusedAtOnce)
+{
+	Load load;
+	Outcome kept, plain;
+	double capacity;
+
+	load.per_s = 1.3 * load.slots * 1000 / load.service_ms;
+	capacity = load.slots * 1000.0 / load.service_ms * load.seconds;
+	kept = Replay(load).run();
+	load.keep_objective = false;
+	plain = Replay(load).run();
+	EXPECT_GE(kept.in_objective, 0.85 * capacity);
+	EXPECT_GE(kept.in_objective, 1.5 * plain.in_objective);
+	/* As many are served as without the rule: no slot stays empty. */
+	EXPECT_GE(kept.in_objective + kept.late,
+		  0.95 * (plain.in_objective + plain.late));
+	EXPECT_LE(kept.most_held_ns, load.objective_ms * NS_PER_MS);
+}
+
+/* Orders are worth more than lookups and are not refused for them. */
+TEST(AdmitLoad, OrdersAreServedInAnOverloadOfLookups)
+{
+	Load load;
+	Outcome outcome;
+
+	load.per_s = 1.5 * load.slots * 1000 / load.service_ms;
+	load.orders = 0.25;
+	outcome = Replay(load).run();
+	EXPECT_GT(outcome.orders, 100);
+	EXPECT_LE(outcome.orders_refused, outcome.orders / 100);
+	EXPECT_GT(outcome.refused, outcome.arrived / 5);
+}
+
+/* Below what the server can do nobody is refused. */
+TEST(AdmitLoad, UsualLoadIsServedWhole)
+{
+	Load load;
+	Outcome outcome;
+
+	load.per_s = 0.6 * load.slots * 1000 / load.service_ms;
+	outcome = Replay(load).run();
+	EXPECT_LE(outcome.refused, outcome.arrived / 200);
+}
+
+/*
+ * A cold server crashes above its rate: in no second may more requests start
+ * than the rate and the burst, whatever comes.
+ */
+TEST(AdmitLoad, ColdServerIsStartedByItsRate)
+{
+	struct admit_cold_rate rate = { 16, 6 };
+	Load load;
+	Outcome outcome;
+
+	load.per_s = 200;
+	load.seconds = 5;
+	load.slots = 50;
+	load.service_ms = 20;
+	Replay replay(load);
+	admit_set_cold(replay.admit, &rate, 3 * NS_PER_SEC, 0);
+	outcome = replay.run();
+	for (size_t i = 0; i < outcome.starts.size(); i++) {
+		size_t in_second = 0;
+
+		if (outcome.starts[i] + NS_PER_SEC > 3 * NS_PER_SEC)
+			break;
+		for (size_t j = i;
+		     j < outcome.starts.size() &&
+		     outcome.starts[j] < outcome.starts[i] + NS_PER_SEC;
+		     j++)
+			in_second++;
+		EXPECT_LE(in_second, (size_t)(rate.per_s + rate.burst));
+	}
+	/* It gets what it bears, and all once it is warm. */
+	EXPECT_GE(std::count_if(outcome.starts.begin(), outcome.starts.end(),
+				[](int64_t at) { return at < 3 * NS_PER_SEC; }),
+		  3 * 16 - 1);
+	EXPECT_GE(outcome.starts.size(), 300u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/http/roles.h
@@ -0,0 +1,30 @@
+#ifndef HTTP_ROLES_H
+#define HTTP_ROLES_H
+
+#include <strings.h>
+
+extern "C" {
+#include "http/message.h"
+}
+
+/* Roles of field names as a platform may have them. */
+static enum http_role find_role(const char *name)
+{
+	if (!strcasecmp(name, "Request-Id"))
+		return HTTP_ROLE_REQUEST_ID;
+	if (!strcasecmp(name, "Connection") ||
+	    !strcasecmp(name, "Content-Length") ||
+	    !strcasecmp(name, "Transfer-Encoding"))
+		return HTTP_ROLE_CONNECTION;
+	return strcasecmp(name, "Keep-Alive") ? HTTP_ROLE_NONE
+					      : HTTP_ROLE_KEEP_ALIVE;
+}
+
+static bool is_passed_on(enum http_role role)
+{
+	return role == HTTP_ROLE_NONE || role == HTTP_ROLE_REQUEST_ID;
+}
+
+static const struct http_roles test_roles = { find_role, is_passed_on };
+
+#endif
--- /dev/null
+++ b/tests/http/test_client.cc
@@ -0,0 +1,211 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "roles.h"
+
+extern "C" {
+#include "base/clock.h"
+#include "http/client.h"
+}
+
+namespace
+{
+
+/* A server that answers the first request with given bytes. */
+struct RawServer {
+	int listener;
+	struct net_address address = {};
+	std::thread thread;
+
+	RawServer(const std::string &bytes, bool reset, bool close_after)
+	{
+		struct sockaddr_in *in = (struct sockaddr_in *)&address.storage;
+		int on = 1;
+
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		in->sin_family = AF_INET;
+		in->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.len = sizeof(*in);
+		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		EXPECT_EQ(bind(listener, (struct sockaddr *)in, sizeof(*in)),
+			  0);
+		EXPECT_EQ(listen(listener, 4), 0);
+		EXPECT_EQ(getsockname(listener, (struct sockaddr *)in,
+				      &address.len),
+			  0);
+		thread = std::thread([=] { serve(bytes, reset, close_after); });
+	}
+
+	void serve(const std::string &bytes, bool reset, bool close_after)
+	{
+		int fd = accept(listener, NULL, NULL);
+		struct linger linger = { 1, 0 };
+		char buffer[4096];
+
+		EXPECT_GT(recv(fd, buffer, sizeof(buffer), 0), 0);
+		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+			  (ssize_t)bytes.size());
+		if (reset)
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+				   sizeof(linger));
+		if (!close_after)
+			/* The client closes first. */
+			while (recv(fd, buffer, sizeof(buffer), 0) > 0)
+				;
+		close(fd);
+	}
+
+	~RawServer()
+	{
+		thread.join();
+		close(listener);
+	}
+};
+
+struct Result {
+	bool done = false;
+	bool closed = false;
+	enum http_end end = HTTP_END_LOST;
+	int status = 0;
+	std::string body;
+	bool idle = false;
+};
+
+void on_done(struct http_client *client, enum http_end end,
+	     struct http_message *response, void *ctx)
+{
+	Result *result = (Result *)ctx;
+
+	result->done = true;
+	result->end = end;
+	result->idle = http_client_is_idle(client);
+	if (response) {
+		result->status = response->status;
+		result->body.assign((const char *)response->body->data,
+				    response->body->len);
+	}
+	http_message_free(response);
+}
+
+void on_closed(struct http_client *, void *ctx)
+{
+	((Result *)ctx)->closed = true;
+}
+
+const struct http_client_ops ops = { on_done, on_closed };
+
+/* Sends one request and runs the loop until it ended, or for 300 ms. */
+Result exchange(const struct net_address &address)
+{
+	struct context {
+		struct net_loop *loop;
+		Result result;
+		int64_t deadline;
+	} context;
+	struct net_loop_options loop_options = {};
+	struct http_client_options options = {};
+	struct http_client *client;
+	GString *head = g_string_new("GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n");
+
+	context.deadline = clock_monotonic_ns() + 300 * NS_PER_MS;
+	loop_options.ctx = &context;
+	loop_options.turn = [](void *ctx, int64_t now) {
+		struct context *context = (struct context *)ctx;
+
+		if (context->result.done || now >= context->deadline)
+			net_loop_stop(context->loop);
+	};
+	loop_options.next_deadline = [](void *ctx) {
+		return ((struct context *)ctx)->deadline;
+	};
+	context.loop = net_loop_new(&loop_options);
+	options.loop = context.loop;
+	options.address = address;
+	options.roles = &test_roles;
+	options.limits = { 4096, 4096 };
+	options.ops = &ops;
+	options.ctx = &context.result;
+	client = http_client_new(&options);
+	http_client_send(client, head, "", 0, "7");
+	net_loop_run(context.loop);
+	http_client_free(client);
+	net_loop_free(context.loop);
+	g_string_free(head, TRUE);
+	return context.result;
+}
+
+const char OK[] =
+	"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 1\r\n\r\nx";
+
+/* What a faulty server may send, and what the client must make of it. */
+TEST(HttpClient, FaultyServers)
+{
+	static const struct {
+		const char *name;
+		std::string bytes;
+		bool reset, close_after;
+		bool done;
+		enum http_end end;
+		bool idle;
+	} cases[] = {
+		{ "whole", OK, false, false, true, HTTP_END_ANSWERED, true },
+		{ "provisional first",
+		  std::string("HTTP/1.1 100 Continue\r\n\r\n") + OK, false,
+		  false, true, HTTP_END_ANSWERED, true },
+		{ "extra bytes", std::string(OK) + "HTTP/1.1 200", false, false,
+		  true, HTTP_END_ANSWERED, false },
+		{ "another request's answer first",
+		  std::string("HTTP/1.1 200 OK\r\nRequest-Id: 6\r\n"
+			      "Content-Length: 1\r\n\r\ny") +
+			  OK,
+		  false, false, true, HTTP_END_ANSWERED, false },
+		{ "only another request's answer",
+		  "HTTP/1.1 200 OK\r\nRequest-Id: 6\r\nContent-Length: "
+		  "1\r\n\r\n"
+		  "y",
+		  false, true, true, HTTP_END_LOST, false },
+		{ "broken off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx",
+		  false, true, true, HTTP_END_LOST, false },
+		{ "no answer", "", false, true, true, HTTP_END_LOST, false },
+		{ "reset", "", true, true, true, HTTP_END_LOST, false },
+		{ "not HTTP", "hello\r\n\r\n", false, false, true,
+		  HTTP_END_MALFORMED, false },
+		{ "without length", "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n\r\nx",
+		  false, true, true, HTTP_END_ANSWERED, false },
+		{ "without length, reset",
+		  "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n\r\nx", true, true, true,
+		  HTTP_END_LOST, false },
+		{ "silent", "", false, false, false, HTTP_END_LOST, false },
+	};
+
+	for (const auto &one : cases) {
+		RawServer server(one.bytes, one.reset, one.close_after);
+		Result result = exchange(server.address);
+
+		EXPECT_EQ(result.done, one.done) << one.name;
+		if (!result.done)
+			continue;
+		EXPECT_EQ(result.end, one.end) << one.name;
+		EXPECT_EQ(result.idle, one.idle) << one.name;
+		if (result.end == HTTP_END_ANSWERED) {
+			EXPECT_EQ(result.body, "x") << one.name;
+		}
+	}
+}
+
+/* "Not run" may be told only when nothing was sent. */
+TEST(HttpClient, RefusedConnectionSentNothing)
+{
+	struct net_address address;
+
+	ASSERT_TRUE(net_address_parse(&address, "127.0.0.1:1", NULL));
+	EXPECT_EQ(exchange(address).end, HTTP_END_REFUSED);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/http/test_server.cc
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "roles.h"
+
+extern "C" {
+#include "base/clock.h"
+#include "http/server.h"
+}
+
+namespace
+{
+
+/* A server that echoes bodies, and holds requests for "/hold". */
+struct Server {
+	struct net_loop *loop = nullptr;
+	struct timers timers = {};
+	struct http_server *server = nullptr;
+	std::thread thread;
+	std::atomic<int> held{ 0 }, gone{ 0 };
+	unsigned port = 0;
+
+	static void on_request(struct http_server_conn *conn,
+			       struct http_message *message, void *ctx)
+	{
+		struct http_reply reply = {};
+
+		reply.status = 200;
+		reply.fields = "Kind: echo\r\n";
+		reply.body = message->body->data;
+		reply.body_len = message->body->len;
+		if (!strcmp(message->target->str, "/hold"))
+			((Server *)ctx)->held++;
+		else
+			http_server_reply(conn, &reply);
+		http_message_free(message);
+	}
+
+	static void on_gone(struct http_server_conn *, void *ctx)
+	{
+		((Server *)ctx)->gone++;
+	}
+
+	Server()
+	{
+		static const struct http_server_ops ops = { on_request,
+							    on_gone };
+		struct net_loop_options loop_options = {};
+		struct http_server_options options = {};
+
+		timers_init(&timers);
+		loop_options.ctx = this;
+		loop_options.turn = [](void *ctx, int64_t now) {
+			timers_run(&((Server *)ctx)->timers, now);
+		};
+		loop_options.next_deadline = [](void *ctx) {
+			return timers_next(&((Server *)ctx)->timers);
+		};
+		loop = net_loop_new(&loop_options);
+		options.loop = loop;
+		options.timers = &timers;
+		options.roles = &test_roles;
+		options.limits.message = { 1000, 1000 };
+		options.limits.head_wait_ns = 200 * NS_PER_MS;
+		options.limits.idle_wait_ns = 400 * NS_PER_MS;
+		options.ops = &ops;
+		options.ctx = this;
+		/* Tests of several processes run side by side. */
+		for (port = 20000 + (unsigned)getpid() % 20000; !server;
+		     port++) {
+			std::string text = "127.0.0.1:" + std::to_string(port);
+
+			net_address_parse(&options.listen, text.c_str(), NULL);
+			server = http_server_new(&options, NULL);
+		}
+		port--;
+		thread = std::thread([this] { net_loop_run(loop); });
+	}
+
+	~Server()
+	{
+		net_loop_stop(loop);
+		thread.join();
+		http_server_stop(server);
+		net_loop_free(loop);
+		timers_release(&timers);
+		g_free(server);
+	}
+
+	int connect_to()
+	{
+		struct sockaddr_in in = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		in.sin_family = AF_INET;
+		in.sin_port = htons((uint16_t)port);
+		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+		return fd;
+	}
+};
+
+void say(int fd, const std::string &text)
+{
+	EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+		  (ssize_t)text.size());
+}
+
+/* Reads until the server closes, or until the text has come. */
+std::string hear(int fd, const std::string &until = "")
+{
+	std::string heard;
+	char buffer[4096];
+	ssize_t n;
+
+	while ((until.empty() || heard.find(until) == std::string::npos) &&
+	       (n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		heard.append(buffer, (size_t)n);
+	return heard;
+}
+
+TEST(HttpServer, ConnectionIsKeptAndPipelinedRequestsAreServedInTurn)
+{
+	Server in;
+	int fd = in.connect_to();
+	std::string heard;
+
+	say(fd, "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na"
+		"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nb");
+	heard = hear(fd, "\r\n\r\nb");
+	EXPECT_LT(heard.find("\r\n\r\na"), heard.find("\r\n\r\nb"));
+	say(fd, "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+		"Connection: close\r\n\r\nc");
+	heard = hear(fd);
+	EXPECT_NE(heard.find("Connection: close"), std::string::npos);
+	EXPECT_EQ(heard.substr(heard.size() - 1), "c");
+	close(fd);
+}
+
+/* The request of a caller that left must be cancelled. */
+TEST(HttpServer, CallerThatLeavesIsNoticed)
+{
+	Server in;
+	int fd = in.connect_to();
+
+	say(fd, "GET /hold HTTP/1.1\r\n\r\n");
+	while (!in.held)
+		usleep(1000);
+	close(fd);
+	for (int i = 0; i < 2000 && !in.gone; i++)
+		usleep(1000);
+	EXPECT_EQ(in.gone, 1);
+}
+
+/* What a caller may send and how long it may take is bounded. */
+TEST(HttpServer, LimitsAreKept)
+{
+	static const struct {
+		std::string bytes;
+		const char *status;
+	} cases[] = {
+		{ "GET /" + std::string(2000, 'x') + " HTTP/1.1\r\n\r\n",
+		  "HTTP/1.1 431 " },
+		{ "POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n",
+		  "HTTP/1.1 413 " },
+		{ "nonsense\r\n\r\n", "HTTP/1.1 400 " },
+		{ "GET / HTTP/1.1\r\nSlow:", "HTTP/1.1 408 " },
+		{ "", "" }, /* an idle connection is closed in silence */
+	};
+	Server in;
+
+	for (const auto &one : cases) {
+		int fd = in.connect_to();
+
+		say(fd, one.bytes);
+		EXPECT_EQ(hear(fd).rfind(one.status, 0), 0u) << one.bytes;
+		close(fd);
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/tests/mesh/test_feed.cc
@@ -0,0 +1,177 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+#include "mesh/feed.h"
+}
+
+namespace
+{
+
+struct Feed {
+	struct feed *feed = feed_new();
+
+	~Feed()
+	{
+		feed_free(feed);
+	}
+
+	bool write(const std::string &key, const std::string &value,
+		   int64_t revision, bool is_change = true)
+	{
+		g_autoptr(GBytes) bytes =
+			g_bytes_new(value.data(), value.size());
+
+		return feed_write(feed, key.c_str(), bytes, revision,
+				  is_change);
+	}
+
+	std::map<std::string, std::string> items(int64_t after = 0)
+	{
+		std::map<std::string, std::string> found;
+
+		feed_each_after(
+			feed, after,
+			[](const struct feed_item *item, void *ctx) {
+				auto *map =
+					(std::map<std::string, std::string> *)
+						ctx;
+				gsize len = 0;
+				const char *data =
+					item->value
+						? (const char *)
+							  g_bytes_get_data(
+								  item->value,
+								  &len)
+						: "-";
+
+				(*map)[item->key] =
+					item->value ? std::string(data, len)
+						    : "-";
+			},
+			&found);
+		return found;
+	}
+};
+
+/* Guards against an older write that undoes a newer one. */
+TEST(Feed, NeverGoesBack)
+{
+	Feed in;
+
+	EXPECT_TRUE(in.write("a", "new", 5));
+	EXPECT_FALSE(in.write("a", "old", 4));
+	EXPECT_FALSE(in.write("a", "same", 5));
+	EXPECT_FALSE(feed_delete(in.feed, "a", 3, 0));
+	EXPECT_EQ(in.items()["a"], "new");
+	feed_advance(in.feed, 9);
+	feed_advance(in.feed, 7);
+	EXPECT_EQ(feed_revision(in.feed), 9);
+}
+
+/* Guards against a late write that brings back what was deleted. */
+TEST(Feed, DeletedItemStaysDeleted)
+{
+	Feed in;
+
+	EXPECT_TRUE(feed_delete(in.feed, "a", 7, 0));
+	EXPECT_FALSE(in.write("a", "old", 6));
+	EXPECT_EQ(in.items()["a"], "-");
+	EXPECT_TRUE(in.write("a", "again", 8));
+	EXPECT_EQ(in.items()["a"], "again");
+}
+
+/* An entry that lapsed while the store was away holds on until its deadline. */
+TEST(Feed, HeldDeletionCanBeTakenBack)
+{
+	Feed in;
+
+	in.write("a", "1", 1);
+	in.write("b", "1", 2);
+	EXPECT_TRUE(feed_delete(in.feed, "a", 3, 100));
+	EXPECT_TRUE(feed_delete(in.feed, "b", 4, 100));
+	EXPECT_FALSE(feed_holds(in.feed, "a"));
+	EXPECT_FALSE(feed_expire(in.feed, 99));
+	EXPECT_EQ(in.items()["a"], "1");
+	EXPECT_TRUE(in.write("a", "2", 5));
+	EXPECT_EQ(feed_next_expiry(in.feed), 100);
+	EXPECT_TRUE(feed_expire(in.feed, 100));
+	EXPECT_EQ(in.items()["a"], "2");
+	EXPECT_EQ(in.items()["b"], "-");
+	EXPECT_EQ(feed_next_expiry(in.feed), DEADLINE_NEVER);
+}
+
+/* A complete reading deletes what it lacks, but not what is newer than it. */
+TEST(Feed, CompleteReadingDeletesWhatItLacks)
+{
+	g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+	Feed in;
+
+	in.write("s/kept", "1", 1);
+	in.write("s/gone", "1", 2);
+	in.write("s/newer", "1", 9);
+	in.write("o/other", "1", 3);
+	g_hash_table_add(keys, (gpointer) "s/kept");
+	EXPECT_TRUE(feed_delete_missing(in.feed, "s/", keys, 5, 0));
+	feed_expire(in.feed, 1);
+	EXPECT_EQ(in.items()["s/kept"], "1");
+	EXPECT_EQ(in.items()["s/gone"], "-");
+	EXPECT_EQ(in.items()["s/newer"], "1");
+	EXPECT_EQ(in.items()["o/other"], "1");
+}
+
+/* Heartbeats must not make every daemon send every entry each second. */
+TEST(Feed, HeartbeatsAreNotPassedOn)
+{
+	Feed in;
+
+	in.write("a", "1", 1);
+	in.write("a", "1 beat", 2, false);
+	EXPECT_TRUE(in.items(1).empty());
+	in.write("a", "2", 3);
+	EXPECT_EQ(in.items(1)["a"], "2");
+}
+
+/*
+ * Changes told by several peers arrive twice and in any order; all replicas
+ * must end alike.
+ */
+RC_GTEST_PROP(Feed, OrderOfNewsDoesNotMatter, ())
+{
+	struct change {
+		std::string key;
+		bool deleted;
+		int64_t revision;
+	};
+	std::vector<change> changes;
+	Feed ordered, mixed;
+	int nr = *rc::gen::inRange(1, 40);
+
+	for (int i = 0; i < nr; i++)
+		changes.push_back({ std::to_string(*rc::gen::inRange(0, 6)),
+				    *rc::gen::arbitrary<bool>(), i + 1 });
+	auto apply = [](Feed &feed, const change &change) {
+		if (change.deleted)
+			feed_delete(feed.feed, change.key.c_str(),
+				    change.revision, 0);
+		else
+			feed.write(change.key, std::to_string(change.revision),
+				   change.revision);
+		feed_expire(feed.feed, 1);
+	};
+	for (const change &change : changes)
+		apply(ordered, change);
+	for (int i = 0; i < 3 * nr; i++)
+		apply(mixed, changes[(size_t)*rc::gen::inRange(0, nr)]);
+	for (int i = nr; i-- > 0;)
+		apply(mixed, changes[(size_t)i]);
+	RC_ASSERT(ordered.items() == mixed.items());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/platform/test_platform.cc
@@ -0,0 +1,281 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "platform/platform.h"
+}
+
+namespace
+{
+
+GBytes *bytes(const std::string &text)
+{
+	return g_bytes_new(text.data(), text.size());
+}
+
+const char GOOD_CONFIG[] = R"({"resource_version":"r7",
+"routes":{"columns":["name","hostname","path_prefix","kind","timeout",
+"target_latency","priority","service","attempts","traffic_split"],
+"rows":[["orders","A.example","/o/","non_idempotent","1200ms","500ms",1,"shop",
+2,null],
+["stock","a.example","/s/","idempotent","1s","0.4s",2,null,3,
+[{"service":"shop","weight":90},{"service":"docs","weight":10}]],
+["packs","a.example","/p/","download","1s",null,null,"docs",null,null]]},
+"services":{"columns":["name","health_path","max_connections","warmup_per_s"],
+"rows":[["shop","/healthz",130,16.5],["docs","/healthz",110,16]]},
+"limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+"header_timeout":"3000ms","idle_timeout":"15s"}})";
+
+TEST(PlatformConfig, IsDecodedIntoTypes)
+{
+	g_autoptr(GBytes) value = bytes(GOOD_CONFIG);
+	g_autofree char *reason = NULL;
+	struct mesh_config *config = platform_decode_config(value, &reason);
+	const struct mesh_service *shop;
+	const struct mesh_route *route;
+
+	ASSERT_NE(config, nullptr) << reason;
+	EXPECT_EQ(config->version, 7);
+	EXPECT_EQ(config->limits.head_max_bytes, 1000);
+	EXPECT_EQ(config->limits.idle_wait_ms, 15000);
+	shop = (const struct mesh_service *)
+		g_hash_table_lookup(config->services, "shop");
+	EXPECT_DOUBLE_EQ(shop->cold_per_s, 16.5);
+	route = mesh_config_find(config, "a.example", "/o/1");
+	EXPECT_TRUE(route->at_most_once);
+	EXPECT_EQ(route->deadline_ms, 1200);
+	EXPECT_EQ(route->objective_ms, 500);
+	route = mesh_config_find(config, "a.example", "/s/1");
+	EXPECT_FALSE(route->at_most_once);
+	EXPECT_EQ(route->attempts, 3);
+	ASSERT_EQ(route->nr_parts, 2u);
+	EXPECT_EQ(route->parts[1].weight, 10);
+	route = mesh_config_find(config, "a.example", "/p/1");
+	EXPECT_FALSE(route->at_most_once);
+	EXPECT_EQ(route->attempts, 1);
+	EXPECT_EQ(route->objective_ms, 1000);
+	mesh_config_unref(config);
+}
+
+/* A configuration with one fault must not be taken up in part. */
+TEST(PlatformConfig, FaultsRefuseItWhole)
+{
+	static const struct {
+		const char *from, *to;
+	} cases[] = {
+		{ "\"r7\"", "7" },
+		{ "\"r7\"", "\"r-7\"" },
+		{ "\"1200ms\"", "1200" },
+		{ "\"1200ms\"", "\"1200\"" },
+		{ "\"1200ms\"", "null" },
+		{ "\"/o/\"", "null" },
+		{ "\"non_idempotent\"", "null" },
+		{ "{\"service\":\"docs\",\"weight\":10}", "{\"service\":1}" },
+		{ "\"service\":\"docs\",", "\"service\":\"none\"," },
+		{ "\"services\":", "\"service\":" },
+		{ "]]},\n\"services\"", "]],\n\"services\"" },
+	};
+
+	for (const auto &one : cases) {
+		std::string text = GOOD_CONFIG;
+		size_t at = text.find(one.from);
+		g_autofree char *reason = NULL;
+
+		ASSERT_NE(at, std::string::npos) << one.from;
+		text.replace(at, strlen(one.from), one.to);
+		g_autoptr(GBytes) value = bytes(text);
+		EXPECT_EQ(platform_decode_config(value, &reason), nullptr)
+			<< one.from << " -> " << one.to;
+		EXPECT_NE(reason, nullptr);
+	}
+}
+
+/* An unknown kind might not be safe to repeat. */
+TEST(PlatformConfig, UnknownKindRunsAtMostOnce)
+{
+	std::string text = GOOD_CONFIG;
+	g_autofree char *reason = NULL;
+	struct mesh_config *config;
+
+	text.replace(text.find("\"download\""), strlen("\"download\""),
+		     "\"odd\"");
+	g_autoptr(GBytes) value = bytes(text);
+	config = platform_decode_config(value, &reason);
+	ASSERT_NE(config, nullptr);
+	EXPECT_TRUE(mesh_config_find(config, "a.example", "/p/")->at_most_once);
+	mesh_config_unref(config);
+}
+
+const char GOOD_ENTRY[] = R"({"service":"shop","address":"10.0.0.9:8080",
+"zone":"z1","resource_version":"v1","max_concurrency":9,"phase":"ready",
+"warmup_left":"1.5s","sequence":4,"born":1700000000000})";
+
+TEST(PlatformTarget, IsDecodedIntoTypes)
+{
+	g_autoptr(GBytes) value = bytes(GOOD_ENTRY);
+	struct mesh_target *target = platform_decode_target("i-1", value);
+
+	ASSERT_NE(target, nullptr);
+	EXPECT_STREQ(target->id, "i-1");
+	EXPECT_STREQ(target->ip, "10.0.0.9");
+	EXPECT_EQ(target->slots, 9);
+	EXPECT_EQ(target->cold_left_ms, 1500);
+	EXPECT_EQ(target->started_ms, 1700000000000);
+	EXPECT_FALSE(target->draining);
+	mesh_target_unref(target);
+}
+
+/* Entries of another writer name no server to use. */
+TEST(PlatformTarget, ForeignEntriesNameNoServer)
+{
+	static const struct {
+		const char *from, *to;
+	} cases[] = {
+		{ "\"ready\"", "\"sleeping\"" },
+		{ "\"ready\"", "1" },
+		{ "\"shop\"", "null" },
+		{ "\"10.0.0.9:8080\"", "\"example:8080\"" },
+		{ "\"10.0.0.9:8080\"", "\"10.0.0.9\"" },
+		{ "\"z1\"", "5" },
+		{ "9,\"phase\"", "\"9\",\"phase\"" },
+		{ "9,\"phase\"", "0,\"phase\"" },
+		{ "\"1.5s\"", "1.5" },
+		{ "\"1.5s\"", "\"-1s\"" },
+		{ "\"sequence\":4", "\"sequence\":\"4\"" },
+		{ "1700000000000", "1.5" },
+		{ "{", "" },
+	};
+
+	for (const auto &one : cases) {
+		std::string text = GOOD_ENTRY;
+		size_t at = text.find(one.from);
+
+		ASSERT_NE(at, std::string::npos) << one.from;
+		text.replace(at, strlen(one.from), one.to);
+		g_autoptr(GBytes) value = bytes(text);
+		EXPECT_EQ(platform_decode_target("i-1", value), nullptr)
+			<< one.from << " -> " << one.to;
+	}
+}
+
+TEST(PlatformItem, KeysTellWhatTheyHold)
+{
+	const char *name;
+
+	EXPECT_EQ(platform_item_kind("op/config", &name), PLATFORM_ITEM_CONFIG);
+	EXPECT_EQ(platform_item_kind("op/evacuate/z1", &name),
+		  PLATFORM_ITEM_ZONE_OUT);
+	EXPECT_STREQ(name, "z1");
+	EXPECT_EQ(platform_item_kind("servers/i-1", &name),
+		  PLATFORM_ITEM_TARGET);
+	EXPECT_STREQ(name, "i-1");
+	EXPECT_EQ(platform_item_kind("op/other", &name), PLATFORM_ITEM_OTHER);
+}
+
+struct platform_page *parse(const std::string &text)
+{
+	g_autoptr(GByteArray) body = g_byte_array_new();
+
+	g_byte_array_append(body, (const guint8 *)text.data(),
+			    (guint)text.size());
+	return platform_parse_page(body);
+}
+
+TEST(PlatformStore, PagesAreDecoded)
+{
+	struct platform_page *page = parse(
+		R"({"events":[{"key":"a","value":"bm9kZS0x","revision":4},
+		{"key":"b","revision":5,"deleted":true}],"at":9})");
+
+	ASSERT_NE(page, nullptr);
+	ASSERT_EQ(page->changes->len, 2u);
+	auto *first =
+		(struct platform_change *)g_ptr_array_index(page->changes, 0);
+	auto *second =
+		(struct platform_change *)g_ptr_array_index(page->changes, 1);
+	EXPECT_EQ(g_bytes_get_size(first->value), 6u);
+	EXPECT_EQ(first->revision, 4);
+	EXPECT_EQ(second->value, nullptr);
+	EXPECT_EQ(page->revision, 9);
+	EXPECT_FALSE(page->has_more);
+	platform_page_free(page);
+}
+
+TEST(PlatformStore, UnreadableAnswersAreRefused)
+{
+	for (const char *text :
+	     { "", "[]", "{}", R"({"items":[]})", R"({"items":[{}],"at":1})",
+	       R"({"items":[{"key":"a"}],"at":1})", R"({"events":7,"at":1})" })
+		EXPECT_EQ(parse(text), nullptr) << text;
+}
+
+std::string write_settings(const std::string &text)
+{
+	char path[] = "/tmp/test-platform-XXXXXX";
+	int fd = mkstemp(path);
+
+	EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+	close(fd);
+	return path;
+}
+
+const char GOOD_SETTINGS[] = "node=n1\nzone=z1\nregion=r1\nip=10.1.0.35\n"
+			     "service=shop\napp_addr=10.1.0.35:8147\n"
+			     "listen.egress=10.1.0.35:8141\n"
+			     "listen.ingress=10.1.0.35:8145\n"
+			     "listen.readiness=10.1.0.35:8140\n"
+			     "provider.address=10.200.1.7:8142\n"
+			     "port_range=7660,7675\nseed_nodes=\nnew.field=1\n"
+			     "bounds.grace=6s\nbounds.retry_budget_ratio=0.2\n";
+
+TEST(PlatformSettings, AreDecodedIntoTypes)
+{
+	std::string path = write_settings(GOOD_SETTINGS);
+	struct findings findings;
+	struct mesh_host *host;
+
+	findings_init(&findings);
+	host = platform_settings_read(path.c_str(), &findings);
+	ASSERT_NE(host, nullptr);
+	EXPECT_EQ(host->callers.port, 8141u);
+	EXPECT_EQ(host->peers.port, 8145u);
+	EXPECT_EQ(host->control.port, 7660u);
+	EXPECT_EQ(host->operators.port, 7661u);
+	EXPECT_EQ(host->stop_grace_ms, 6000);
+	EXPECT_DOUBLE_EQ(host->retry_ratio, 0.2);
+	mesh_host_free(host);
+	unlink(path.c_str());
+}
+
+/* All faults are told at once, each with its key. */
+TEST(PlatformSettings, FaultsAreReportedTogether)
+{
+	std::string path = write_settings("node=n1\nzone=z1\nbounds.grace=6\n"
+					  "listen.egress=nowhere\n");
+	struct findings findings;
+
+	findings_init(&findings);
+	EXPECT_EQ(platform_settings_read(path.c_str(), &findings), nullptr);
+	EXPECT_GE(findings.nr_errors, 8u);
+	findings_release(&findings);
+	EXPECT_EQ(platform_settings_read("/nonexistent", &findings), nullptr);
+	findings_release(&findings);
+	unlink(path.c_str());
+}
+
+TEST(PlatformHeaders, LoadIsDecoded)
+{
+	int running, waiting, slots;
+
+	EXPECT_TRUE(platform_parse_load("3,0,8", &running, &waiting, &slots));
+	EXPECT_EQ(slots, 8);
+	for (const char *text : { "", "3,0", "a,b,c", "-1,0,8", "1,0,0" })
+		EXPECT_FALSE(
+			platform_parse_load(text, &running, &waiting, &slots))
+			<< text;
+}
+
+} // namespace
--- /dev/null
+++ b/tests/relay/platform.cc
@@ -0,0 +1,257 @@
+#include "platform.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+static std::string port_of(const std::string &address)
+{
+	return address.substr(address.find(':') + 1);
+}
+
+static void write_file(const std::string &path, const std::string &text)
+{
+	std::ofstream(path) << text;
+}
+
+Platform::Platform(int count, const std::vector<std::string> &backend)
+{
+	char pattern[] = "/tmp/test-relay-XXXXXX";
+
+	directory = mkdtemp(pattern);
+	store = std::make_unique<Standin>(STANDIN_STORE);
+	/* Ports are the same on all hosts. */
+	for (std::string &port : ports) {
+		char address[ADDRESS_CHARS];
+
+		free_address(address);
+		port = port_of(address);
+	}
+	hosts.resize((size_t)count);
+	for (int i = 0; i < count; i++)
+		add_host(i, backend);
+}
+
+Platform::~Platform()
+{
+	for (PlatformHost &host : hosts) {
+		process_kill(&host.daemon);
+		process_kill(&host.server);
+	}
+}
+
+void Platform::add_host(int index, const std::vector<std::string> &backend)
+{
+	PlatformHost &host = hosts[(size_t)index];
+	char address[ADDRESS_CHARS], control[ADDRESS_CHARS];
+	std::vector<const char *> argv;
+	std::string text;
+
+	free_address(address);
+	/* The process's own number, varied in its last place. */
+	host.ip =
+		std::string(address).substr(0, std::string(address).find(':'));
+	host.ip = host.ip.substr(0, host.ip.rfind('.') + 1) +
+		  std::to_string(10 + index);
+	host.zone = "z" + std::to_string(index % 3);
+	host.service = index % 4 == 3 ? "docs" : "shop";
+	host.id = "i-" + std::to_string(++next_id);
+	host.callers = host.ip + ":" + ports[0];
+	host.ready = host.ip + ":" + ports[1];
+	host.operators =
+		host.ip + ":" + std::to_string(std::stoi(ports[3]) + 1);
+	host.log = directory + "/daemon" + std::to_string(index);
+	host.settings = directory + "/settings" + std::to_string(index);
+	free_address_at(host.ip.c_str(), address);
+	free_address_at(host.ip.c_str(), control);
+	host.backend = address;
+	host.backend_control = control;
+	argv = { STANDIN_TARGET, "--listen", address,	     "--control",
+		 control,	 "--id",     host.id.c_str() };
+	for (const std::string &option : backend)
+		argv.push_back(option.c_str());
+	argv.push_back(nullptr);
+	ASSERT_TRUE(process_start(&host.server, argv.data(), nullptr));
+	ASSERT_TRUE(process_wait_listening(&host.server, control, 30000));
+	text = "node=h" + std::to_string(index) + "\nzone=" + host.zone +
+	       "\nregion=r\nip=" + host.ip + "\nservice=" + host.service +
+	       "\napp_addr=" + host.backend +
+	       "\nlisten.egress=" + host.callers +
+	       "\nlisten.ingress=" + host.ip + ":" + ports[2] +
+	       "\nlisten.readiness=" + host.ready + "\nport_range=" + ports[3] +
+	       "," + std::to_string(std::stoi(ports[3]) + 3) +
+	       "\nprovider.address=" + store->address +
+	       "\nbounds.retry_budget_ratio=0.2\nbounds.budget_slack=200"
+	       "\nbounds.warmup_overage=1.5\nbounds.warmup_slack=5"
+	       "\nbounds.grace=5s\n";
+	write_file(host.settings, text);
+}
+
+void Platform::put_item(const std::string &key, const std::string &value)
+{
+	ASSERT_EQ(call(store->control, "PUT", "/item?key=" + key, "", value)
+			  .status,
+		  200);
+}
+
+void Platform::delete_item(const std::string &key)
+{
+	ASSERT_EQ(call(store->control, "DELETE", "/item?key=" + key).status,
+		  200);
+}
+
+json_int_t Platform::store_calls()
+{
+	return atoll(call(store->control, "GET", "/calls").body.c_str());
+}
+
+void Platform::publish_config(int version, const std::string &rows)
+{
+	put_item("op/config",
+		 R"({"resource_version":"r)" + std::to_string(version) +
+			 R"(","routes":{"columns":["name","hostname",
+"path_prefix","kind","timeout","target_latency","priority","service","attempts"],
+"rows":[["orders","mesh.example","/orders/","non_idempotent","3s","1s",1,"shop",
+2],["stock","mesh.example","/stock/","idempotent","3s","1s",2,"shop",2])" +
+			 rows +
+			 R"(]},"services":{"columns":["name","health_path",
+"max_connections","warmup_per_s"],"rows":[["shop","/health",100,16],
+["docs","/health",100,16]]},"limits":{"max_header_bytes":16384,
+"max_body_bytes":1000000,"header_timeout":"3s","idle_timeout":"15s"}})");
+}
+
+void Platform::publish_entry(int index, const std::string &phase)
+{
+	const PlatformHost &host = hosts[(size_t)index];
+
+	put_item("servers/" + host.id,
+		 R"({"service":")" + host.service + R"(","address":")" +
+			 host.backend + R"(","zone":")" + host.zone +
+			 R"(","resource_version":"v1","max_concurrency":4,
+"phase":")" + phase + R"(","warmup_left":"0ms","sequence":1,"born":5})");
+}
+
+void Platform::start_daemon(int index)
+{
+	PlatformHost &host = hosts[(size_t)index];
+	const char *const argv[] = { GODWITSPUR, "relay", host.settings.c_str(),
+				     nullptr };
+
+	ASSERT_TRUE(process_start(&host.daemon, argv, host.log.c_str()));
+	ASSERT_TRUE(process_wait_listening(&host.daemon, host.ready.c_str(),
+					   30000));
+}
+
+void Platform::stop_server(int index)
+{
+	process_kill(&hosts[(size_t)index].server);
+}
+
+void Platform::start_all()
+{
+	publish_config(1);
+	for (size_t i = 0; i < hosts.size(); i++) {
+		publish_entry((int)i);
+		start_daemon((int)i);
+	}
+	for (size_t i = 0; i < hosts.size(); i++) {
+		ASSERT_TRUE(eventually([&] {
+			return call(hosts[i].ready, "GET", "/readyz").status ==
+			       200;
+		}));
+		ASSERT_TRUE(eventually([&] {
+			json_t *state = dump((int)i);
+			json_t *backend = json_object_get(state, "backend");
+			json_t *peers = json_object_get(
+				json_object_get(state, "control"), "peers");
+			bool done =
+				json_is_true(json_object_get(backend,
+							     "in_service")) &&
+				json_array_size(peers) + 1 == hosts.size();
+
+			json_decref(state);
+			return done;
+		}));
+	}
+}
+
+CallerAnswer Platform::ask(int index, const char *method,
+			   const std::string &path, const std::string &body,
+			   int time_left_ms)
+{
+	std::string id = "r" + std::to_string(++next_id);
+	std::string headers =
+		"Host: mesh.example\r\nX-Request-Id: " + id +
+		"\r\nX-Timeout-Ms: " + std::to_string(time_left_ms) +
+		"\r\nX-Other: kept\r\n"
+		"X-Caller-Service: forged\r\n";
+	struct http_request request = {};
+	struct http_response response;
+	CallerAnswer answer;
+	auto header = [&response](const char *name) {
+		const char *value = http_header(&response, name);
+		return std::string(value ? value : "");
+	};
+
+	request.address = hosts[(size_t)index].callers.c_str();
+	request.method = method;
+	request.target = path.c_str();
+	request.headers = headers.c_str();
+	request.body = body.empty() ? nullptr : body.data();
+	request.body_len = body.size();
+	answer.status = http_send(&request, &response);
+	answer.body.assign((const char *)response.body->data,
+			   response.body->len);
+	answer.retry_after = header("retry-after");
+	answer.receipt = header("x-server-signature");
+	answer.id = header("x-request-id");
+	if (answer.status == 200) {
+		EXPECT_EQ(answer.id, id);
+	}
+	http_response_release(&response);
+	return answer;
+}
+
+json_t *Platform::dump(int index)
+{
+	return json_loads(call(hosts[(size_t)index].operators, "GET", "/dump")
+				  .body.c_str(),
+			  0, nullptr);
+}
+
+size_t Platform::runs(int index)
+{
+	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
+					"GET", "/state")
+					   .body.c_str(),
+				   0, nullptr);
+	size_t nr = json_array_size(json_object_get(state, "runs"));
+
+	json_decref(state);
+	return nr;
+}
+
+std::string Platform::last_run(int index, const char *member)
+{
+	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
+					"GET", "/state")
+					   .body.c_str(),
+				   0, nullptr);
+	json_t *array = json_object_get(state, "runs");
+	size_t nr = json_array_size(array);
+	const char *text = nr ? json_string_value(json_object_get(
+					json_array_get(array, nr - 1), member))
+			      : nullptr;
+	std::string value = text ? text : "";
+
+	json_decref(state);
+	return value;
+}
+
+void Platform::fault(int index, const std::string &query)
+{
+	ASSERT_EQ(call(hosts[(size_t)index].backend_control, "POST",
+		       "/fault?mode=" + query)
+			  .status,
+		  200);
+}
--- /dev/null
+++ b/tests/relay/test_relay.cc
@@ -0,0 +1,303 @@
+#include "platform.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace
+{
+
+const char *const QUICK = "2"; /* ms on the backend server */
+
+Platform make(int hosts, const char *service_ms = QUICK)
+{
+	return Platform(hosts, { "--service-ms", service_ms });
+}
+
+/* The whole path, and what a server is told of a request. */
+TEST(Relay, RequestIsCarriedToAServerAndBack)
+{
+	Platform in = make(4);
+	CallerAnswer answer;
+
+	in.start_all();
+	/* Host 3 is of another service, so the request leaves the host. */
+	answer = in.ask(3, "POST", "/orders/1?a=b", "bales", 2000);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.receipt, "proof");
+	EXPECT_EQ(answer.body, "xxxxx");
+	ASSERT_EQ(in.runs(0) + in.runs(1) + in.runs(2), 1u);
+	for (int i = 0; i < 3; i++) {
+		if (!in.runs(i))
+			continue;
+		EXPECT_EQ(in.last_run(i, "target"), "/orders/1?a=b");
+		EXPECT_EQ(in.last_run(i, "method"), "POST");
+		EXPECT_EQ(in.last_run(i, "other"), "kept");
+		/* Of the host where the request began, whatever was sent. */
+		EXPECT_EQ(in.last_run(i, "caller"), "docs");
+		EXPECT_LE(std::stoi(in.last_run(i, "time_left_ms")), 2000);
+	}
+	EXPECT_EQ(in.ask(0, "GET", "/unknown/").status, 404);
+}
+
+/* A configuration is in force everywhere, and a faulty one nowhere. */
+TEST(Relay, ConfigurationsAreTakenUpWhole)
+{
+	Platform in = make(3);
+
+	in.start_all();
+	EXPECT_EQ(in.ask(0, "GET", "/new/1").status, 404);
+	in.publish_config(2, R"(,["new","mesh.example","/new/","idempotent",
+"3s","1s",2,"shop",2])");
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(eventually([&] {
+			return in.ask(i, "GET", "/new/1").status == 200;
+		}));
+	in.publish_config(3, R"(,["bad","mesh.example","/bad/","idempotent",
+"3s","1s",2,"none",2])");
+	in.publish_config(1);
+	usleep(2500000);
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(in.ask(i, "GET", "/bad/1").status, 404);
+		EXPECT_EQ(in.ask(i, "GET", "/new/1").status, 200);
+	}
+}
+
+/*
+ * While the store is away the daemons serve by what they know, and one that
+ * restarts learns it from the others.
+ */
+TEST(Relay, RestartedDaemonLearnsFromOthersWhileTheStoreIsAway)
+{
+	Platform in = make(3);
+
+	in.start_all();
+	in.store->fault("outage");
+	process_kill(&in.hosts[1].daemon);
+	in.start_daemon(1);
+	EXPECT_TRUE(eventually([&] {
+		return call(in.hosts[1].ready, "GET", "/readyz").status == 200;
+	}));
+	EXPECT_TRUE(eventually(
+		[&] { return in.ask(1, "GET", "/stock/1").status == 200; }));
+}
+
+/* The store's history is gone: all is read anew, and what left is noticed. */
+TEST(Relay, ForgottenHistoryIsReadAnew)
+{
+	Platform in = make(3);
+
+	in.start_all();
+	in.store->fault("outage");
+	in.delete_item("servers/" + in.hosts[0].id);
+	ASSERT_EQ(call(in.store->control, "POST", "/forget").status, 200);
+	in.store->fault("none");
+	EXPECT_TRUE(eventually([&] {
+		json_t *state = in.dump(0);
+		json_t *backend = json_object_get(state, "backend");
+		bool out =
+			json_is_false(json_object_get(backend, "in_service"));
+
+		json_decref(state);
+		return out;
+	}));
+}
+
+/* A leaving server and a zone taken out get no new work. */
+TEST(Relay, LeavingServersAndZonesGetNoWork)
+{
+	Platform in = make(3);
+	size_t before;
+
+	in.start_all();
+	in.publish_entry(0, "draining");
+	in.put_item("op/evacuate/z1", "{}");
+	EXPECT_TRUE(eventually([&] {
+		json_t *first = in.dump(0), *second = in.dump(1);
+		bool out = json_is_false(
+				   json_object_get(json_object_get(first,
+								   "backend"),
+						   "in_service")) &&
+			   json_is_false(
+				   json_object_get(json_object_get(second,
+								   "backend"),
+						   "in_service"));
+
+		json_decref(first);
+		json_decref(second);
+		return out;
+	}));
+	before = in.runs(0) + in.runs(1);
+	for (int i = 0; i < 30; i++)
+		EXPECT_EQ(in.ask(i % 3, "GET", "/stock/1").status, 200);
+	EXPECT_EQ(in.runs(0) + in.runs(1), before);
+	in.delete_item("op/evacuate/z1");
+	EXPECT_TRUE(eventually([&] {
+		in.ask(1, "GET", "/stock/1");
+		return in.runs(1) > 0;
+	}));
+}
+
+/* What a server does wrong, and what callers are told of it. */
+TEST(Relay, OutcomesAreToldTruly)
+{
+	static const struct {
+		const char *fault;
+		int order_status, stock_status;
+	} cases[] = {
+		/* 503: nothing ran; 502: it may have run. */
+		{ "shed", 503, 503 },	  { "fail", 500, 500 },
+		{ "no-proof", 502, 502 }, { "close", 502, 502 },
+		{ "encoded", 502, 502 },  { "other-id", 504, 504 },
+	};
+	Platform in = make(1);
+
+	in.start_all();
+	for (const auto &one : cases) {
+		CallerAnswer answer;
+		size_t before;
+
+		in.fault(0, one.fault);
+		before = in.runs(0);
+		answer = in.ask(0, "POST", "/orders/1", "x", 700);
+		EXPECT_EQ(answer.status, one.order_status) << one.fault;
+		EXPECT_EQ(in.runs(0) - before, answer.status == 503 ? 0u : 1u)
+			<< one.fault;
+		if (answer.status == 503) {
+			EXPECT_GT(std::stod(answer.retry_after), 0)
+				<< one.fault;
+		}
+		EXPECT_EQ(in.ask(0, "GET", "/stock/1", "", 700).status,
+			  one.stock_status)
+			<< one.fault;
+	}
+	in.fault(0, "none");
+	EXPECT_TRUE(eventually(
+		[&] { return in.ask(0, "GET", "/stock/1").status == 200; }));
+}
+
+/* A lookup that failed at one server is served by another. */
+TEST(Relay, LookupIsRepeatedElsewhereAndAnOrderIsNot)
+{
+	Platform in = make(2);
+	int failed = 0;
+
+	in.start_all();
+	in.fault(0, "close");
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(in.ask(0, "GET", "/stock/1").status, 200);
+	for (int i = 0; i < 10; i++) {
+		size_t before = in.runs(0) + in.runs(1);
+
+		failed += in.ask(0, "POST", "/orders/1", "x").status != 200;
+		EXPECT_LE(in.runs(0) + in.runs(1), before + 1);
+	}
+	EXPECT_LE(failed, 10);
+}
+
+/* No server gets more at once than it says that it runs. */
+TEST(Relay, SlotsAreKept)
+{
+	Platform in = make(2, "50");
+	std::vector<std::thread> callers;
+	json_t *state;
+
+	in.start_all();
+	for (int i = 0; i < 24; i++)
+		callers.emplace_back([&in, i] {
+			for (int n = 0; n < 5; n++)
+				in.ask(i % 2, "GET", "/stock/1");
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	for (int i = 0; i < 2; i++) {
+		state = json_loads(call(in.hosts[(size_t)i].backend_control,
+					"GET", "/state")
+					   .body.c_str(),
+				   0, nullptr);
+		EXPECT_LE(json_integer_value(
+				  json_object_get(state, "most_running")),
+			  4);
+		EXPECT_EQ(json_integer_value(json_object_get(state, "shed")),
+			  0);
+		json_decref(state);
+	}
+}
+
+/* A caller that leaves ends its request on the other host too. */
+TEST(Relay, CallerThatLeavesFreesTheSlot)
+{
+	Platform in = make(4, "5000");
+	std::string port =
+		in.hosts[3].callers.substr(in.hosts[3].callers.find(':') + 1);
+	int fd;
+
+	in.start_all();
+	fd = connect_to(in.hosts[3].callers.c_str());
+	std::string request = "GET /stock/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+			      "X-Request-Id: gone\r\n\r\n";
+	ASSERT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+		  (ssize_t)request.size());
+	EXPECT_TRUE(eventually(
+		[&] { return in.runs(0) + in.runs(1) + in.runs(2) == 1; }));
+	close(fd);
+	for (int i = 0; i < 4; i++)
+		EXPECT_TRUE(eventually([&] {
+			json_t *state = in.dump(i);
+			json_t *backend = json_object_get(state, "backend");
+			json_int_t jobs = json_integer_value(
+				json_object_get(backend, "jobs"));
+
+			json_decref(state);
+			return jobs == 0;
+		}));
+}
+
+/* A planned stop cuts nothing, and the daemon ends by itself. */
+TEST(Relay, PlannedStopCutsNothing)
+{
+	Platform in = make(2, "300");
+	std::vector<std::thread> callers;
+	int status = -1;
+
+	in.start_all();
+	for (int i = 0; i < 4; i++)
+		callers.emplace_back([&in] {
+			EXPECT_EQ(in.ask(0, "GET", "/stock/1").status, 200);
+		});
+	usleep(100000);
+	process_signal(&in.hosts[0].daemon, SIGTERM);
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_EQ(call(in.hosts[0].ready, "GET", "/readyz").status, 503);
+	EXPECT_TRUE(process_wait(&in.hosts[0].daemon, 10000, &status));
+	EXPECT_EQ(status, 0);
+}
+
+/* The store's calls must not grow with the daemons and their heartbeats. */
+TEST(Relay, FewDaemonsReadTheStore)
+{
+	Platform in = make(6);
+	json_int_t before;
+	int readers = 0;
+
+	in.start_all();
+	EXPECT_TRUE(eventually([&] {
+		readers = 0;
+		for (int i = 0; i < 6; i++) {
+			json_t *state = in.dump(i);
+
+			readers += json_is_true(
+				json_object_get(json_object_get(state,
+								"control"),
+						"reads_store"));
+			json_decref(state);
+		}
+		return readers == 2;
+	}));
+	before = in.store_calls();
+	usleep(2000000);
+	EXPECT_LE(in.store_calls() - before, 2 * 2 * 3);
+}
+
+} // namespace
