Mend what the linter found in the relay

The analyzer took the removal of a remote job from its list for incomplete; the jobs of other daemons are a set now, searched anew after each cancellation, which starts and may end others.

--- a/godwitspur/settings.h
+++ b/godwitspur/settings.h
@@ -1,5 +1,5 @@
-#ifndef GODWITSPUR_SETTINGS_H
-#define GODWITSPUR_SETTINGS_H
+#ifndef DAEMON_SETTINGS_H
+#define DAEMON_SETTINGS_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -20,7 +20,6 @@
 /* A request of another daemon. */
 struct remote_job {
 	struct relay_job job; /* first: callbacks cast back */
-	struct cds_list_head node;
 	struct peers *peers;
 	struct rpc_conn *conn;
 	uint32_t xid;
@@ -44,8 +43,8 @@
 	struct backend_side *backend_side;
 	struct rpc_service service;
 	struct rpc_listener *listener;
-	GHashTable *links;	   /* address -> struct peer_link */
-	struct cds_list_head jobs; /* of other daemons */
+	GHashTable *links; /* address -> struct peer_link */
+	GHashTable *jobs;  /* set of struct remote_job */
 };
 
 /* Requests of this daemon. */
@@ -221,7 +220,7 @@
 
 static void free_remote(struct remote_job *remote)
 {
-	cds_list_del(&remote->node);
+	g_hash_table_remove(remote->peers->jobs, remote);
 	rpc_conn_unref(remote->conn);
 	xdr_free((xdrproc_t)xdr_relay_request, (char *)&remote->job.request);
 	g_free(remote);
@@ -252,7 +251,7 @@
 	remote->conn = rpc_conn_ref(conn);
 	remote->xid = xid;
 	remote->job.done = reply_remote;
-	cds_list_add_tail(&remote->node, &peers->jobs);
+	g_hash_table_add(peers->jobs, remote);
 	backend_side_submit(peers->backend_side, &remote->job);
 	return true;
 }
@@ -263,6 +262,21 @@
 	free_remote(remote);
 }
 
+/* A job of a connection, with an id unless xid is 0, or NULL. */
+static struct remote_job *find_job(struct peers *peers,
+				   const struct rpc_conn *conn, uint32_t xid)
+{
+	struct remote_job *remote;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->jobs);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&remote, NULL)) {
+		if (remote->conn == conn && (!xid || remote->xid == xid))
+			return remote;
+	}
+	return NULL;
+}
+
 static bool serve_cancel(struct peers *peers, struct rpc_conn *conn,
 			 uint32_t xid, XDR *args)
 {
@@ -271,12 +285,9 @@
 
 	if (!xdr_relay_cancel(args, &cancel))
 		return false;
-	cds_list_for_each_entry (remote, &peers->jobs, node) {
-		if (remote->conn == conn && remote->xid == cancel.xid) {
-			cancel_remote(peers, remote);
-			break;
-		}
-	}
+	remote = find_job(peers, conn, cancel.xid);
+	if (remote)
+		cancel_remote(peers, remote);
 	return rpc_reply(conn, xid, (xdrproc_t)xdr_relay_cancel, &cancel);
 }
 
@@ -310,18 +321,6 @@
 	}
 }
 
-static struct remote_job *find_job(struct peers *peers,
-				   const struct rpc_conn *conn)
-{
-	struct remote_job *remote;
-
-	cds_list_for_each_entry (remote, &peers->jobs, node) {
-		if (remote->conn == conn)
-			return remote;
-	}
-	return NULL;
-}
-
 /* Nobody waits any more for the requests of a connection that ended. */
 static void on_closed(struct rpc_conn *conn, void *ctx, const char *reason)
 {
@@ -330,7 +329,7 @@
 
 	(void)reason;
 	/* A cancellation starts other jobs, which may end at once. */
-	while ((remote = find_job(peers, conn)))
+	while ((remote = find_job(peers, conn, 0)))
 		cancel_remote(peers, remote);
 }
 
@@ -348,7 +347,7 @@
 	peers->context = context;
 	peers->backend_side = backend_side;
 	peers->links = g_hash_table_new(g_str_hash, g_str_equal);
-	CDS_INIT_LIST_HEAD(&peers->jobs);
+	peers->jobs = g_hash_table_new(NULL, NULL);
 	peers->service.program = RELAY_PROGRAM;
 	peers->service.version = RELAY_VERSION;
 	peers->service.handle = handle;
@@ -358,6 +357,7 @@
 	if (peers->listener)
 		return peers;
 	g_hash_table_unref(peers->links);
+	g_hash_table_unref(peers->jobs);
 	g_free(peers);
 	return NULL;
 }
