Spread published items down a tree of daemons instead of from the readers

All daemons now work out the same tree for each reader: it tells the head of each other zone, and each daemon four others of its zone; places below one that does not answer are told from above it. A reader's end is passed on the same way. Tested for 1 to 870 daemons and with random deaths; ruled out: the cost of packing (once per version).

--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -44,6 +44,9 @@
 const RELAY_ID_MAX = 1024;
 const FEED_KEY_MAX = 255;
 const FEED_ITEMS_MAX = 8192;
+const FEED_ROOTS_MAX = 8;
+const FEED_NOT_READ = -1;
+const FEED_ENDED = -2;
 
 /* Flags of a relay_answer and of a traffic_answer. */
 const TRAFFIC_DRAINING = 1;
@@ -186,14 +189,21 @@
 };
 
 /*
- * All items that changed after the revision from, up to the revision to. The
- * age is that of the sender's own newest reading of the store; -1 without one.
+ * A daemon whose news the message brings. The age is that of its newest
+ * reading of the store; FEED_NOT_READ without one, FEED_ENDED when its process
+ * was seen to end.
  */
+struct feed_root {
+	string ip<PEER_NAME_MAX>;
+	hyper read_age_ms;
+};
+
+/* All items that changed after the revision from, up to the revision to. */
 struct feed_push {
 	string ip<PEER_NAME_MAX>;
 	hyper from;
 	hyper to;
-	hyper read_age_ms;
+	feed_root roots<FEED_ROOTS_MAX>;
 	peer_crash crashes<PEER_CRASHES_MAX>;
 	feed_entry entries<FEED_ITEMS_MAX>;
 };
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -440,6 +440,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_feed_root (XDR *xdrs, struct feed_root *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->ip, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->read_age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_feed_push (XDR *xdrs, struct feed_push *objp)
 {
@@ -451,7 +463,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->to))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->read_age_ms))
+	 if (!xdr_array (xdrs, (char **)&objp->roots.roots_val, (u_int *) &objp->roots.roots_len, FEED_ROOTS_MAX,
+		sizeof (struct feed_root), (xdrproc_t) xdr_feed_root))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, PEER_CRASHES_MAX,
 		sizeof (struct peer_crash), (xdrproc_t) xdr_peer_crash))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -47,6 +47,9 @@
 #define RELAY_ID_MAX 1024
 #define FEED_KEY_MAX 255
 #define FEED_ITEMS_MAX 8192
+#define FEED_ROOTS_MAX 8
+#define FEED_NOT_READ -1
+#define FEED_ENDED -2
 #define TRAFFIC_DRAINING 1
 #define TRAFFIC_CRASHED 2
 #define TRAFFIC_REPLAYED 4
@@ -204,11 +207,19 @@
 	} value;
 };
 
+struct feed_root {
+	char *ip;
+	quad_t read_age_ms;
+};
+
 struct feed_push {
 	char *ip;
 	quad_t from;
 	quad_t to;
-	quad_t read_age_ms;
+	struct {
+		u_int roots_len;
+		struct feed_root *roots_val;
+	} roots;
 	struct {
 		u_int crashes_len;
 		struct peer_crash *crashes_val;
@@ -241,6 +252,7 @@
 extern  bool_t xdr_relay_cancel (XDR *, struct relay_cancel*);
 extern  bool_t xdr_relay_ping (XDR *, struct relay_ping*);
 extern  bool_t xdr_feed_entry (XDR *, struct feed_entry*);
+extern  bool_t xdr_feed_root (XDR *, struct feed_root*);
 extern  bool_t xdr_feed_push (XDR *, struct feed_push*);
 extern  bool_t xdr_feed_reply (XDR *, struct feed_reply*);
 
@@ -260,6 +272,7 @@
 extern bool_t xdr_relay_cancel ();
 extern bool_t xdr_relay_ping ();
 extern bool_t xdr_feed_entry ();
+extern bool_t xdr_feed_root ();
 extern bool_t xdr_feed_push ();
 extern bool_t xdr_feed_reply ();
 
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -5,13 +5,14 @@
 #include "base/log.h"
 #include "base/pack.h"
 #include "mesh/readers.h"
+#include "mesh/spread.h"
 #include "net/rpc.h"
 #include "relay/feed_peers.h"
 
 #define OUTPUT_MAX (32 * 1024 * 1024)
 #define RECORD_MAX (32 * 1024 * 1024)
 
-#define PUSH_INTERVAL_NS (READERS_TELL_INTERVAL_MS * NS_PER_MS)
+#define TELL_INTERVAL_NS (READERS_TELL_INTERVAL_MS * NS_PER_MS)
 
 /*
  * A daemon whose backend server has left is told the news so long, since it
@@ -28,9 +29,18 @@
 /* After a failed push the next one waits this long. */
 #define PUSH_RETRY_NS (300 * NS_PER_MS)
 
+/* A daemon whose news are passed on. */
+struct root {
+	char *ip;      /* NULL: the place is free */
+	int64_t read;  /* its newest reading; 0: none */
+	int64_t heard; /* when the last news of it came */
+	bool ended;    /* its process was seen to end */
+};
+
 /* Another daemon. */
 struct peer {
 	char *ip;
+	char *zone;
 	struct net_address address;
 	struct feed_peers *peers;
 	struct rpc_conn *conn; /* NULL: none */
@@ -38,6 +48,9 @@
 	bool calling;
 	int64_t acked;	 /* revision that it has confirmed */
 	int64_t sent_to; /* revision of the push under way */
+	uint32_t due;	 /* roots to tell it of, by their places */
+	uint32_t sent;	 /* roots in the push under way */
+	bool failed;	 /* the last push was not answered */
 	int64_t next_push;
 	int64_t reads_at; /* when it was last heard to read; 0: never */
 	int64_t named_at; /* when the last view that has it was taken */
@@ -49,7 +62,10 @@
 	struct rpc_service service;
 	struct rpc_listener *listener;
 	GHashTable *peers; /* ip -> struct peer */
+	struct root roots[FEED_ROOTS_MAX];
 	struct readers_state state;
+	int64_t next_tell; /* of the own news, while this daemon tells */
+	bool own_named;	   /* by the present view */
 	struct timer timer;
 	bool reads;
 	/* The last value that was packed, since it goes to all daemons. */
@@ -114,6 +130,117 @@
 	g_array_append_val(batch->entries, entry);
 }
 
+/* Roots. */
+
+static bool is_own(const struct feed_peers *peers, const char *ip)
+{
+	return !strcmp(ip, peers->options.host->ip);
+}
+
+/* The place of a root; one that was silent longest gives way to a new one. */
+static int root_place(struct feed_peers *peers, const char *ip)
+{
+	int oldest = 0;
+
+	for (int i = 0; i < FEED_ROOTS_MAX; i++) {
+		struct root *root = &peers->roots[i];
+
+		if (root->ip && !strcmp(root->ip, ip))
+			return i;
+		if (root->heard < peers->roots[oldest].heard)
+			oldest = i;
+	}
+	g_free(peers->roots[oldest].ip);
+	peers->roots[oldest] = (struct root){ .ip = g_strdup(ip) };
+	return oldest;
+}
+
+struct marking {
+	struct feed_peers *peers;
+	uint32_t bit;
+	int64_t now;
+};
+
+static void mark_peer(struct peer *peer, uint32_t bit, int64_t now)
+{
+	peer->due |= bit;
+	if (!peer->failed)
+		peer->next_push = now;
+}
+
+static void mark_member(struct spread_member *member, void *ctx)
+{
+	struct marking *marking = ctx;
+
+	if (member->ctx)
+		mark_peer(member->ctx, marking->bit, marking->now);
+}
+
+static void add_member(GArray *members, const char *ip, const char *zone,
+		       struct peer *peer)
+{
+	struct spread_member member = {
+		.ip = ip,
+		.zone = zone,
+		.failed = peer && peer->failed,
+		.ctx = peer,
+	};
+
+	g_array_append_val(members, member);
+}
+
+/* Marks the daemons that this one tells of a root. */
+static void mark_root(struct feed_peers *peers, int place, int64_t now)
+{
+	const struct mesh_host *host = peers->options.host;
+	g_autoptr(GArray) members =
+		g_array_new(FALSE, FALSE, sizeof(struct spread_member));
+	struct marking marking = { peers, 1u << place, now };
+	bool is_root = is_own(peers, peers->roots[place].ip);
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->named)
+			add_member(members, peer->ip, peer->zone, peer);
+		else if (is_root)
+			/* Its server has left, so it has no place. */
+			mark_peer(peer, marking.bit, now);
+	}
+	if (peers->own_named || is_root)
+		add_member(members, host->ip, host->zone, NULL);
+	spread_targets((struct spread_member *)members->data, members->len,
+		       host->ip, peers->roots[place].ip, mark_member, &marking);
+}
+
+/* News of this daemon itself. */
+static void mark_own(struct feed_peers *peers, int64_t now)
+{
+	int place = root_place(peers, peers->options.host->ip);
+
+	peers->roots[place].read = peers->state.read;
+	peers->roots[place].heard = now;
+	peers->next_tell = now + TELL_INTERVAL_NS;
+	mark_root(peers, place, now);
+}
+
+/* A push failed: those below the peer are told from here. */
+static void mark_failed(struct peer *peer, int64_t now)
+{
+	bool is_new = !peer->failed;
+
+	peer->failed = true;
+	peer->acked = 0;
+	peer->due |= peer->sent;
+	peer->next_push = now + PUSH_RETRY_NS;
+	for (int i = 0; is_new && i < FEED_ROOTS_MAX; i++)
+		if (peer->sent & (1u << i))
+			mark_root(peer->peers, i, now);
+}
+
+/* Pushes. */
+
 static void on_pushed(struct rpc_call *call, enum rpc_status status, XDR *xdr)
 {
 	struct peer *peer = caa_container_of(call, struct peer, call);
@@ -125,12 +252,11 @@
 	if (status == RPC_DONE && xdr_feed_reply(xdr, &reply)) {
 		/* A daemon that restarted may know less than before. */
 		peer->acked = reply.revision;
-		peer->next_push = MAX(peer->next_push, now);
+		peer->failed = false;
 		if (peer->acked < peer->sent_to)
-			peer->next_push = now + PUSH_RETRY_NS;
+			peer->due |= peer->sent;
 	} else {
-		peer->acked = 0;
-		peer->next_push = now + PUSH_RETRY_NS;
+		mark_failed(peer, now);
 	}
 	update(peers, now);
 }
@@ -151,22 +277,47 @@
 	return peer->conn != NULL;
 }
 
+/* Fills in the roots that the peer is to be told of; their strings stay. */
+static u_int fill_roots(const struct peer *peer, struct feed_root *told,
+			int64_t now)
+{
+	const struct feed_peers *peers = peer->peers;
+	u_int nr = 0;
+
+	for (int i = 0; i < FEED_ROOTS_MAX; i++) {
+		const struct root *root = &peers->roots[i];
+
+		if (!(peer->due & (1u << i)))
+			continue;
+		told[nr].ip = root->ip;
+		told[nr].read_age_ms = FEED_NOT_READ;
+		if (root->ended)
+			told[nr].read_age_ms = FEED_ENDED;
+		else if (root->read)
+			told[nr].read_age_ms = (now - root->read) / NS_PER_MS;
+		nr++;
+	}
+	return nr;
+}
+
 static void send_push(struct peer *peer, struct batch *batch)
 {
 	struct feed_peers *peers = peer->peers;
 	struct feed_push *push = &batch->push;
+	struct feed_root roots[FEED_ROOTS_MAX];
 
 	push->ip = peers->options.host->ip;
 	push->from = peer->acked;
 	push->to = feed_revision(peers->options.feed);
-	push->read_age_ms =
-		peers->state.read ? (batch->now - peers->state.read) / NS_PER_MS
-				  : -1;
+	push->roots.roots_val = roots;
+	push->roots.roots_len = fill_roots(peer, roots, batch->now);
 	push->entries.entries_len = batch->entries->len;
 	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
 	peer->calling = true;
 	peer->sent_to = push->to;
-	peer->next_push = batch->now + PUSH_INTERVAL_NS;
+	peer->sent = peer->due;
+	peer->due = 0;
+	peer->next_push = DEADLINE_NEVER;
 	peer->call.done = on_pushed;
 	peer->call.deadline = batch->now + PUSH_WAIT_NS;
 	rpc_call_start(peer->conn, &peer->call, FEED_PROGRAM, FEED_VERSION,
@@ -208,11 +359,10 @@
 	rpc_conn_unref(peer->conn);
 	peer->conn = NULL;
 	peer->calling = false;
-	peer->acked = 0;
-	peer->next_push = now + PUSH_RETRY_NS;
+	mark_failed(peer, now);
 }
 
-static void push_due(struct feed_peers *peers, bool tells, int64_t now)
+static void push_due(struct feed_peers *peers, int64_t now)
 {
 	struct peer *peer;
 	GHashTableIter iter;
@@ -220,7 +370,7 @@
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		check_call(peer, now);
-		if (tells && peer->next_push <= now)
+		if (peer->next_push <= now)
 			push_to(peer, NULL, 0, now);
 	}
 }
@@ -237,10 +387,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		if (peer->calling)
 			next = MIN(next, peer->call.deadline);
-		else if (tells)
+		else if (peer->next_push != DEADLINE_NEVER)
 			next = MIN(next,
 				   MAX(peer->next_push, now + 10 * NS_PER_MS));
 	}
+	if (tells)
+		next = MIN(next, peers->next_tell);
 	return next;
 }
 
@@ -258,7 +410,9 @@
 			  peers->state.rank);
 		peers->options.ops->role(peers->options.ctx, reads);
 	}
-	push_due(peers, tells, now);
+	if (tells && peers->next_tell <= now)
+		mark_own(peers, now);
+	push_due(peers, now);
 	next = next_update(peers, now, tells);
 	if (next != DEADLINE_NEVER)
 		timers_set(peers->options.timers, &peers->timer, next);
@@ -272,13 +426,9 @@
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed)
 {
 	int64_t now = clock_monotonic_ns();
-	struct peer *peer;
-	GHashTableIter iter;
 
 	peers->state.read = MAX(peers->state.read, confirmed);
-	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		peer->next_push = now;
+	peers->next_tell = now;
 	update(peers, now);
 }
 
@@ -338,12 +488,48 @@
 	return newest[READERS_USUAL - 1];
 }
 
-static void note_reading(struct peer *peer, int64_t read_age_ms, int64_t now)
+/* Returns whether the news of a root are to be passed on. */
+static bool take_root(struct feed_peers *peers, const struct feed_root *told,
+		      int64_t now)
 {
-	if (read_age_ms < 0 || read_age_ms > READERS_READ_AGE_MAX_MS)
-		return;
-	peer->reads_at = now;
-	peer->peers->state.covered = covered_at(peer->peers);
+	int place = root_place(peers, told->ip);
+	struct root *root = &peers->roots[place];
+	struct peer *peer = g_hash_table_lookup(peers->peers, told->ip);
+	bool news;
+
+	if (told->read_age_ms == FEED_ENDED) {
+		news = !root->ended;
+		root->ended = true;
+		if (peer)
+			peer->reads_at =
+				MIN(peer->reads_at, now - READERS_STALE_NS);
+		return news;
+	}
+	/* The same news come once; a little later they are new ones. */
+	news = root->ended || now - root->heard >= TELL_INTERVAL_NS / 4 ||
+	       !root->heard;
+	root->ended = false;
+	root->heard = now;
+	root->read =
+		told->read_age_ms < 0 ? 0 : now - told->read_age_ms * NS_PER_MS;
+	if (peer && told->read_age_ms >= 0 &&
+	    told->read_age_ms <= READERS_READ_AGE_MAX_MS)
+		peer->reads_at = now;
+	return news;
+}
+
+static void take_roots(struct feed_peers *peers, const struct feed_push *push,
+		       bool has_entries, int64_t now)
+{
+	for (u_int i = 0; i < push->roots.roots_len; i++) {
+		const struct feed_root *told = &push->roots.roots_val[i];
+
+		if (is_own(peers, told->ip))
+			continue;
+		if (take_root(peers, told, now) || has_entries)
+			mark_root(peers, root_place(peers, told->ip), now);
+	}
+	peers->state.covered = covered_at(peers);
 }
 
 static void take_push(struct feed_peers *peers, const struct feed_push *push)
@@ -351,6 +537,7 @@
 	struct feed *feed = peers->options.feed;
 	int64_t now = clock_monotonic_ns();
 	struct peer *peer = g_hash_table_lookup(peers->peers, push->ip);
+	bool news = push->to > feed_revision(feed);
 
 	/* Items before push->from are missing when this daemon lacks them. */
 	if (push->from <= feed_revision(feed)) {
@@ -361,9 +548,9 @@
 		feed_advance(feed, push->to);
 	}
 	take_crashes(peers, push);
-	peers->state.heard = now;
-	if (peer)
-		note_reading(peer, push->read_age_ms, now);
+	if (push->roots.roots_len)
+		peers->state.heard = now;
+	take_roots(peers, push, news, now);
 	/* It restarted, or missed something: it is told what it lacks. */
 	if (peer && push->to < feed_revision(feed)) {
 		peer->acked = MIN(peer->acked, push->to);
@@ -381,12 +568,15 @@
 	struct feed_peers *peers = ctx;
 	const char *ip = rpc_conn_data(conn);
 	struct peer *peer = ip ? g_hash_table_lookup(peers->peers, ip) : NULL;
+	struct feed_root ended = { .ip = (char *)ip,
+				   .read_age_ms = FEED_ENDED };
 	int64_t now = clock_monotonic_ns();
 
 	(void)reason;
 	if (!peer || !peer->reads_at)
 		return;
-	peer->reads_at = MIN(peer->reads_at, now - READERS_STALE_NS);
+	if (take_root(peers, &ended, now))
+		mark_root(peers, root_place(peers, ip), now);
 	peers->state.covered = covered_at(peers);
 	update(peers, now);
 }
@@ -427,10 +617,12 @@
 		rpc_conn_unref(peer->conn);
 	}
 	g_free(peer->ip);
+	g_free(peer->zone);
 	g_free(peer);
 }
 
-static void name_peer(struct feed_peers *peers, const char *ip, int64_t now)
+static void name_peer(struct feed_peers *peers, const char *ip,
+		      const char *zone, int64_t now)
 {
 	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
 	g_autofree char *text = NULL;
@@ -439,11 +631,14 @@
 		peer = g_new0(struct peer, 1);
 		peer->peers = peers;
 		peer->ip = g_strdup(ip);
+		peer->next_push = DEADLINE_NEVER;
 		text = g_strdup_printf("%s:%u", ip,
 				       peers->options.host->control.port);
 		net_address_parse(&peer->address, text, NULL);
 		g_hash_table_insert(peers->peers, peer->ip, peer);
 	}
+	g_free(peer->zone);
+	peer->zone = g_strdup(zone);
 	peer->named = true;
 	peer->named_at = now;
 }
@@ -486,12 +681,15 @@
 	int64_t now = clock_monotonic_ns();
 
 	unname_all(peers);
+	peers->own_named = false;
 	for (guint i = 0; i < view->targets->len; i++) {
 		const struct mesh_target *target =
 			g_ptr_array_index(view->targets, i);
 
 		if (strcmp(target->ip, own) != 0)
-			name_peer(peers, target->ip, now);
+			name_peer(peers, target->ip, target->zone, now);
+		else
+			peers->own_named = true;
 	}
 	g_hash_table_foreach_remove(peers->peers, has_left, &now);
 	peers->state.rank = rank_of(peers);
