Soak the relay with faults from outside; serve by no view without a first reading

It showed that a restarted daemon answered 503 for 50 ms with a configuration and no server: a view now waits for the first complete reading.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Entry points for people and CI; the build itself is CMake's.
 
 BUILD = build
+SEED = 1
+SECONDS = 30
 
 .PHONY: all deps build check demo format lint fuzz clean \
-	bench-path bench-distribution bench-requests bench-capacity
+	soak bench-path bench-distribution bench-requests bench-capacity
 
 all: build
 
@@ -19,6 +21,9 @@
 demo: build
 	@scripts/demo $(BUILD)
 
+soak: build
+	@$(BUILD)/tests/relay/soak $(SEED) $(SECONDS)
+
 format:
 	@scripts/format --fix
 
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -102,8 +102,15 @@
 
 static void on_build_timer(struct timer *timer, int64_t now)
 {
-	build_view(caa_container_of(timer, struct mesh_control, build_timer),
-		   now);
+	struct mesh_control *control =
+		caa_container_of(timer, struct mesh_control, build_timer);
+
+	/*
+	 * Before the first reading is complete a configuration may be known
+	 * and no server: a daemon that served by that would refuse all.
+	 */
+	if (feed_revision(control->feed))
+		build_view(control, now);
 }
 
 /* The first change after a pause is taken up at once. */
@@ -266,6 +273,7 @@
 		timers_set(&control->timers, &control->expiry_timer,
 			   feed_next_expiry(control->feed));
 	feed_advance(control->feed, revision);
+	want_view(control);
 	feed_peers_confirmed(control->peers, confirmed);
 }
 
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -51,11 +51,9 @@
 	std::string text;
 
 	free_address(address);
-	/* The process's own number, varied in its last place. */
-	host.ip =
-		std::string(address).substr(0, std::string(address).find(':'));
-	host.ip = host.ip.substr(0, host.ip.rfind('.') + 1) +
-		  std::to_string(10 + index);
+	/* Far from the numbers of tests that run side by side. */
+	host.ip = "127.0.0." +
+		  std::to_string(2 + (getpid() + 60 * (index + 1)) % 250);
 	host.zone = "z" + std::to_string(index % 3);
 	host.service = index % 4 == 3 ? "docs" : "shop";
 	host.id = "i-" + std::to_string(++next_id);
@@ -182,7 +180,14 @@
 			   const std::string &path, const std::string &body,
 			   int time_left_ms)
 {
-	std::string id = "r" + std::to_string(++next_id);
+	return ask_as("r" + std::to_string(++next_id), index, method, path,
+		      body, time_left_ms);
+}
+
+CallerAnswer Platform::ask_as(const std::string &id, int index,
+			      const char *method, const std::string &path,
+			      const std::string &body, int time_left_ms)
+{
 	std::string headers =
 		"Host: mesh.example\r\nX-Request-Id: " + id +
 		"\r\nX-Timeout-Ms: " + std::to_string(time_left_ms) +
@@ -222,6 +227,22 @@
 			  0, nullptr);
 }
 
+std::vector<std::string> Platform::run_ids(int index)
+{
+	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
+					"GET", "/state")
+					   .body.c_str(),
+				   0, nullptr);
+	std::vector<std::string> ids;
+	json_t *run;
+	size_t i;
+
+	json_array_foreach (json_object_get(state, "runs"), i, run)
+		ids.push_back(json_string_value(json_object_get(run, "id")));
+	json_decref(state);
+	return ids;
+}
+
 size_t Platform::runs(int index)
 {
 	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -50,6 +50,12 @@
 
 	CallerAnswer ask(int host, const char *method, const std::string &path,
 			 const std::string &body = "", int time_left_ms = 3000);
+	/* The same with a request id of the caller's choice. */
+	CallerAnswer ask_as(const std::string &id, int host, const char *method,
+			    const std::string &path, const std::string &body,
+			    int time_left_ms);
+	/* The ids of the requests that a host's server has run. */
+	std::vector<std::string> run_ids(int host);
 	/* The state dump of a daemon; the reference is the caller's. */
 	json_t *dump(int host);
 	/* How many requests a server has run, and the member of its last. */
--- /dev/null
+++ b/tests/relay/soak.cc
@@ -0,0 +1,251 @@
+/*
+ * A randomized soak of the relay: real daemons on stand-ins of the platform,
+ * with faults injected from outside them while callers send orders and lookups.
+ * soak SEED SECONDS; the seed draws the faults, not the timing of processes.
+ */
+#include "platform.h"
+
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace
+{
+
+const int HOSTS = 4;
+const int CALLERS = 6;
+
+struct Sent {
+	bool order;
+	int status;
+};
+
+/* What callers saw, by request id. */
+struct Ledger {
+	std::mutex lock;
+	std::map<std::string, Sent> sent;
+	std::map<int, int> by_status;
+};
+
+struct Check {
+	const char *promise;
+	long judged, broken;
+};
+
+class Soak
+{
+      public:
+	Soak(unsigned seed, int seconds)
+	    : platform(HOSTS, { "--service-ms", "20" }), random(seed),
+	      seconds(seconds)
+	{
+	}
+
+	int run()
+	{
+		std::vector<std::thread> callers;
+		int64_t end;
+
+		platform.start_all();
+		end = time(nullptr) + seconds;
+		for (int i = 0; i < CALLERS; i++)
+			callers.emplace_back([this, i] { call_loop(i); });
+		while (time(nullptr) < end) {
+			inject();
+			usleep((useconds_t)draw(50, 400) * 1000);
+		}
+		stopped = true;
+		for (std::thread &caller : callers)
+			caller.join();
+		recover();
+		return report();
+	}
+
+      private:
+	int draw(int low, int high)
+	{
+		return std::uniform_int_distribution<int>(low, high)(random);
+	}
+
+	void note(const char *fault)
+	{
+		faults[fault]++;
+	}
+
+	void restart(int host, int signal)
+	{
+		PlatformHost &target = platform.hosts[(size_t)host];
+
+		process_signal(&target.daemon, signal);
+		process_wait(&target.daemon, 10000, nullptr);
+		process_kill(&target.daemon);
+		platform.start_daemon(host);
+	}
+
+	void pause(int host)
+	{
+		process_signal(&platform.hosts[(size_t)host].daemon, SIGSTOP);
+		usleep((useconds_t)draw(100, 1500) * 1000);
+		process_signal(&platform.hosts[(size_t)host].daemon, SIGCONT);
+	}
+
+	void inject()
+	{
+		static const char *const modes[] = { "close",	    "fail",
+						     "shed",	    "no-proof",
+						     "slow&ms=300", "none" };
+		static const char *const outages[] = { "outage",
+						       "outage&hang=1", "lost",
+						       "slow&ms=300", "none" };
+		int host = draw(0, HOSTS - 1);
+
+		switch (draw(0, 7)) {
+		case 0:
+			note("daemon killed");
+			restart(host, SIGKILL);
+			break;
+		case 1:
+			note("daemon stopped as planned");
+			restart(host, SIGTERM);
+			break;
+		case 2:
+			note("daemon paused");
+			pause(host);
+			break;
+		case 3:
+			note("store fault set or ended");
+			platform.store->fault(outages[draw(0, 4)]);
+			break;
+		case 4:
+			note("server fault set or ended");
+			platform.fault(host, modes[draw(0, 5)]);
+			break;
+		case 5:
+			note("zone taken out or back");
+			if (draw(0, 1))
+				platform.put_item("op/evacuate/z1", "{}");
+			else
+				platform.delete_item("op/evacuate/z1");
+			break;
+		case 6:
+			note("entry draining or ready");
+			platform.publish_entry(host, draw(0, 2) ? "ready"
+								: "draining");
+			break;
+		default:
+			note("configuration");
+			platform.publish_config(
+				++version,
+				R"(,["new","mesh.example","/new/",)"
+				R"("idempotent","3s","1s",2,"shop",2])");
+		}
+	}
+
+	void call_loop(int caller)
+	{
+		std::mt19937 own((unsigned)caller);
+
+		for (int n = 0; !stopped; n++) {
+			bool order = own() % 2;
+			int host = (int)(own() % HOSTS);
+			std::string id = "c" + std::to_string(caller) + "-" +
+					 std::to_string(n);
+			CallerAnswer answer =
+				platform.ask_as(id, host,
+						order ? "POST" : "GET",
+						order ? "/orders/1"
+						      : "/stock/1",
+						order ? "x" : "", 1500);
+
+			std::lock_guard<std::mutex> guard(ledger.lock);
+			ledger.sent[id] = { order, answer.status };
+			ledger.by_status[answer.status]++;
+		}
+	}
+
+	/* Ends all faults, so that what the servers ran can be read. */
+	void recover()
+	{
+		platform.store->fault("none");
+		for (int i = 0; i < HOSTS; i++)
+			platform.fault(i, "none");
+	}
+
+	int report()
+	{
+		std::map<std::string, int> runs;
+		Check once = { "an order runs at most once", 0, 0 };
+		Check not_run = { "503 means that it did not run", 0, 0 };
+		Check ran = { "200 means that it ran", 0, 0 };
+		Check back = { "every daemon serves again", HOSTS, 0 };
+		int broken = 0;
+
+		for (int i = 0; i < HOSTS; i++)
+			for (const std::string &id : platform.run_ids(i))
+				runs[id]++;
+		for (const auto &one : ledger.sent) {
+			int nr = runs.count(one.first) ? runs[one.first] : 0;
+
+			if (one.second.order) {
+				once.judged++;
+				once.broken += nr > 1;
+			}
+			if (one.second.status == 503 && one.second.order) {
+				not_run.judged++;
+				not_run.broken += nr > 0;
+			}
+			if (one.second.status == 200) {
+				ran.judged++;
+				ran.broken += nr == 0;
+			}
+		}
+		platform.delete_item("op/evacuate/z1");
+		for (int i = 0; i < HOSTS; i++)
+			platform.publish_entry(i);
+		for (int i = 0; i < HOSTS; i++)
+			back.broken += !eventually([&] {
+				return platform.ask(i, "GET", "/stock/1")
+					       .status == 200;
+			});
+		for (const auto &fault : faults)
+			printf("fault: %s: %d\n", fault.first.c_str(),
+			       fault.second);
+		for (const auto &status : ledger.by_status)
+			printf("answers %d: %d\n", status.first, status.second);
+		for (const Check &check : { once, not_run, ran, back }) {
+			printf("promise: %s: judged %ld, broken %ld%s\n",
+			       check.promise, check.judged, check.broken,
+			       check.judged ? "" : " (judged nothing)");
+			broken += check.broken > 0;
+		}
+		return broken ? 1 : 0;
+	}
+
+	Platform platform;
+	std::mt19937 random;
+	int seconds;
+	int version = 1;
+	std::atomic<bool> stopped{ false };
+	std::map<std::string, int> faults;
+	Ledger ledger;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	unsigned seed;
+
+	if (argc != 3) {
+		fprintf(stderr, "usage: soak SEED SECONDS\n");
+		return 2;
+	}
+	seed = (unsigned)strtoul(argv[1], nullptr, 10);
+	printf("seed %u\n", seed);
+	fflush(stdout);
+	return Soak(seed, atoi(argv[2])).run();
+}
