--- a/lib/mesh/readers.h
+++ b/lib/mesh/readers.h
@@ -35,7 +35,7 @@
 #define READERS_STALE_NS (1300 * NS_PER_MS)
 
 /* A daemon whose newest reading is older does not count as reading. */
-#define READERS_READ_AGE_MAX_MS 2000
+#define READERS_READ_AGE_MAX_MS 1500
 
 /* How often a reading daemon tells so, though nothing changed. */
 #define READERS_TELL_INTERVAL_MS 600
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -434,6 +434,15 @@
 	update(peers, now);
 }
 
+void feed_peers_store_lost(struct feed_peers *peers)
+{
+	int64_t now = clock_monotonic_ns();
+
+	peers->state.read = 0;
+	peers->next_tell = now;
+	update(peers, now);
+}
+
 void feed_peers_tell_crashes(struct feed_peers *peers,
 			     const struct quarantine_entry *entries, size_t nr)
 {
@@ -509,13 +518,14 @@
 	}
 	/* The same news come once; a little later they are new ones. */
 	news = root->ended || now - root->heard >= TELL_INTERVAL_NS / 4 ||
-	       !root->heard;
+	       !root->heard || (root->read && told->read_age_ms < 0);
 	root->ended = false;
 	root->heard = now;
 	root->read =
 		told->read_age_ms < 0 ? 0 : now - told->read_age_ms * NS_PER_MS;
-	if (peer && told->read_age_ms >= 0 &&
-	    told->read_age_ms <= READERS_READ_AGE_MAX_MS)
+	if (peer && told->read_age_ms < 0)
+		peer->reads_at = MIN(peer->reads_at, now - READERS_STALE_NS);
+	else if (peer && told->read_age_ms <= READERS_READ_AGE_MAX_MS)
 		peer->reads_at = now;
 	return news;
 }
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -50,6 +50,9 @@
 /* All that was published before confirmed is known; tells the others. */
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed);
 
+/* The store does not answer this daemon: the next ones take over. */
+void feed_peers_store_lost(struct feed_peers *peers);
+
 /* Tells all daemons at once. */
 void feed_peers_tell_crashes(struct feed_peers *peers,
 			     const struct quarantine_entry *entries, size_t nr);
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -279,8 +279,11 @@
 
 static void on_lost(void *ctx)
 {
-	(void)ctx;
-	log_event(LOG_WARNING, "store_lost", "%s", "");
+	struct mesh_control *control = ctx;
+
+	log_event(LOG_WARNING, "store_lost", "revision=%" PRId64,
+		  feed_revision(control->feed));
+	feed_peers_store_lost(control->peers);
 }
 
 static void on_regained(void *ctx)
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -4,13 +4,18 @@
 #include "relay/store_reader.h"
 
 /* From the start of one watch to that of the next. */
-#define WATCH_INTERVAL_NS (800 * NS_PER_MS)
+#define WATCH_INTERVAL_NS (700 * NS_PER_MS)
 
 /* How long the store may hold a watch when nothing changes. */
-#define WATCH_WAIT_MS 1000
+#define WATCH_WAIT_MS 400
 
-/* A call that is not answered so long beyond its own wait has failed. */
-#define CALL_WAIT_NS (1500 * NS_PER_MS)
+/*
+ * A call that is not answered so long beyond its own wait has failed. After
+ * failures it is waited for longer, since the store may be slow: by so many
+ * times the pause.
+ */
+#define CALL_WAIT_NS (500 * NS_PER_MS)
+#define CALL_WAIT_PAUSES 4
 
 /* Pauses after failed calls, doubled each time. */
 #define RETRY_FIRST_NS (200 * NS_PER_MS)
@@ -213,7 +218,7 @@
 
 static void make_call(struct store_reader *reader, int64_t now)
 {
-	int64_t wait = CALL_WAIT_NS;
+	int64_t wait = CALL_WAIT_NS + CALL_WAIT_PAUSES * reader->retry_wait;
 	GString *head;
 
 	reader->started = now;
