--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -11,15 +11,14 @@
 
 /*
  * A call that is not answered so long beyond its own wait has failed. After
- * failures it is waited for longer, since the store may be slow: by so many
- * times the pause.
+ * failures it is waited for longer by the pause between them, since the store
+ * may be slow. Both stay short, as a call that hangs hides the store's return.
  */
 #define CALL_WAIT_NS (500 * NS_PER_MS)
-#define CALL_WAIT_PAUSES 4
 
 /* Pauses after failed calls, doubled each time. */
 #define RETRY_FIRST_NS (200 * NS_PER_MS)
-#define RETRY_LONGEST_NS (1600 * NS_PER_MS)
+#define RETRY_LONGEST_NS (800 * NS_PER_MS)
 
 #define HEAD_MAX_BYTES 16384
 #define BODY_MAX_BYTES (16 * 1024 * 1024)
@@ -218,7 +217,7 @@
 
 static void make_call(struct store_reader *reader, int64_t now)
 {
-	int64_t wait = CALL_WAIT_NS + CALL_WAIT_PAUSES * reader->retry_wait;
+	int64_t wait = CALL_WAIT_NS + reader->retry_wait;
 	GString *head;
 
 	reader->started = now;
