--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -298,8 +298,3 @@
 {
 	return client->idle_since;
 }
-
-bool http_client_was_connected(const struct http_client *client)
-{
-	return client->connected;
-}
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -69,7 +69,4 @@
 /* When the connection became idle. */
 int64_t http_client_idle_since(const struct http_client *client);
 
-/* The connection has been established, now or earlier. */
-bool http_client_was_connected(const struct http_client *client);
-
 #endif
--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -29,8 +29,7 @@
 	/* Factor and number by which a cold server's rate may be exceeded. */
 	double cold_overage;
 	int cold_slack;
-	int64_t stop_grace_ms;	/* from SIGTERM to SIGKILL */
-	int64_t drain_bound_ms; /* new work may reach a leaving server */
+	int64_t stop_grace_ms; /* from SIGTERM to SIGKILL */
 };
 
 void mesh_host_free(struct mesh_host *host);
--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -204,19 +204,6 @@
 	       !g_hash_table_contains(view->zones_out, target->zone);
 }
 
-const struct mesh_target *mesh_view_find(const struct mesh_view *view,
-					 const char *id)
-{
-	for (guint i = 0; i < view->targets->len; i++) {
-		const struct mesh_target *target =
-			g_ptr_array_index(view->targets, i);
-
-		if (!strcmp(target->id, id))
-			return target;
-	}
-	return NULL;
-}
-
 /* Whether a is to be preferred as the present server of an address. */
 static bool is_newer(const struct mesh_target *a, const struct mesh_target *b)
 {
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -120,10 +120,6 @@
 bool mesh_view_in_service(const struct mesh_view *view,
 			  const struct mesh_target *target);
 
-/* The target with an id, or NULL. */
-const struct mesh_target *mesh_view_find(const struct mesh_view *view,
-					 const char *id);
-
 /* The latest started target at an address, or NULL. */
 const struct mesh_target *mesh_view_at_address(const struct mesh_view *view,
 					       const char *address,
--- /dev/null
+++ b/relay/feed_push.c
@@ -0,0 +1,313 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/pack.h"
+#include "mesh/spread.h"
+#include "relay/feed_internal.h"
+
+/* A push that is not answered so long ends the connection. */
+#define PUSH_WAIT_NS (1500 * NS_PER_MS)
+
+/* Values from this length on are packed; configurations are most of them. */
+#define PACK_FROM_BYTES 1024
+
+/* After a failed push the next one waits this long. */
+#define PUSH_RETRY_NS (300 * NS_PER_MS)
+
+struct batch {
+	struct feed_peers *peers;
+	struct feed_push push;
+	GArray *entries; /* struct feed_entry */
+	int64_t now;
+};
+
+static GBytes *packed_value(struct feed_peers *peers, GBytes *value)
+{
+	if (g_bytes_get_size(value) < PACK_FROM_BYTES)
+		return NULL;
+	if (peers->plain == value)
+		return peers->packed;
+	g_clear_pointer(&peers->plain, g_bytes_unref);
+	g_clear_pointer(&peers->packed, g_bytes_unref);
+	peers->plain = g_bytes_ref(value);
+	peers->packed = pack_bytes(value);
+	return peers->packed;
+}
+
+static void set_value(struct batch *batch, struct feed_entry *entry,
+		      GBytes *value)
+{
+	GBytes *packed = packed_value(batch->peers, value);
+	gsize len;
+
+	entry->plain_bytes = packed ? (u_int)g_bytes_get_size(value) : 0;
+	entry->value.value_val =
+		(char *)g_bytes_get_data(packed ? packed : value, &len);
+	entry->value.value_len = (u_int)len;
+}
+
+/* The strings and bytes of an entry are borrowed from the item. */
+static void add_entry(const struct feed_item *item, void *ctx)
+{
+	struct batch *batch = ctx;
+	struct feed_entry entry = {
+		.key = item->key,
+		.revision = item->revision,
+		.deleted =
+			!item->value || item->delete_deadline != DEADLINE_NEVER,
+	};
+
+	if (batch->entries->len == FEED_ITEMS_MAX)
+		return;
+	if (entry.deleted && item->value)
+		entry.hold_ms =
+			MAX(0, item->delete_deadline - batch->now) / NS_PER_MS;
+	if (!entry.deleted)
+		set_value(batch, &entry, item->value);
+	g_array_append_val(batch->entries, entry);
+}
+
+/* Roots. */
+
+bool feed_is_own(const struct feed_peers *peers, const char *ip)
+{
+	return !strcmp(ip, peers->options.host->ip);
+}
+
+int feed_root_place(struct feed_peers *peers, const char *ip)
+{
+	int oldest = 0;
+
+	for (int i = 0; i < FEED_ROOTS_MAX; i++) {
+		struct root *root = &peers->roots[i];
+
+		if (root->ip && !strcmp(root->ip, ip))
+			return i;
+		if (root->heard < peers->roots[oldest].heard)
+			oldest = i;
+	}
+	g_free(peers->roots[oldest].ip);
+	peers->roots[oldest] = (struct root){ .ip = g_strdup(ip) };
+	return oldest;
+}
+
+struct marking {
+	struct feed_peers *peers;
+	uint32_t bit;
+	int64_t now;
+};
+
+static void mark_peer(struct peer *peer, uint32_t bit, int64_t now)
+{
+	peer->due |= bit;
+	if (!peer->failed)
+		peer->next_push = now;
+}
+
+static void mark_member(struct spread_member *member, void *ctx)
+{
+	struct marking *marking = ctx;
+
+	if (member->ctx)
+		mark_peer(member->ctx, marking->bit, marking->now);
+}
+
+static void add_member(GArray *members, const char *ip, const char *zone,
+		       struct peer *peer)
+{
+	struct spread_member member = {
+		.ip = ip,
+		.zone = zone,
+		.failed = peer && peer->failed,
+		.ctx = peer,
+	};
+
+	g_array_append_val(members, member);
+}
+
+void feed_mark_root(struct feed_peers *peers, int place, int64_t now)
+{
+	const struct mesh_host *host = peers->options.host;
+	g_autoptr(GArray) members =
+		g_array_new(FALSE, FALSE, sizeof(struct spread_member));
+	struct marking marking = { peers, 1u << place, now };
+	bool is_root = feed_is_own(peers, peers->roots[place].ip);
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->named)
+			add_member(members, peer->ip, peer->zone, peer);
+		else if (is_root)
+			/* Its server has left, so it has no place. */
+			mark_peer(peer, marking.bit, now);
+	}
+	if (peers->own_named || is_root)
+		add_member(members, host->ip, host->zone, NULL);
+	spread_targets((struct spread_member *)members->data, members->len,
+		       host->ip, peers->roots[place].ip, mark_member, &marking);
+}
+
+void feed_mark_own(struct feed_peers *peers, int64_t now)
+{
+	int place = feed_root_place(peers, peers->options.host->ip);
+
+	peers->roots[place].read = peers->state.read;
+	peers->roots[place].heard = now;
+	peers->next_tell = now + TELL_INTERVAL_NS;
+	feed_mark_root(peers, place, now);
+}
+
+/* A push failed: those below the peer are told from here. */
+static void mark_failed(struct peer *peer, int64_t now)
+{
+	bool is_new = !peer->failed;
+
+	peer->failed = true;
+	peer->acked = 0;
+	peer->due |= peer->sent;
+	peer->next_push = now + PUSH_RETRY_NS;
+	for (int i = 0; is_new && i < FEED_ROOTS_MAX; i++)
+		if (peer->sent & (1u << i))
+			feed_mark_root(peer->peers, i, now);
+}
+
+/* Pushes. */
+
+static void on_pushed(struct rpc_call *call, enum rpc_status status, XDR *xdr)
+{
+	struct peer *peer = caa_container_of(call, struct peer, call);
+	struct feed_peers *peers = peer->peers;
+	int64_t now = clock_monotonic_ns();
+	struct feed_reply reply;
+
+	peer->calling = false;
+	if (status == RPC_DONE && xdr_feed_reply(xdr, &reply)) {
+		/* A daemon that restarted may know less than before. */
+		peer->acked = reply.revision;
+		peer->failed = false;
+		if (peer->acked < peer->sent_to) {
+			peer->due |= peer->sent;
+			peer->next_push = now + PUSH_RETRY_NS;
+		}
+	} else {
+		mark_failed(peer, now);
+	}
+	feed_update(peers, now);
+}
+
+static bool connect_peer(struct peer *peer)
+{
+	struct rpc_options options = {
+		.loop = peer->peers->options.loop,
+		.record_max = FEED_RECORD_MAX,
+		.output_max = FEED_OUTPUT_MAX,
+	};
+
+	if (peer->conn && !rpc_conn_closed(peer->conn))
+		return true;
+	if (peer->conn)
+		rpc_conn_unref(peer->conn);
+	peer->conn = rpc_connect(&options, &peer->address, NULL);
+	return peer->conn != NULL;
+}
+
+/* Fills in the roots that the peer is to be told of; their strings stay. */
+static u_int fill_roots(const struct peer *peer, struct feed_root *told,
+			int64_t now)
+{
+	const struct feed_peers *peers = peer->peers;
+	u_int nr = 0;
+
+	for (int i = 0; i < FEED_ROOTS_MAX; i++) {
+		const struct root *root = &peers->roots[i];
+
+		if (!(peer->due & (1u << i)))
+			continue;
+		told[nr].ip = root->ip;
+		told[nr].read_age_ms = FEED_NOT_READ;
+		if (root->ended)
+			told[nr].read_age_ms = FEED_ENDED;
+		else if (root->read)
+			told[nr].read_age_ms = (now - root->read) / NS_PER_MS;
+		nr++;
+	}
+	return nr;
+}
+
+static void send_push(struct peer *peer, struct batch *batch)
+{
+	struct feed_peers *peers = peer->peers;
+	struct feed_push *push = &batch->push;
+	struct feed_root roots[FEED_ROOTS_MAX];
+
+	push->ip = peers->options.host->ip;
+	push->from = peer->acked;
+	push->to = feed_revision(peers->options.feed);
+	push->roots.roots_val = roots;
+	push->roots.roots_len = fill_roots(peer, roots, batch->now);
+	push->entries.entries_len = batch->entries->len;
+	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
+	peer->calling = true;
+	peer->sent_to = push->to;
+	peer->sent = peer->due;
+	peer->due = 0;
+	peer->next_push = DEADLINE_NEVER;
+	peer->call.done = on_pushed;
+	peer->call.deadline = batch->now + PUSH_WAIT_NS;
+	rpc_call_start(peer->conn, &peer->call, FEED_PROGRAM, FEED_VERSION,
+		       FEED_PUSH, (xdrproc_t)xdr_feed_push, push);
+}
+
+void feed_push_to(struct peer *peer, const struct quarantine_entry *crashes,
+		  size_t nr, int64_t now)
+{
+	struct peer_crash told[PEER_CRASHES_MAX];
+	struct batch batch = { .peers = peer->peers, .now = now };
+
+	if (peer->calling || !connect_peer(peer))
+		return;
+	batch.entries = g_array_new(FALSE, TRUE, sizeof(struct feed_entry));
+	if (peer->acked < feed_revision(peer->peers->options.feed))
+		feed_each_after(peer->peers->options.feed, peer->acked,
+				add_entry, &batch);
+	for (size_t i = 0; i < MIN(nr, PEER_CRASHES_MAX); i++) {
+		told[i].fingerprint = crashes[i].fingerprint;
+		told[i].origin = crashes[i].origin;
+		told[i].count = crashes[i].count;
+		told[i].cleared = crashes[i].cleared;
+		told[i].left_ms = crashes[i].left_ms;
+	}
+	batch.push.crashes.crashes_len = (u_int)MIN(nr, PEER_CRASHES_MAX);
+	batch.push.crashes.crashes_val = told;
+	send_push(peer, &batch);
+	g_array_unref(batch.entries);
+}
+
+/* A connection whose push was never answered is given up. */
+static void check_call(struct peer *peer, int64_t now)
+{
+	if (!peer->calling || now < peer->call.deadline)
+		return;
+	rpc_forget(peer->conn, &peer->call);
+	rpc_conn_close(peer->conn);
+	rpc_conn_unref(peer->conn);
+	peer->conn = NULL;
+	peer->calling = false;
+	mark_failed(peer, now);
+}
+
+void feed_push_due(struct feed_peers *peers, int64_t now)
+{
+	struct peer *peer;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		check_call(peer, now);
+		if (peer->next_push <= now)
+			feed_push_to(peer, NULL, 0, now);
+	}
+}
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -40,9 +40,8 @@
 	struct timer expiry_timer;
 	int64_t built_at;
 	int64_t lapse_deadline; /* deletions before it are held until then */
-	int64_t regained_at;
-	pthread_mutex_t lock; /* guards crashes and dump */
-	GArray *crashes;      /* struct quarantine_entry to tell */
+	pthread_mutex_t lock;	/* guards crashes and dump */
+	GArray *crashes;	/* struct quarantine_entry to tell */
 	char *dump;
 };
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -266,16 +266,4 @@
 	unlink(path.c_str());
 }
 
-TEST(PlatformHeaders, LoadIsDecoded)
-{
-	int running, waiting, slots;
-
-	EXPECT_TRUE(platform_parse_load("3,0,8", &running, &waiting, &slots));
-	EXPECT_EQ(slots, 8);
-	for (const char *text : { "", "3,0", "a,b,c", "-1,0,8", "1,0,0" })
-		EXPECT_FALSE(
-			platform_parse_load(text, &running, &waiting, &slots))
-			<< text;
-}
-
 } // namespace
