Advance the revision only at the end of a complete reading

The items of the reading already advanced the revision and were pushed; the peers confirmed it, so the deletions, which bear that revision, were never sent to them. Ruled out: load (both readers acted at once).

--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -252,8 +252,9 @@
 			take_delete(control, change->key, change->revision,
 				    delete_deadline(control, change->key));
 	}
-	if (!feed_revision(control->feed))
-		return; /* the first reading is not complete yet */
+	/* Others would take the revision as known before the deletions. */
+	if (!confirmed)
+		return;
 	feed_advance(control->feed, page->revision);
 	feed_peers_confirmed(control->peers, confirmed);
 }
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -109,7 +109,7 @@
 		reader->range_revision = page->revision;
 		reader->range_started = reader->started;
 	}
-	ops->changes(reader->options.ctx, page, reader->range_started);
+	ops->changes(reader->options.ctx, page, 0);
 	for (guint i = 0; i < page->changes->len; i++) {
 		struct platform_change *change =
 			g_ptr_array_index(page->changes, i);
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -16,8 +16,9 @@
 
 struct store_reader_ops {
 	/*
-	 * Changes, or items of a complete reading, up to page->revision. With
-	 * them nothing that was published before confirmed is missing.
+	 * Changes up to page->revision; with them nothing that was published
+	 * before confirmed is missing. Items of a complete reading come with 0,
+	 * since what it lacks is known only at its end.
 	 */
 	void (*changes)(void *ctx, const struct platform_page *page,
 			int64_t confirmed);
