--- a/lib/base/findings.c
+++ b/lib/base/findings.c
@@ -24,15 +24,17 @@
 	findings_init(findings);
 }
 
+/* A text may quote input that is no UTF-8, which JSON could not carry. */
 static struct finding *append(struct findings *findings,
 			      enum finding_severity severity, const char *file,
 			      const char *fmt, va_list args)
 {
 	struct finding *finding = g_new0(struct finding, 1);
+	g_autofree char *message = g_strdup_vprintf(fmt, args);
 
 	finding->severity = severity;
 	finding->file = g_strdup(file ? file : "-");
-	finding->message = g_strdup_vprintf(fmt, args);
+	finding->message = g_utf8_make_valid(message, -1);
 	cds_list_add_tail(&finding->node, &findings->list);
 	if (severity == FINDING_ERROR)
 		findings->nr_errors++;
--- a/tests/base/test_base.cc
+++ b/tests/base/test_base.cc
@@ -94,6 +94,20 @@
 	EXPECT_EQ(f.nr_errors, 0u);
 }
 
+/* Guards against findings that quote bytes which JSON cannot carry. */
+TEST(Findings, ShowsBytesThatAreNoUtf8)
+{
+	struct findings f;
+	json_t *json;
+
+	findings_init(&f);
+	findings_add_at(&f, "manifest", 1, 9, "near '%s'", "[servic\\\xcd\x8c\x02");
+	json = findings_to_json(&f);
+	EXPECT_EQ(json_array_size(json), 1u);
+	json_decref(json);
+	findings_release(&f);
+}
+
 /* Guards against log values that break the key=value form of a line. */
 TEST(Log, QuotesValuesThatNeedIt)
 {
