Pace long answers at the rate of the host's link

Cause: on the grown sites hosts have links of 15 and 39 Mbit/s, and those beside the catalogue and the documents send answers of 90 to 540 KB. Change: net/pacer hands long output to the sockets in slices of 8 ms at 90% of the link, the one with the least left first; long answers have a connection of their own; a request for one is admitted only if it can also leave the host in time; at most 4 MB wait for one daemon.

--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -29,7 +29,8 @@
 	/* Factor and number by which a cold server's rate may be exceeded. */
 	double cold_overage;
 	int cold_slack;
-	int64_t stop_grace_ms; /* from SIGTERM to SIGKILL */
+	double link_bytes_per_s; /* of the host's own link; 0: not known */
+	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
 };
 
 void mesh_host_free(struct mesh_host *host);
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -16,6 +16,12 @@
 /* The kept input buffer shrinks to this size after a large record. */
 #define INPUT_KEEP_BYTES 65536
 
+/* Output from this length on is paced. */
+#define PACED_LEAST_BYTES 16384
+
+/* Bytes that were sent are dropped from the front in steps of this size. */
+#define OUTPUT_DROP_BYTES 65536
+
 struct net_conn {
 	struct net_source source; /* first: callbacks cast back */
 	struct net_conn_options options;
@@ -23,6 +29,7 @@
 	pthread_mutex_t lock; /* guards output, connecting and closed */
 	GByteArray *output;
 	size_t output_sent;
+	struct net_paced paced; /* loop's thread only */
 	bool connecting;
 	bool closed;
 	int64_t last_read; /* atomic */
@@ -30,6 +37,7 @@
 };
 
 static void on_ready(struct net_source *source, uint32_t events);
+static size_t write_paced(struct net_paced *paced, size_t bytes_max);
 
 struct net_conn *net_conn_new(const struct net_conn_options *options)
 {
@@ -39,6 +47,7 @@
 	conn->options = *options;
 	conn->source.fd = options->fd;
 	conn->source.ready = on_ready;
+	conn->paced.write = write_paced;
 	conn->refs = 2; /* the caller's and the loop's */
 	conn->connecting = options->connecting;
 	conn->output = g_byte_array_new();
@@ -106,6 +115,8 @@
 	if (was_closed)
 		return;
 	net_loop_remove(conn->options.loop, &conn->source);
+	if (conn->options.pacer)
+		net_pacer_remove(conn->options.pacer, &conn->paced);
 	shutdown(conn->source.fd, SHUT_RDWR);
 	conn->options.ops->on_closed(conn, reason);
 	net_loop_defer(conn->options.loop, drop_loop_reference, conn);
@@ -150,11 +161,46 @@
 		counter_add(&conn->options.traffic->bytes_sent, bytes);
 }
 
+/* Short output takes the link from what is paced. */
+static void count_unpaced(struct net_conn *conn, size_t bytes)
+{
+	count_sent(conn, bytes);
+	if (conn->options.pacer)
+		net_pacer_charge(conn->options.pacer, bytes,
+				 clock_monotonic_ns());
+}
+
 static size_t waiting_bytes(const struct net_conn *conn)
 {
 	return conn->output->len - conn->output_sent;
 }
 
+static bool is_paced(const struct net_conn *conn, size_t waiting)
+{
+	return conn->options.pacer && waiting >= PACED_LEAST_BYTES;
+}
+
+static void wait_for_turn(struct net_conn *conn)
+{
+	conn->paced.left = waiting_bytes(conn);
+	net_pacer_add(conn->options.pacer, &conn->paced, clock_monotonic_ns());
+}
+
+/* Notes that bytes of the output were sent. */
+static void drop_sent(struct net_conn *conn, size_t bytes)
+{
+	conn->output_sent += bytes;
+	count_sent(conn, bytes);
+	if (!waiting_bytes(conn)) {
+		g_byte_array_set_size(conn->output, 0);
+		conn->output_sent = 0;
+	} else if (conn->output_sent >= OUTPUT_DROP_BYTES) {
+		g_byte_array_remove_range(conn->output, 0,
+					  (guint)conn->output_sent);
+		conn->output_sent = 0;
+	}
+}
+
 bool net_conn_send(struct net_conn *conn, const void *data, size_t len)
 {
 	ssize_t sent = 0;
@@ -162,9 +208,10 @@
 
 	pthread_mutex_lock(&conn->lock);
 	if (conn->closed ||
-	    waiting_bytes(conn) + len > conn->options.output_max)
+	    (waiting_bytes(conn) &&
+	     waiting_bytes(conn) + len > conn->options.output_max))
 		goto out;
-	if (!conn->connecting && !waiting_bytes(conn))
+	if (!conn->connecting && !waiting_bytes(conn) && !is_paced(conn, len))
 		sent = write_some(conn->source.fd, data, len);
 	/*
 	 * A broken socket may have taken a part of the record, so the outcome
@@ -174,12 +221,15 @@
 	if (conn->options.traffic)
 		counter_add(&conn->options.traffic->records_sent, 1);
 	if (sent > 0)
-		count_sent(conn, (size_t)sent);
+		count_unpaced(conn, (size_t)sent);
 	if (sent >= 0 && (size_t)sent < len) {
 		g_byte_array_append(conn->output, (const guint8 *)data + sent,
 				    (guint)(len - (size_t)sent));
-		net_loop_modify(conn->options.loop, &conn->source,
-				EPOLLIN | EPOLLOUT);
+		if (!conn->connecting && is_paced(conn, waiting_bytes(conn)))
+			wait_for_turn(conn);
+		else if (!conn->paced.waiting)
+			net_loop_modify(conn->options.loop, &conn->source,
+					EPOLLIN | EPOLLOUT);
 	}
 out:
 	pthread_mutex_unlock(&conn->lock);
@@ -191,25 +241,48 @@
 /* Sends what waits. Returns false when the socket is broken. */
 static bool flush_output(struct net_conn *conn)
 {
-	ssize_t sent;
+	ssize_t sent = 0;
 
 	pthread_mutex_lock(&conn->lock);
+	if (is_paced(conn, waiting_bytes(conn))) {
+		wait_for_turn(conn);
+		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
+		goto out;
+	}
 	sent = write_some(conn->source.fd,
 			  conn->output->data + conn->output_sent,
 			  waiting_bytes(conn));
-	if (sent >= 0) {
-		conn->output_sent += (size_t)sent;
-		count_sent(conn, (size_t)sent);
-	}
-	if (sent >= 0 && !waiting_bytes(conn)) {
-		g_byte_array_set_size(conn->output, 0);
-		conn->output_sent = 0;
+	if (sent >= 0)
+		drop_sent(conn, (size_t)sent);
+	if (sent >= 0 && !waiting_bytes(conn))
 		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
-	}
+out:
 	pthread_mutex_unlock(&conn->lock);
 	return sent >= 0;
 }
 
+/* The turn of this connection: a slice of its output. */
+static size_t write_paced(struct net_paced *paced, size_t bytes_max)
+{
+	struct net_conn *conn = caa_container_of(paced, struct net_conn, paced);
+	ssize_t sent;
+
+	pthread_mutex_lock(&conn->lock);
+	bytes_max = MIN(bytes_max, waiting_bytes(conn));
+	sent = write_some(conn->source.fd,
+			  conn->output->data + conn->output_sent, bytes_max);
+	if (sent > 0)
+		drop_sent(conn, (size_t)sent);
+	if (sent >= 0 && (size_t)sent < bytes_max)
+		net_loop_modify(conn->options.loop, &conn->source,
+				EPOLLIN | EPOLLOUT);
+	paced->left = waiting_bytes(conn);
+	pthread_mutex_unlock(&conn->lock);
+	if (sent < 0)
+		net_conn_close(conn);
+	return sent < 0 ? 0 : (size_t)sent;
+}
+
 /* Finishes a connection attempt. Returns false when it failed. */
 static bool finish_connect(struct net_conn *conn)
 {
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "net/address.h"
 #include "net/loop.h"
+#include "net/pacer.h"
 
 /*
  * A TCP connection that carries records. Reading happens on the loop's thread;
@@ -38,8 +39,14 @@
 	int fd; /* connected or connecting; owned by the connection */
 	bool connecting;
 	size_t record_max; /* longer records close the connection */
-	size_t output_max; /* sends beyond so many waiting bytes fail */
+	/* Sends beyond so many waiting bytes fail, unless none wait. */
+	size_t output_max;
 	struct net_traffic *traffic; /* borrowed; NULL: not counted */
+	/*
+	 * Paces long output; borrowed, NULL: written at once. Only the loop's
+	 * thread may send on such a connection.
+	 */
+	struct net_pacer *pacer;
 	const struct net_conn_ops *ops;
 	void *ctx;
 	void (*free_ctx)(void *ctx); /* called with the last reference */
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -55,6 +55,7 @@
 	size_t record_max;
 	size_t output_max;
 	struct net_traffic *traffic;	   /* borrowed; NULL: not counted */
+	struct net_pacer *pacer;	   /* see struct net_conn_options */
 	const struct rpc_service *service; /* NULL: calls are refused */
 };
 
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -133,7 +133,8 @@
 
 /*
  * fields are the header lines that are passed on. Within objective_left_ms the
- * answer is worth most; it may have passed.
+ * answer is worth most; it may have passed. answer_bytes is the usual length of
+ * the route's answers.
  */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
@@ -148,6 +149,7 @@
 	int priority;
 	bool at_most_once;
 	unsigned hyper fingerprint;
+	int answer_bytes;
 	opaque body<PEER_BODY_MAX>;
 };
 
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -284,6 +284,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->answer_bytes))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 		 return FALSE;
 	return TRUE;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -163,6 +163,7 @@
 	int priority;
 	bool_t at_most_once;
 	u_quad_t fingerprint;
+	int answer_bytes;
 	struct {
 		u_int body_len;
 		char *body_val;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -36,6 +36,7 @@
 	struct cds_list_head running;
 	char *backend_id; /* of the registered server; NULL: none */
 	int nr_jobs;
+	size_t long_bytes; /* of the answers that its jobs will have */
 	int slots;
 	bool in_service;
 	bool draining;
@@ -63,10 +64,30 @@
 		answer->flags |= TRAFFIC_DRAINING;
 }
 
+/* The usual length of the answer, when it is long. */
+static size_t long_answer_bytes(const struct relay_job *job)
+{
+	return job->request.answer_bytes >= RELAY_LONG_ANSWER_BYTES
+		       ? (size_t)job->request.answer_bytes
+		       : 0;
+}
+
+static void note_job(struct backend_side *side, const struct relay_job *job)
+{
+	side->nr_jobs++;
+	side->long_bytes += long_answer_bytes(job);
+}
+
+static void forget_job(struct backend_side *side, const struct relay_job *job)
+{
+	side->nr_jobs--;
+	side->long_bytes -= long_answer_bytes(job);
+}
+
 static void finish_job(struct backend_side *side, struct relay_job *job,
 		       struct relay_answer *answer)
 {
-	side->nr_jobs--;
+	forget_job(side, job);
 	fill_load(side, answer);
 	if (!answer->fields)
 		answer->fields = strdup("");
@@ -358,14 +379,31 @@
 	return blocked_reason(side);
 }
 
+/*
+ * How long a long answer takes to leave the host behind those that wait for the
+ * link or are being made; it must be made so much earlier. Short ones are not
+ * held up.
+ */
+static int64_t send_time(const struct backend_side *side,
+			 const struct relay_job *job)
+{
+	const struct net_pacer *pacer = side->context->pacer;
+
+	if (!pacer || !long_answer_bytes(job))
+		return 0;
+	return net_pacer_time(pacer,
+			      net_pacer_backlog(pacer) + side->long_bytes);
+}
+
 void backend_side_submit(struct backend_side *side, struct relay_job *job)
 {
 	int64_t now = clock_monotonic_ns();
 	struct admit_request *displaced = NULL;
 	enum failure_reason reason;
 	enum admit_verdict verdict;
+	int64_t send_ns;
 
-	side->nr_jobs++;
+	note_job(side, job);
 	job->conn = NULL;
 	job->deadline = now + job->request.time_left_ms * NS_PER_MS;
 	memset(&job->admit, 0, sizeof(job->admit));
@@ -374,8 +412,10 @@
 		(enum admit_priority)CLAMP(job->request.priority, 0,
 					   ADMIT_NR_PRIORITIES - 1);
 	job->admit.caller = hash_string(job->request.caller_service);
-	job->admit.deadline = job->deadline;
-	job->admit.objective = now + job->request.objective_left_ms * NS_PER_MS;
+	send_ns = send_time(side, job);
+	job->admit.deadline = job->deadline - send_ns;
+	job->admit.objective =
+		now + job->request.objective_left_ms * NS_PER_MS - send_ns;
 	reason = arrival_reason(side, job, now);
 	if (reason != FAILURE_NONE) {
 		refuse(side, job, reason);
@@ -403,7 +443,7 @@
 		end_run(side, job, FAILURE_CANCELLED);
 		backend_pool_cancel(side->pool, conn);
 	}
-	side->nr_jobs--;
+	forget_job(side, job);
 	start_next(side);
 }
 
--- a/relay/call.c
+++ b/relay/call.c
@@ -16,9 +16,8 @@
  */
 #define HEDGE_PERCENT 100
 
-/* Answers from this length on are taken from near by, if at all possible. */
-#define LARGE_ANSWER_BYTES 16384
-#define LARGE_ANSWER_OVERFLOW_PERCENT 200
+/* Long answers are taken from near by, if at all possible. */
+#define LONG_ANSWER_OVERFLOW_PERCENT 200
 
 /* One sending of a request to a backend server's daemon. */
 struct attempt {
@@ -100,6 +99,7 @@
 	request->priority = call_priority(call);
 	request->at_most_once = call->route->at_most_once;
 	request->fingerprint = call->fingerprint;
+	request->answer_bytes = (int)MIN(call->state->answer_bytes, G_MAXINT);
 	request->body.body_len = message->body->len;
 	request->body.body_val = (char *)message->body->data;
 }
@@ -225,6 +225,13 @@
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
+static enum peer_lane lane_of(const struct call *call)
+{
+	return call->state->answer_bytes >= RELAY_LONG_ANSWER_BYTES
+		       ? PEER_LANE_LONG
+		       : PEER_LANE_SHORT;
+}
+
 static void start_attempt(struct call *call,
 			  const struct balance_choice *choice)
 {
@@ -248,8 +255,8 @@
 		attempt->job.request = request;
 		backend_side_submit(side->backend_side, &attempt->job);
 	} else {
-		peers_send(side->peers, choice->traffic, &request,
-			   &attempt->peer);
+		peers_send(side->peers, choice->traffic, lane_of(call),
+			   &request, &attempt->peer);
 	}
 }
 
@@ -266,8 +273,8 @@
 	};
 	struct balance_choice choice;
 
-	if (call->state->answer_bytes >= LARGE_ANSWER_BYTES)
-		request.overflow_percent = LARGE_ANSWER_OVERFLOW_PERCENT;
+	if (lane_of(call) == PEER_LANE_LONG)
+		request.overflow_percent = LONG_ANSWER_OVERFLOW_PERCENT;
 	if (call->nr_excluded == BALANCE_EXCLUDED_MAX ||
 	    !balance_pick(side->balance, &request, now, &choice) ||
 	    !balance_start(side->balance, choice.target, now))
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -146,6 +146,9 @@
 	histogram_observe(&side->added_time,
 			  (uint64_t)MAX(total_us - answer->service_us, 0));
 	http_server_reply(call->conn, &reply);
+	if (side->context->pacer)
+		net_pacer_charge(side->context->pacer, answer->body.body_len,
+				 clock_monotonic_ns());
 }
 
 void call_end(struct call *call, enum failure_reason reason,
--- a/relay/job.h
+++ b/relay/job.h
@@ -4,6 +4,9 @@
 #include "admit/admit.h"
 #include "wire/wire.h"
 
+/* Answers from this length on take the link of a host for long. */
+#define RELAY_LONG_ANSWER_BYTES 16384
+
 struct backend_conn;
 struct backend_side;
 
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -4,18 +4,26 @@
 #include "base/log.h"
 #include "relay/peers.h"
 
-#define OUTPUT_MAX (64 * 1024 * 1024)
+/*
+ * Answers that wait for a daemon which does not read them. One answer may be
+ * longer; beyond it the connection is closed, so that memory stays bounded.
+ */
+#define OUTPUT_MAX (4 * 1024 * 1024)
 
 /* After a failed connection the next attempt waits this long. */
 #define RECONNECT_NS (100 * NS_PER_MS)
 
 /*
  * While requests are out and nothing has come for PING_AFTER_NS, the other
- * daemon is asked for a sign of life; without one within PING_WAIT_NS the
- * connection is given up.
+ * daemon is asked for a sign of life; without one within the lane's wait the
+ * connection is given up. Long answers may wait for their turn at the other
+ * daemon's link.
  */
 #define PING_AFTER_NS (300 * NS_PER_MS)
-#define PING_WAIT_NS (900 * NS_PER_MS)
+static const int64_t ping_wait_ns[PEER_NR_LANES] = {
+	[PEER_LANE_SHORT] = 900 * NS_PER_MS,
+	[PEER_LANE_LONG] = 2500 * NS_PER_MS,
+};
 
 /* A request of another daemon. */
 struct remote_job {
@@ -28,6 +36,7 @@
 /* The connection to another daemon. */
 struct peer_link {
 	char *address;
+	enum peer_lane lane;
 	struct peers *peers;
 	struct rpc_conn *conn; /* NULL: none */
 	int64_t retry_deadline;
@@ -44,8 +53,8 @@
 	struct backend_side *backend_side;
 	struct rpc_service service;
 	struct rpc_listener *listener;
-	GHashTable *links; /* address -> struct peer_link */
-	GHashTable *jobs;  /* set of struct remote_job */
+	GHashTable *links[PEER_NR_LANES]; /* address -> struct peer_link */
+	GHashTable *jobs;		  /* set of struct remote_job */
 };
 
 /* Requests of this daemon. */
@@ -89,9 +98,10 @@
 	struct peer_link *link =
 		caa_container_of(timer, struct peer_link, timer);
 	int64_t heard = last_heard(link);
+	int64_t wait = ping_wait_ns[link->lane];
 
 	/* The answer to the ping may wait behind a long one. */
-	if (link->ping_out && now - MAX(heard, link->ping_at) >= PING_WAIT_NS) {
+	if (link->ping_out && now - MAX(heard, link->ping_at) >= wait) {
 		give_up(link);
 		return;
 	}
@@ -100,7 +110,7 @@
 	if (!link->ping_out && now - heard >= PING_AFTER_NS)
 		send_ping(link, now);
 	timers_set(link->peers->context->timers, &link->timer,
-		   link->ping_out ? MAX(heard, link->ping_at) + PING_WAIT_NS
+		   link->ping_out ? MAX(heard, link->ping_at) + wait
 				  : heard + PING_AFTER_NS);
 }
 
@@ -128,17 +138,20 @@
 		       RELAY_PING, (xdrproc_t)xdr_relay_ping, &ping);
 }
 
-static struct peer_link *find_link(struct peers *peers, const char *address)
+static struct peer_link *find_link(struct peers *peers, const char *address,
+				   enum peer_lane lane)
 {
-	struct peer_link *link = g_hash_table_lookup(peers->links, address);
+	struct peer_link *link =
+		g_hash_table_lookup(peers->links[lane], address);
 
 	if (link)
 		return link;
 	link = g_new0(struct peer_link, 1);
 	link->address = g_strdup(address);
+	link->lane = lane;
 	link->peers = peers;
 	link->timer.fire = on_link_timer;
-	g_hash_table_insert(peers->links, link->address, link);
+	g_hash_table_insert(peers->links[lane], link->address, link);
 	return link;
 }
 
@@ -148,6 +161,7 @@
 		.loop = link->peers->context->loop,
 		.record_max = WIRE_TRAFFIC_RECORD_MAX,
 		.output_max = OUTPUT_MAX,
+		.pacer = link->peers->context->pacer,
 	};
 	int64_t now = clock_monotonic_ns();
 	struct net_address address;
@@ -183,10 +197,10 @@
 	call->done(call, status, status == RPC_DONE ? &answer : NULL);
 }
 
-void peers_send(struct peers *peers, const char *address,
+void peers_send(struct peers *peers, const char *address, enum peer_lane lane,
 		struct relay_request *request, struct peer_call *call)
 {
-	struct peer_link *link = find_link(peers, address);
+	struct peer_link *link = find_link(peers, address, lane);
 
 	call->link = link;
 	call->ended = false;
@@ -245,8 +259,10 @@
 {
 	struct remote_job *remote = (struct remote_job *)job;
 
-	rpc_reply(remote->conn, remote->xid, (xdrproc_t)xdr_relay_answer,
-		  answer);
+	/* The sender of the request learns of the loss by the end. */
+	if (!rpc_reply(remote->conn, remote->xid, (xdrproc_t)xdr_relay_answer,
+		       answer))
+		rpc_conn_close(remote->conn);
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 	free_remote(remote);
 }
@@ -356,12 +372,14 @@
 		.loop = context->loop,
 		.record_max = WIRE_TRAFFIC_RECORD_MAX,
 		.output_max = OUTPUT_MAX,
+		.pacer = context->pacer,
 		.service = &peers->service,
 	};
 
 	peers->context = context;
 	peers->backend_side = backend_side;
-	peers->links = g_hash_table_new(g_str_hash, g_str_equal);
+	for (int i = 0; i < PEER_NR_LANES; i++)
+		peers->links[i] = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->jobs = g_hash_table_new(NULL, NULL);
 	peers->service.program = RELAY_PROGRAM;
 	peers->service.version = RELAY_VERSION;
@@ -371,26 +389,39 @@
 	peers->listener = rpc_listen(&options, &context->host->peers, error);
 	if (peers->listener)
 		return peers;
-	g_hash_table_unref(peers->links);
+	for (int i = 0; i < PEER_NR_LANES; i++)
+		g_hash_table_unref(peers->links[i]);
 	g_hash_table_unref(peers->jobs);
 	g_free(peers);
 	return NULL;
 }
 
-json_t *peers_dump(const struct peers *peers)
+static void dump_lane(const struct peers *peers, enum peer_lane lane,
+		      json_t *array)
 {
-	json_t *array = json_array();
 	struct peer_link *link;
 	GHashTableIter iter;
 
-	g_hash_table_iter_init(&iter, peers->links);
+	g_hash_table_iter_init(&iter, peers->links[lane]);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&link)) {
 		bool open = link->conn && !rpc_conn_closed(link->conn);
 
-		json_array_append_new(array, json_pack("{s:s, s:b, s:i}",
+		json_array_append_new(array, json_pack("{s:s, s:s, s:b, s:i}",
 						       "address", link->address,
+						       "lane",
+						       lane == PEER_LANE_LONG
+							       ? "long"
+							       : "short",
 						       "open", open, "requests",
 						       (int)link->nr_calls));
 	}
+}
+
+json_t *peers_dump(const struct peers *peers)
+{
+	json_t *array = json_array();
+
+	for (int i = 0; i < PEER_NR_LANES; i++)
+		dump_lane(peers, (enum peer_lane)i, array);
 	return array;
 }
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -8,10 +8,21 @@
 #include "relay/relay.h"
 
 /*
- * Requests between daemons: one connection to each other daemon that is used,
- * with many requests at once, and the connections of the others to this one.
+ * Requests between daemons: up to two connections to each other daemon that is
+ * used, with many requests at once, and the connections of the others to this
+ * one.
  */
 
+/*
+ * Requests with long answers go on a connection of their own, since all answers
+ * on a connection come one after the other.
+ */
+enum peer_lane {
+	PEER_LANE_SHORT,
+	PEER_LANE_LONG,
+	PEER_NR_LANES
+};
+
 struct peers;
 
 /* A request sent to another daemon; embedded by the side that sends it. */
@@ -35,7 +46,7 @@
 			struct backend_side *backend_side, GError **error);
 
 /* Sends a request to the daemon at an address; the request is not kept. */
-void peers_send(struct peers *peers, const char *address,
+void peers_send(struct peers *peers, const char *address, enum peer_lane lane,
 		struct relay_request *request, struct peer_call *call);
 
 /* Withdraws a request, here and at the other daemon; done is not called. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -358,6 +358,7 @@
 		.next_deadline = on_next_deadline,
 		.ctx = relay,
 	};
+	struct net_pacer_options pacer = { .timers = &relay->timers };
 	struct stat info;
 
 	log_set_output(STDOUT_FILENO);
@@ -370,6 +371,11 @@
 	relay->context.incarnation = make_incarnation();
 	relay->context.loop = net_loop_new(&loop);
 	relay->context.timers = &relay->timers;
+	if (host->link_bytes_per_s > 0) {
+		pacer.bytes_per_s = host->link_bytes_per_s;
+		relay->context.pacer =
+			net_pacer_new(&pacer, clock_monotonic_ns());
+	}
 	relay->context.metrics = &relay->metrics;
 	relay->context.crashed = on_crashed;
 	relay->context.ctx = relay;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,6 +6,7 @@
 #include "mesh/host.h"
 #include "mesh/view.h"
 #include "net/loop.h"
+#include "net/pacer.h"
 #include "quarantine/quarantine.h"
 
 /*
@@ -19,6 +20,7 @@
 	uint64_t incarnation; /* of this process */
 	struct net_loop *loop;
 	struct timers *timers;
+	struct net_pacer *pacer; /* NULL when the link is not known */
 	struct metrics *metrics;
 	struct quarantine *quarantine;
 	/* Tells peers of a crash of the own backend server. */
--- a/tests/base/test_base.cc
+++ b/tests/base/test_base.cc
@@ -101,7 +101,8 @@
 	json_t *json;
 
 	findings_init(&f);
-	findings_add_at(&f, "manifest", 1, 9, "near '%s'", "[servic\\\xcd\x8c\x02");
+	findings_add_at(&f, "manifest", 1, 9, "near '%s'",
+			"[servic\\\xcd\x8c\x02");
 	json = findings_to_json(&f);
 	EXPECT_EQ(json_array_size(json), 1u);
 	json_decref(json);
