Send nothing to daemons known to be silent; count repeats over the window of the rule

(2) The repeat budget was a bucket of 1.5 repeats a daemon at 76 daemons, so what a calm time earned was lost, and lookups took the repeats of orders. Change: a link that fell silent gets a request again after an answered ping, connections are given up after 0.4 s, requests start at the end of the turn in which they arrived; lib/retry/window counts the window itself and keeps up to half for urgent requests; copies under way count.

--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -126,6 +126,11 @@
 	return closed;
 }
 
+bool rpc_conn_established(struct rpc_conn *rpc)
+{
+	return net_conn_established(rpc->conn);
+}
+
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size)
 {
 	net_conn_peer(rpc->conn, text, size);
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -70,6 +70,11 @@
 void rpc_conn_unref(struct rpc_conn *rpc);
 void rpc_conn_close(struct rpc_conn *rpc);
 bool rpc_conn_closed(struct rpc_conn *rpc);
+/*
+ * Whether the connection was established at any time; until then nothing that
+ * was sent on it has left.
+ */
+bool rpc_conn_established(struct rpc_conn *rpc);
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size);
 
 /*
--- a/lib/retry/attempts.c
+++ b/lib/retry/attempts.c
@@ -4,26 +4,7 @@
 
 void retry_budget_init(struct retry_budget *budget)
 {
-	budget->most = RETRY_BURST * HUNDREDTHS;
-	budget->hundredths = budget->most;
-}
-
-void retry_budget_set_share(struct retry_budget *budget, int slack,
-			    int nr_daemons)
-{
-	bool is_new = !budget->most;
-	int64_t share = (int64_t)slack * RETRY_SHARE_PERCENT;
-
-	if (nr_daemons < 1)
-		nr_daemons = 1;
-	/* A daemon that may never repeat anything would serve no one. */
-	budget->most = share / nr_daemons;
-	if (budget->most < HUNDREDTHS)
-		budget->most = HUNDREDTHS;
-	if (is_new)
-		budget->hundredths = budget->most / 2;
-	if (budget->hundredths > budget->most)
-		budget->hundredths = budget->most;
+	budget->hundredths = RETRY_BURST * HUNDREDTHS;
 }
 
 void retry_budget_request(struct retry_budget *budget, int ratio_percent)
@@ -33,8 +14,8 @@
 	if (ratio_percent > 100)
 		ratio_percent = 100;
 	budget->hundredths += ratio_percent;
-	if (budget->hundredths > budget->most)
-		budget->hundredths = budget->most;
+	if (budget->hundredths > RETRY_BURST * HUNDREDTHS)
+		budget->hundredths = RETRY_BURST * HUNDREDTHS;
 }
 
 bool retry_budget_take(struct retry_budget *budget)
@@ -49,7 +30,7 @@
 {
 	return json_pack("{s:f, s:f}", "retries_left",
 			 (double)budget->hundredths / HUNDREDTHS, "burst",
-			 (double)budget->most / HUNDREDTHS);
+			 (double)RETRY_BURST);
 }
 
 /* Splits the retries at hand between this ingress and the next attempt. */
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -122,27 +122,10 @@
 
 struct retry_budget {
 	int64_t hundredths; /* of a retry */
-	int64_t most;	    /* hundredths that it can hold */
 };
 
 void retry_budget_init(struct retry_budget *budget);
 
-/*
- * Part of what a service bears that the daemons spend together. The rest is
- * left for those that restart with a fresh share and for requests whose repeats
- * call other services.
- */
-#define RETRY_SHARE_PERCENT 60
-
-/*
- * Sets the share of one daemon among nr_daemons when all together may repeat
- * slack requests besides a ratio of them. What the budget holds is cut to the
- * new share; a budget that is all zero starts with half of it, as after a
- * restart, when the process before may have spent its own.
- */
-void retry_budget_set_share(struct retry_budget *budget, int slack,
-			    int nr_daemons);
-
 /* Counts a request (not a retry) of the service; ratio_percent is 0..100. */
 void retry_budget_request(struct retry_budget *budget, int ratio_percent);
 
--- a/relay/call.c
+++ b/relay/call.c
@@ -124,6 +124,17 @@
 	balance_finish(side->balance, attempt->target, &result, now);
 }
 
+/* Urgent requests come first when a service bears few repeats. */
+static bool take_repeat(struct call *call)
+{
+	enum retry_urgency urgency =
+		call_priority(call) == ADMIT_ORDER ? RETRY_URGENT : RETRY_USUAL;
+
+	return retry_window_take(caller_side_repeats(call->side,
+						     call->service_index),
+				 urgency, clock_monotonic_ns());
+}
+
 /* Whether an attempt that ended so may be made again elsewhere. */
 static bool may_repeat(struct call *call, enum failure_reason reason, bool sent)
 {
@@ -133,14 +144,18 @@
 	    call->nr_excluded == BALANCE_EXCLUDED_MAX ||
 	    clock_monotonic_ns() >= call->deadline)
 		return false;
+	/* Those under way may each have reached a server as well. */
+	if (call->nr_sent + call->nr_attempts >= call->route->attempts)
+		return false;
 	if (failure->outcome == OUTCOME_UNKNOWN && call->route->at_most_once)
 		return false;
+	/* That a link is down is known at once and costs no time. */
+	if (reason == FAILURE_LINK_REFUSED)
+		return true;
 	if (!sent)
 		return call->nr_placed < PLACED_MAX;
 	/* It reached a backend server, so the next one is a repeat there. */
-	return call->nr_sent < call->route->attempts &&
-	       retry_budget_take(
-		       caller_side_budget(call->side, call->service_index));
+	return take_repeat(call);
 }
 
 static bool is_quarantined(const struct call *call)
@@ -154,7 +169,7 @@
 {
 	if (may_repeat(call, reason, sent) && !is_quarantined(call)) {
 		if (sent)
-			counter_add(&call->side->repeats, 1);
+			counter_add(&call->side->nr_repeats, 1);
 		if (try_place(call) == FAILURE_NONE)
 			return;
 	}
@@ -285,16 +300,13 @@
 
 static void hedge(struct call *call)
 {
-	struct retry_budget *budget =
-		caller_side_budget(call->side, call->service_index);
-
 	call->hedged = true;
 	set_timer(call);
 	if (call->nr_attempts != 1 ||
 	    call->nr_sent + call->nr_attempts >= call->route->attempts ||
-	    is_quarantined(call) || !retry_budget_take(budget))
+	    is_quarantined(call) || !take_repeat(call))
 		return;
-	counter_add(&call->side->repeats, 1);
+	counter_add(&call->side->nr_repeats, 1);
 	try_place(call);
 }
 
--- a/relay/call.h
+++ b/relay/call.h
@@ -6,6 +6,7 @@
 #include "http/server.h"
 #include "relay/caller_side.h"
 #include "retry/retry.h"
+#include "retry/window.h"
 
 /*
  * A caller's request on its way, shared by the files that serve it:
@@ -35,14 +36,14 @@
 	struct mesh_view *view;
 	struct http_server *http;
 	struct balance *balance;
-	GArray *budgets; /* struct retry_budget by service index */
+	GArray *repeats; /* struct retry_window by service index */
 	struct rng rng;
 	GHashTable *routes; /* route name -> struct route_state */
 	int nr_calls;
 	int nr_daemons;
 	char *own_traffic; /* address of the own daemon */
 	struct counter requests[CALL_NR_OUTCOMES];
-	struct counter repeats;
+	struct counter nr_repeats;
 	struct histogram added_time;
 };
 
@@ -87,7 +88,7 @@
 void call_end(struct call *call, enum failure_reason reason,
 	      const struct relay_answer *answer);
 
-/* The retry budget of a service. */
-struct retry_budget *caller_side_budget(struct caller_side *side, int service);
+/* What may be repeated of a service. */
+struct retry_window *caller_side_repeats(struct caller_side *side, int service);
 
 #endif
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -41,9 +41,9 @@
 /* Weight of a new answer's length in the mean: one in this many. */
 #define ANSWER_BYTES_WEIGHT 8
 
-struct retry_budget *caller_side_budget(struct caller_side *side, int service)
+struct retry_window *caller_side_repeats(struct caller_side *side, int service)
 {
-	return &g_array_index(side->budgets, struct retry_budget, service);
+	return &g_array_index(side->repeats, struct retry_window, service);
 }
 
 /* Answers. */
@@ -313,9 +313,8 @@
 		call_end(call, FAILURE_QUARANTINED, NULL);
 		return;
 	}
-	retry_budget_request(caller_side_budget(side, call->service_index),
-			     (int)(side->context->host->retry_ratio *
-				   RETRY_SHARE_PERCENT));
+	retry_window_request(caller_side_repeats(side, call->service_index),
+			     call->arrival);
 	call_start(call);
 }
 
@@ -424,15 +423,21 @@
 	return (int)MAX(1, g_hash_table_size(ips));
 }
 
-static void apply_budget(struct caller_side *side, const char *name)
+static void apply_repeats(struct caller_side *side, const char *name,
+			  int64_t now)
 {
+	const struct mesh_host *host = side->context->host;
 	guint index = (guint)balance_service_index(side->balance, name);
+	struct retry_window_options options = {
+		.window_ms = host->retry_window_ms,
+		.ratio = host->retry_ratio,
+		.slack = host->retry_slack,
+		.nr_daemons = side->nr_daemons,
+	};
 
-	if (index >= side->budgets->len)
-		g_array_set_size(side->budgets, index + 1);
-	retry_budget_set_share(caller_side_budget(side, (int)index),
-			       side->context->host->retry_slack,
-			       side->nr_daemons);
+	if (index >= side->repeats->len)
+		g_array_set_size(side->repeats, index + 1);
+	retry_window_set(caller_side_repeats(side, (int)index), &options, now);
 }
 
 static void apply_limits(struct caller_side *side,
@@ -464,7 +469,7 @@
 	g_hash_table_iter_init(&iter, view->config->services);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
 		apply_targets(side, view, service, now);
-		apply_budget(side, service->name);
+		apply_repeats(side, service->name, now);
 	}
 	balance_update_end(side->balance, now);
 }
@@ -485,9 +490,9 @@
 		side->requests[i].help = "Callers' requests by outcome.";
 		metrics_add_counter(metrics, &side->requests[i]);
 	}
-	side->repeats.name = "godwitspur_repeats_total";
-	side->repeats.help = "Requests sent to a further backend server.";
-	metrics_add_counter(metrics, &side->repeats);
+	side->nr_repeats.name = "godwitspur_repeats_total";
+	side->nr_repeats.help = "Requests sent to a further backend server.";
+	metrics_add_counter(metrics, &side->nr_repeats);
 	side->added_time.name = "godwitspur_added_seconds";
 	side->added_time.help =
 		"Time added to a request beside its time on the backend.";
@@ -530,7 +535,7 @@
 					    context->host->peers.port);
 	rng_init(&side->rng, context->incarnation);
 	side->balance = balance_new(&balance);
-	side->budgets = g_array_new(FALSE, TRUE, sizeof(struct retry_budget));
+	side->repeats = g_array_new(FALSE, TRUE, sizeof(struct retry_window));
 	side->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     free_state);
 	add_metrics(side);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -25,12 +25,31 @@
 	[PEER_LANE_LONG] = 2500 * NS_PER_MS,
 };
 
+/*
+ * A connection that is not established by then is given up. Its first packet
+ * was lost and comes again only after a second; nothing has left the host, so
+ * its requests can go elsewhere.
+ */
+#define CONNECT_WAIT_NS (400 * NS_PER_MS)
+
+/*
+ * A daemon that fell silent gets no request until it has answered a ping. A
+ * connection to it is tried anew this often, since a first packet that is lost
+ * in a partition comes again only after seconds.
+ */
+#define REVIVE_NS (300 * NS_PER_MS)
+
+/* Tries end when nothing was to be sent for so long. */
+#define REVIVE_UNUSED_NS (10 * NS_PER_SEC)
+
 /* A request of another daemon. */
 struct remote_job {
 	struct relay_job job; /* first: callbacks cast back */
 	struct peers *peers;
 	struct rpc_conn *conn;
 	uint32_t xid;
+	bool arrived;		   /* not handed to the backend side yet */
+	struct cds_list_head node; /* in arrivals, when arrived */
 };
 
 /* The connection to another daemon. */
@@ -39,6 +58,7 @@
 	enum peer_lane lane;
 	struct peers *peers;
 	struct rpc_conn *conn; /* NULL: none */
+	int64_t connect_at;    /* when the connection was begun */
 	int64_t retry_deadline;
 	int64_t heard_at;
 	unsigned nr_calls;
@@ -46,6 +66,9 @@
 	struct rpc_call ping;
 	int64_t ping_at; /* when it was sent */
 	bool ping_out;
+	bool silent;	   /* gets no request until it has answered a ping */
+	int64_t wanted_at; /* when a request was last to be sent */
+	struct timer revive;
 };
 
 struct peers {
@@ -55,6 +78,12 @@
 	struct rpc_listener *listener;
 	GHashTable *links[PEER_NR_LANES]; /* address -> struct peer_link */
 	GHashTable *jobs;		  /* set of struct remote_job */
+	/*
+	 * Requests of this turn. They start at its end, so that one whose
+	 * cancellation came with it, after a pause of this process or a
+	 * stalled link, does not run.
+	 */
+	struct cds_list_head arrivals;
 };
 
 /* Requests of this daemon. */
@@ -72,6 +101,9 @@
 {
 	if (!link->conn)
 		return;
+	if (link->ping_out)
+		rpc_forget(link->conn, &link->ping);
+	link->ping_out = false;
 	rpc_conn_close(link->conn);
 	rpc_conn_unref(link->conn);
 	link->conn = NULL;
@@ -83,14 +115,54 @@
 			  : link->heard_at;
 }
 
+static void connect_link(struct peer_link *link);
+
+static void set_silent(struct peer_link *link)
+{
+	link->silent = true;
+	timers_set(link->peers->context->timers, &link->revive,
+		   clock_monotonic_ns() + REVIVE_NS);
+}
+
+static void on_revive(struct timer *timer, int64_t now)
+{
+	struct peer_link *link =
+		caa_container_of(timer, struct peer_link, revive);
+	bool open = link->conn && !rpc_conn_closed(link->conn) &&
+		    rpc_conn_established(link->conn);
+
+	if (!open ||
+	    (link->ping_out && now - link->ping_at >= ping_wait_ns[link->lane]))
+		connect_link(link);
+	else if (!link->ping_out)
+		send_ping(link, now);
+	if (now - link->wanted_at < REVIVE_UNUSED_NS)
+		timers_set(link->peers->context->timers, timer,
+			   now + REVIVE_NS);
+}
+
+static void set_heard(struct peer_link *link)
+{
+	link->heard_at = clock_monotonic_ns();
+	if (!link->silent)
+		return;
+	log_event(LOG_NOTICE, "peer_back", "peer=%s", link->address);
+	link->silent = false;
+	timers_cancel(link->peers->context->timers, &link->revive);
+}
+
 static void give_up(struct peer_link *link)
 {
 	log_event(LOG_WARNING, "peer_silent", "peer=%s requests=%u",
 		  link->address, link->nr_calls);
-	link->ping_out = false;
-	if (link->conn)
-		rpc_forget(link->conn, &link->ping);
 	drop_conn(link);
+	set_silent(link);
+}
+
+static bool is_connecting(const struct peer_link *link)
+{
+	return link->conn && !rpc_conn_closed(link->conn) &&
+	       !rpc_conn_established(link->conn);
 }
 
 static void on_link_timer(struct timer *timer, int64_t now)
@@ -100,6 +172,14 @@
 	int64_t heard = last_heard(link);
 	int64_t wait = ping_wait_ns[link->lane];
 
+	if (is_connecting(link)) {
+		if (now - link->connect_at >= CONNECT_WAIT_NS)
+			give_up(link);
+		else
+			timers_set(link->peers->context->timers, &link->timer,
+				   link->connect_at + CONNECT_WAIT_NS);
+		return;
+	}
 	/* The answer to the ping may wait behind a long one. */
 	if (link->ping_out && now - MAX(heard, link->ping_at) >= wait) {
 		give_up(link);
@@ -121,7 +201,7 @@
 	(void)xdr;
 	link->ping_out = false;
 	if (status == RPC_DONE)
-		link->heard_at = clock_monotonic_ns();
+		set_heard(link);
 	watch_link(link);
 }
 
@@ -151,6 +231,7 @@
 	link->lane = lane;
 	link->peers = peers;
 	link->timer.fire = on_link_timer;
+	link->revive.fire = on_revive;
 	g_hash_table_insert(peers->links[lane], link->address, link);
 	return link;
 }
@@ -170,6 +251,7 @@
 	if (now < link->retry_deadline ||
 	    !net_address_parse(&address, link->address, NULL))
 		return;
+	link->connect_at = now;
 	link->retry_deadline = now + RECONNECT_NS;
 	link->conn = rpc_connect(&options, &address, NULL);
 }
@@ -203,12 +285,19 @@
 	struct peer_link *link = find_link(peers, address, lane);
 
 	call->link = link;
+	call->conn = NULL;
 	call->ended = false;
 	call->rpc.done = on_done;
 	call->rpc.deadline = DEADLINE_NEVER;
-	if (!link->conn || rpc_conn_closed(link->conn))
-		connect_link(link);
-	call->conn = link->conn ? rpc_conn_ref(link->conn) : NULL;
+	link->wanted_at = clock_monotonic_ns();
+	if (link->silent) {
+		if (!link->revive.position)
+			set_silent(link);
+	} else {
+		if (!link->conn || rpc_conn_closed(link->conn))
+			connect_link(link);
+		call->conn = link->conn ? rpc_conn_ref(link->conn) : NULL;
+	}
 	if (!link->nr_calls++)
 		link->heard_at = clock_monotonic_ns();
 	if (!call->conn) {
@@ -282,14 +371,18 @@
 	remote->conn = rpc_conn_ref(conn);
 	remote->xid = xid;
 	remote->job.done = reply_remote;
+	remote->arrived = true;
 	g_hash_table_add(peers->jobs, remote);
-	backend_side_submit(peers->backend_side, &remote->job);
+	cds_list_add_tail(&remote->node, &peers->arrivals);
 	return true;
 }
 
 static void cancel_remote(struct peers *peers, struct remote_job *remote)
 {
-	backend_side_cancel(peers->backend_side, &remote->job);
+	if (remote->arrived)
+		cds_list_del(&remote->node);
+	else
+		backend_side_cancel(peers->backend_side, &remote->job);
 	free_remote(remote);
 }
 
@@ -364,6 +457,19 @@
 		cancel_remote(peers, remote);
 }
 
+void peers_turn(struct peers *peers)
+{
+	while (!cds_list_empty(&peers->arrivals)) {
+		struct remote_job *remote =
+			cds_list_first_entry(&peers->arrivals,
+					     struct remote_job, node);
+
+		cds_list_del(&remote->node);
+		remote->arrived = false;
+		backend_side_submit(peers->backend_side, &remote->job);
+	}
+}
+
 struct peers *peers_new(const struct relay_context *context,
 			struct backend_side *backend_side, GError **error)
 {
@@ -381,6 +487,7 @@
 	for (int i = 0; i < PEER_NR_LANES; i++)
 		peers->links[i] = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->jobs = g_hash_table_new(NULL, NULL);
+	CDS_INIT_LIST_HEAD(&peers->arrivals);
 	peers->service.program = RELAY_PROGRAM;
 	peers->service.version = RELAY_VERSION;
 	peers->service.handle = handle;
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -52,6 +52,9 @@
 /* Withdraws a request, here and at the other daemon; done is not called. */
 void peers_cancel(struct peers *peers, struct peer_call *call);
 
+/* Starts what has arrived; called after each turn of the loop. */
+void peers_turn(struct peers *peers);
+
 json_t *peers_dump(const struct peers *peers);
 
 #endif
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -301,6 +301,7 @@
 	struct relay *relay = ctx;
 
 	timers_run(&relay->timers, now);
+	peers_turn(relay->peers);
 	backend_side_turn(relay->backend_side, now);
 }
 
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -18,6 +18,7 @@
 	std::string ip, zone, service, id;
 	std::string callers, ready, operators;
 	std::string settings, log;
+	std::string peers; /* where daemons send requests */
 	std::string backend, backend_control;
 	struct process daemon = {}, server = {};
 };
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -1,8 +1,14 @@
 #include "platform.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
+
+extern "C" {
+#include "base/clock.h"
+}
 
 namespace
 {
@@ -195,6 +201,80 @@
 	EXPECT_LE(failed, 10);
 }
 
+/* Takes the place of a host that lost power: connections to it hang. */
+class DeadHost
+{
+      public:
+	explicit DeadHost(const std::string &address)
+	{
+		size_t colon = address.find(':');
+		std::string ip = address.substr(0, colon);
+		std::string port = address.substr(colon + 1);
+		struct sockaddr_in in = {};
+		int on = 1;
+
+		in.sin_family = AF_INET;
+		in.sin_port = htons((uint16_t)std::stoi(port));
+		inet_pton(AF_INET, ip.c_str(), &in.sin_addr);
+		fds.push_back(socket(AF_INET, SOCK_STREAM, 0));
+		setsockopt(fds[0], SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		EXPECT_EQ(bind(fds[0], (struct sockaddr *)&in, sizeof(in)), 0);
+		EXPECT_EQ(listen(fds[0], 0), 0);
+		/* A full backlog drops the first packet of a connection. */
+		for (int i = 0; i < 4; i++) {
+			fds.push_back(socket(AF_INET,
+					     SOCK_STREAM | SOCK_NONBLOCK, 0));
+			connect(fds.back(), (struct sockaddr *)&in, sizeof(in));
+		}
+	}
+
+	~DeadHost()
+	{
+		for (int fd : fds)
+			close(fd);
+	}
+
+      private:
+	std::vector<int> fds;
+};
+
+/*
+ * Hosts of one service are cut off. Guards against requests that are held for
+ * as long as a link is waited for, each of them anew, although the daemon
+ * knows that no server can be reached.
+ */
+TEST(Relay, KnownSilenceIsToldAtOnce)
+{
+	Platform in = make(4);
+	std::vector<std::unique_ptr<DeadHost>> dead;
+	int quick = 0;
+
+	in.start_all();
+	EXPECT_EQ(in.ask(3, "GET", "/stock/1").status, 200);
+	for (size_t i = 0; i < 3; i++) {
+		process_kill(&in.hosts[i].daemon);
+		dead.push_back(std::make_unique<DeadHost>(in.hosts[i].peers));
+	}
+	/* Each link is found silent once. */
+	for (int i = 0; i < 3; i++)
+		in.ask(3, "GET", "/stock/1", "", 3000);
+	for (int i = 0; i < 10; i++) {
+		int64_t start = clock_monotonic_ns();
+		CallerAnswer answer = in.ask(3, "POST", "/orders/1", "x", 2000);
+
+		EXPECT_EQ(answer.status, 503);
+		quick += clock_monotonic_ns() - start < 200 * NS_PER_MS;
+	}
+	EXPECT_EQ(quick, 10);
+	/* They come back. */
+	dead.clear();
+	for (int i = 0; i < 3; i++)
+		in.start_daemon(i);
+	EXPECT_TRUE(eventually([&] {
+		return in.ask(3, "POST", "/orders/1", "x").status == 200;
+	}));
+}
+
 /* No server gets more at once than it says that it runs. */
 TEST(Relay, SlotsAreKept)
 {
