Log each attempt and run by the request's id; put the lines of all hosts in order

An operator had one line on the caller's host for a request that failed, and nothing of the daemons that refused it. attempt_failed (the load that the other daemon told), admission_refused, run_ended and request_served, the last two for one id in 256 on all hosts alike; godwitspur trace orders collected logs and says where and why a request ended. backend_side.c is split: messages and losses have files of their own. The cost of the lines is not measured yet.

--- a/godwitspur/commands.h
+++ b/godwitspur/commands.h
@@ -30,6 +30,9 @@
 /* relay [FILE]: runs the daemon on the users' platform. */
 int cmd_relay(int argc, char **argv);
 
+/* trace ID [FILE...]: the lines of a request in collected logs. */
+int cmd_trace(int argc, char **argv);
+
 /* status ADDRESS...: the version of each daemon, asked one by one. */
 int cmd_status(int argc, char **argv);
 
--- /dev/null
+++ b/relay/backend_message.c
@@ -0,0 +1,72 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+#include "relay/backend_message.h"
+
+GString *backend_message_head(const struct relay_request *request,
+			      const char *backend_id, int64_t time_left_ms)
+{
+	GString *head = g_string_sized_new(512);
+	char number[24];
+
+	g_string_printf(head, "%s %s HTTP/1.1\r\n", request->method,
+			request->target);
+	g_string_append(head, request->fields);
+	snprintf(number, sizeof(number), "%" PRId64,
+		 MAX(time_left_ms, INT64_C(1)));
+	platform_add_field(head, HTTP_ROLE_TIME_LEFT_MS, number);
+	platform_add_field(head, HTTP_ROLE_CALLER_SERVICE,
+			   request->caller_service);
+	platform_add_field(head, HTTP_ROLE_EXPECTED_BACKEND, backend_id);
+	if (request->body.body_len || strcmp(request->method, "GET") != 0)
+		g_string_append_printf(head, "Content-Length: %u\r\n",
+				       request->body.body_len);
+	g_string_append(head, "\r\n");
+	return head;
+}
+
+static enum failure_reason check_response(const struct http_message *response)
+{
+	if (http_message_value(response, HTTP_ROLE_NOT_RUN))
+		return response->status == 421 ? FAILURE_VERSION
+					       : FAILURE_BACKEND_SHED;
+	if (response->status == 421)
+		return FAILURE_VERSION;
+	/* Bodies were asked for without any encoding. */
+	if (http_message_value(response, HTTP_ROLE_ENCODING))
+		return FAILURE_BACKEND_LOST;
+	/* A success without receipt is not the server's. */
+	if (!http_message_value(response, HTTP_ROLE_RECEIPT))
+		return FAILURE_BACKEND_LOST;
+	return FAILURE_NONE;
+}
+
+enum failure_reason backend_message_judge(enum http_end end,
+					  const struct http_message *response)
+{
+	switch (end) {
+	case HTTP_END_ANSWERED:
+		return check_response(response);
+	case HTTP_END_REFUSED:
+		return FAILURE_BACKEND_REFUSED;
+	default:
+		return FAILURE_BACKEND_LOST;
+	}
+}
+
+/* XDR frees with free(), so the bytes are copied by malloc(). */
+void backend_message_to_answer(struct relay_answer *answer,
+			       const struct http_message *response)
+{
+	answer->status = response->status;
+	answer->fields = strdup(response->fields->str);
+	answer->body.body_len = response->body->len;
+	answer->body.body_val = malloc(response->body->len + 1);
+	if (!answer->body.body_val || !answer->fields)
+		abort();
+	if (response->body->len)
+		memcpy(answer->body.body_val, response->body->data,
+		       response->body->len);
+}
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -6,8 +6,10 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "platform/platform.h"
+#include "relay/backend_message.h"
 #include "relay/backend_pool.h"
 #include "relay/backend_side.h"
+#include "relay/losses.h"
 #include "relay/probe.h"
 #include "retry/retry.h"
 
@@ -17,16 +19,6 @@
 /* Part of the allowed cold rate that is used, for requests under way. */
 #define COLD_BURST_SHARE 0.6
 
-/* A loss counts as part of a crash that shows within this time. */
-#define CRASH_WINDOW_NS (500 * NS_PER_MS)
-#define LOSSES_MAX 64
-
-/* A request whose connection was lost while it may have run. */
-struct loss {
-	uint64_t fingerprint;
-	int64_t at;
-};
-
 struct backend_side {
 	const struct relay_context *context;
 	struct mesh_view *view;
@@ -41,8 +33,7 @@
 	bool in_service;
 	bool draining;
 	uint64_t life; /* counts crashes of the server, from 1 */
-	struct loss losses[LOSSES_MAX];
-	unsigned nr_losses; /* ever */
+	struct losses losses;
 	struct counter admitted;
 	struct counter refused;
 	struct counter crashes;
@@ -98,26 +89,31 @@
 		   enum failure_reason reason)
 {
 	struct relay_answer answer = { .reason = (int)reason };
+	int64_t now = clock_monotonic_ns();
 
 	counter_add(&side->refused, 1);
+	log_event(LOG_INFO, "admission_refused",
+		  "id=%s backend=%s reason=%s running=%d queued=%d slots=%d "
+		  "wait_ms=%" PRId64 " cold_left_ms=%" PRId64
+		  " left_ms=%" PRId64,
+		  log_quote(job->request.request_id),
+		  side->backend_id ? side->backend_id : "none",
+		  failure_get(reason)->name, admit_running(side->admit),
+		  admit_queued(side->admit), side->slots,
+		  admit_wait_ns(side->admit) / NS_PER_MS,
+		  MAX(admit_cold_deadline(side->admit) - now, 0) / NS_PER_MS,
+		  (job->deadline - now) / NS_PER_MS);
 	finish_job(side, job, &answer);
 }
 
 /* Crashes. */
 
-static void note_loss(struct backend_side *side, uint64_t fingerprint)
-{
-	struct loss *loss = &side->losses[side->nr_losses++ % LOSSES_MAX];
-
-	loss->fingerprint = fingerprint;
-	loss->at = clock_monotonic_ns();
-}
-
 /* The server ended: what was lost shortly before may have caused it. */
 static void on_backend_ended(void *ctx)
 {
 	struct backend_side *side = ctx;
 	int64_t now = clock_monotonic_ns();
+	uint64_t fingerprint;
 
 	log_event(LOG_WARNING, "backend_ended", "host=%s backend=%s",
 		  side->context->host->name,
@@ -125,20 +121,16 @@
 	side->life++;
 	admit_backend_lost(side->admit, admit_life(side->admit), now);
 	backend_pool_close_idle(side->pool);
-	for (unsigned i = 0; i < MIN(side->nr_losses, LOSSES_MAX); i++) {
-		struct loss *loss = &side->losses[i];
+	while (losses_take(&side->losses, now, &fingerprint)) {
 		struct quarantine_entry entry;
 
-		if (now - loss->at > CRASH_WINDOW_NS)
-			continue;
 		counter_add(&side->crashes, 1);
-		quarantine_crash(side->context->quarantine, loss->fingerprint,
+		quarantine_crash(side->context->quarantine, fingerprint,
 				 side->life, now, &entry);
 		log_event(LOG_WARNING, "request_crashed_backend",
 			  "fingerprint=%016" PRIx64 " count=%" PRIu32,
 			  entry.fingerprint, entry.count);
 		side->context->crashed(side->context->ctx, &entry);
-		loss->at = 0;
 	}
 }
 
@@ -163,35 +155,6 @@
 
 /* Running a job. */
 
-static enum failure_reason check_response(const struct http_message *response)
-{
-	if (http_message_value(response, HTTP_ROLE_NOT_RUN))
-		return response->status == 421 ? FAILURE_VERSION
-					       : FAILURE_BACKEND_SHED;
-	if (response->status == 421)
-		return FAILURE_VERSION;
-	/* Bodies were asked for without any encoding. */
-	if (http_message_value(response, HTTP_ROLE_ENCODING))
-		return FAILURE_BACKEND_LOST;
-	/* A success without receipt is not the server's. */
-	if (!http_message_value(response, HTTP_ROLE_RECEIPT))
-		return FAILURE_BACKEND_LOST;
-	return FAILURE_NONE;
-}
-
-static enum failure_reason end_reason(enum http_end end,
-				      const struct http_message *response)
-{
-	switch (end) {
-	case HTTP_END_ANSWERED:
-		return check_response(response);
-	case HTTP_END_REFUSED:
-		return FAILURE_BACKEND_REFUSED;
-	default:
-		return FAILURE_BACKEND_LOST;
-	}
-}
-
 static enum admit_outcome admit_outcome_of(enum failure_reason reason)
 {
 	switch (reason) {
@@ -208,21 +171,6 @@
 	}
 }
 
-/* XDR frees with free(), so the bytes are copied by malloc(). */
-static void fill_response(struct relay_answer *answer,
-			  const struct http_message *response)
-{
-	answer->status = response->status;
-	answer->fields = strdup(response->fields->str);
-	answer->body.body_len = response->body->len;
-	answer->body.body_val = malloc(response->body->len + 1);
-	if (!answer->body.body_val || !answer->fields)
-		abort();
-	if (response->body->len)
-		memcpy(answer->body.body_val, response->body->data,
-		       response->body->len);
-}
-
 static void end_run(struct backend_side *side, struct relay_job *job,
 		    enum failure_reason reason)
 {
@@ -235,24 +183,48 @@
 			  (uint64_t)((now - job->admit.started) / NS_PER_US));
 }
 
+/* Runs that failed, and the sample of those that did not. */
+static void log_run(const struct backend_side *side,
+		    const struct relay_job *job, enum failure_reason reason,
+		    int status)
+{
+	int64_t now = clock_monotonic_ns();
+
+	if (reason == FAILURE_NONE &&
+	    !relay_is_sampled(job->request.request_id))
+		return;
+	log_event(LOG_INFO, "run_ended",
+		  "id=%s backend=%s life=%" PRIu64
+		  " reason=%s status=%d waited_us=%" PRId64 " ran_us=%" PRId64
+		  " running=%d queued=%d",
+		  log_quote(job->request.request_id),
+		  side->backend_id ? side->backend_id : "none", job->admit.life,
+		  failure_get(reason)->name, status,
+		  (job->admit.started - job->admit.arrival) / NS_PER_US,
+		  (now - job->admit.started) / NS_PER_US,
+		  admit_running(side->admit), admit_queued(side->admit));
+}
+
 static void on_response(enum http_end end, struct http_message *response,
 			void *ctx)
 {
 	CLEANUP(http_message_freep) struct http_message *owned = response;
 	struct relay_job *job = ctx;
 	struct backend_side *side = job->side;
-	enum failure_reason reason = end_reason(end, response);
+	enum failure_reason reason = backend_message_judge(end, response);
 	struct relay_answer answer = { .reason = (int)reason };
 
 	end_run(side, job, reason);
+	log_run(side, job, reason, response ? response->status : 0);
 	probe_note_answer(side->probe);
 	answer.sent = reason != FAILURE_BACKEND_REFUSED;
 	answer.service_us =
 		(clock_monotonic_ns() - job->admit.started) / NS_PER_US;
 	if (reason == FAILURE_NONE)
-		fill_response(&answer, response);
+		backend_message_to_answer(&answer, response);
 	if (reason == FAILURE_BACKEND_LOST && !response)
-		note_loss(side, job->request.fingerprint);
+		losses_note(&side->losses, job->request.fingerprint,
+			    clock_monotonic_ns());
 	if (reason == FAILURE_NONE)
 		quarantine_success(side->context->quarantine,
 				   job->request.fingerprint,
@@ -263,34 +235,12 @@
 	start_next(side);
 }
 
-static GString *build_head(const struct backend_side *side,
-			   const struct relay_job *job)
-{
-	const struct relay_request *request = &job->request;
-	GString *head = g_string_sized_new(512);
-	int64_t left = job->deadline - clock_monotonic_ns();
-	char number[24];
-
-	g_string_printf(head, "%s %s HTTP/1.1\r\n", request->method,
-			request->target);
-	g_string_append(head, request->fields);
-	snprintf(number, sizeof(number), "%" PRId64,
-		 MAX(left / NS_PER_MS, INT64_C(1)));
-	platform_add_field(head, HTTP_ROLE_TIME_LEFT_MS, number);
-	platform_add_field(head, HTTP_ROLE_CALLER_SERVICE,
-			   request->caller_service);
-	platform_add_field(head, HTTP_ROLE_EXPECTED_BACKEND, side->backend_id);
-	if (request->body.body_len || strcmp(request->method, "GET") != 0)
-		g_string_append_printf(head, "Content-Length: %u\r\n",
-				       request->body.body_len);
-	g_string_append(head, "\r\n");
-	return head;
-}
-
 static void run_job(struct backend_side *side, struct relay_job *job)
 {
 	const struct relay_request *request = &job->request;
-	GString *head = build_head(side, job);
+	int64_t left = job->deadline - clock_monotonic_ns();
+	GString *head = backend_message_head(request, side->backend_id,
+					     left / NS_PER_MS);
 
 	counter_add(&side->admitted, 1);
 	cds_list_add_tail(&job->node, &side->running);
--- a/relay/call.c
+++ b/relay/call.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -24,6 +25,7 @@
 	struct cds_list_head node;
 	struct call *call;
 	balance_handle target;
+	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
 	int64_t started;
 	struct peer_call peer;
@@ -177,6 +179,27 @@
 		call_end(call, reason, NULL);
 }
 
+/* The daemon's answer tells the load that it decided by. */
+static void log_attempt(const struct attempt *attempt,
+			enum failure_reason reason,
+			const struct relay_answer *answer)
+{
+	const struct call *call = attempt->call;
+	int64_t now = clock_monotonic_ns();
+
+	log_event(LOG_INFO, "attempt_failed",
+		  "id=%s attempt=%d version=%" PRId64
+		  " backend=%s local=%d reason=%s sent=%d running=%d queued=%d "
+		  "limit=%d took_ms=%" PRId64 " left_ms=%" PRId64,
+		  call_id(call), call->nr_placed, call->view->config->version,
+		  attempt->backend, attempt->is_local,
+		  failure_get(reason)->name, answer && answer->sent,
+		  answer ? answer->in_flight : -1, answer ? answer->queued : -1,
+		  answer ? answer->limit : -1,
+		  (now - attempt->started) / NS_PER_MS,
+		  (call->deadline - now) / NS_PER_MS);
+}
+
 static void end_attempt(struct attempt *attempt, enum failure_reason reason,
 			struct relay_answer *answer)
 {
@@ -185,6 +208,8 @@
 	bool sent = answer ? answer->sent : reason == FAILURE_LINK_LOST;
 
 	note_result(attempt, reason, answer);
+	if (reason != FAILURE_NONE)
+		log_attempt(attempt, reason, answer);
 	free_attempt(attempt);
 	if (sent)
 		call->nr_sent++;
@@ -256,6 +281,7 @@
 
 	attempt->call = call;
 	attempt->target = choice->target;
+	g_strlcpy(attempt->backend, choice->host, sizeof(attempt->backend));
 	attempt->started = clock_monotonic_ns();
 	attempt->peer.done = on_peer_done;
 	attempt->job.done = on_local_done;
--- a/relay/call.h
+++ b/relay/call.h
@@ -72,6 +72,9 @@
 	bool hedged;
 };
 
+/* The id that the caller gave, quoted for a log line. */
+const char *call_id(const struct call *call);
+
 /* The class in which a request waits at its backend server. */
 enum admit_priority call_priority(const struct call *call);
 
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -88,18 +88,24 @@
 	g_free(call);
 }
 
-static void log_failure(const struct call *call, enum failure_reason reason,
-			int status)
+const char *call_id(const struct call *call)
 {
 	const char *id =
 		http_message_value(call->message, HTTP_ROLE_REQUEST_ID);
+
+	return log_quote(id ? id : "");
+}
+
+static void log_failure(const struct call *call, enum failure_reason reason,
+			int status)
+{
 	int64_t now = clock_monotonic_ns();
 
 	log_event(LOG_INFO, "request_failed",
 		  "id=%s route=%s version=%" PRId64
 		  " service=%s reason=%s outcome=%s status=%d placed=%d "
 		  "sent=%d held_ms=%" PRId64 " left_ms=%" PRId64,
-		  log_quote(id ? id : ""), log_quote(call->route->name),
+		  call_id(call), log_quote(call->route->name),
 		  call->view->config->version, log_quote(call->service),
 		  failure_get(reason)->name,
 		  outcome_name(outcome_of(call, reason)), status,
@@ -128,6 +134,25 @@
 	reply_failure(side, call->conn, status, retry_after_ms);
 }
 
+/* The same sample on all hosts, so that whole ways can be read. */
+static void log_success(const struct call *call,
+			const struct relay_answer *answer, int64_t total_us)
+{
+	const char *id =
+		http_message_value(call->message, HTTP_ROLE_REQUEST_ID);
+
+	if (!id || !relay_is_sampled(id))
+		return;
+	log_event(LOG_INFO, "request_served",
+		  "id=%s route=%s version=%" PRId64
+		  " service=%s status=%d placed=%d sent=%d total_us=%" PRId64
+		  " backend_us=%" PRId64,
+		  call_id(call), log_quote(call->route->name),
+		  call->view->config->version, log_quote(call->service),
+		  answer->status, call->nr_placed, call->nr_sent, total_us,
+		  (int64_t)answer->service_us);
+}
+
 static void answer_success(struct call *call, const struct relay_answer *answer)
 {
 	struct caller_side *side = call->side;
@@ -143,6 +168,7 @@
 		((int64_t)answer->body.body_len - call->state->answer_bytes) /
 		ANSWER_BYTES_WEIGHT;
 	counter_add(&side->requests[OUTCOME_RAN], 1);
+	log_success(call, answer, total_us);
 	histogram_observe(&side->added_time,
 			  (uint64_t)MAX(total_us - answer->service_us, 0));
 	http_server_reply(call->conn, &reply);
--- a/relay/job.h
+++ b/relay/job.h
@@ -2,11 +2,21 @@
 #define RELAY_JOB_H
 
 #include "admit/admit.h"
+#include "base/rng.h"
 #include "wire/wire.h"
 
 /* Answers from this length on take the link of a host for long. */
 #define RELAY_LONG_ANSWER_BYTES 16384
 
+/* One request in so many that are served is logged on each host. */
+#define RELAY_SAMPLE_ONE_IN 256
+
+/* Whether a request that is served is logged, by its id. */
+static inline bool relay_is_sampled(const char *request_id)
+{
+	return hash_string(request_id) % RELAY_SAMPLE_ONE_IN == 0;
+}
+
 struct backend_conn;
 struct backend_side;
 
