Refuse early at a server that has become slow, while others may answer in time

The daemon beside the server knows at once: what it runs grows old. Change: the expected service time is the mean or the age of what runs; the first two daemons that are offered a request refuse it when they would answer it late, by that time and their queue, and tell the time, which the sender takes for the target's latency.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -12,8 +12,12 @@
 struct service {
 	int64_t mean_ns; /* 0: not known */
 	int nr_running;
+	int64_t started_sum; /* of those that run */
 };
 
+/* Requests that the mean counts for beside those that run. */
+#define MEAN_COUNTS_FOR 2
+
 struct admit {
 	int queue_max;
 	const struct admit_limit_policy *policy;
@@ -93,6 +97,35 @@
 	return admit->ramp.limit;
 }
 
+/*
+ * A server that has become slow shows it by the age of what it runs, long
+ * before the first of these ends and moves the mean.
+ */
+int64_t admit_service_ns(const struct admit *admit,
+			 enum admit_priority priority)
+{
+	const struct service *service = &admit->services[priority];
+	int64_t ages =
+		service->nr_running * admit->latest - service->started_sum;
+	int64_t by_age = (MEAN_COUNTS_FOR * service->mean_ns + ages) /
+			 (MEAN_COUNTS_FOR + service->nr_running);
+
+	return MAX(service->mean_ns, by_age);
+}
+
+/*
+ * Whether others may answer a request in time and this server would not. While
+ * none of its priority runs, one is let in to measure it.
+ */
+static bool is_due_before(const struct admit *admit,
+			  const struct admit_request *request, int64_t wait_ns)
+{
+	if (!request->due || !admit->services[request->priority].nr_running)
+		return false;
+	return wait_ns + admit_service_ns(admit, request->priority) >
+	       request->due - admit->latest;
+}
+
 /*
  * Whether a request that has waited, or would wait, ends too late to gain by
  * it. While none of its priority runs, its service time is not known.
@@ -108,7 +141,7 @@
 	left = queue_wait_deadline(request) - admit->latest;
 	if (!service->nr_running)
 		return wait_ns >= left;
-	return wait_ns + service->mean_ns > left;
+	return wait_ns + admit_service_ns(admit, request->priority) > left;
 }
 
 /*
@@ -130,7 +163,7 @@
 	left = request->deadline - admit->latest;
 	if (!service->nr_running)
 		return wait_ns >= left;
-	return wait_ns + service->mean_ns > left;
+	return wait_ns + admit_service_ns(admit, request->priority) > left;
 }
 
 static bool is_cold(const struct admit *admit)
@@ -197,6 +230,7 @@
 	request->started = admit->latest;
 	request->life = admit->life;
 	admit->services[request->priority].nr_running++;
+	admit->services[request->priority].started_sum += request->started;
 	admit->nr_running++;
 }
 
@@ -230,14 +264,16 @@
 		return ADMIT_REFUSED_DRAINING;
 	if (!admit->queue.nr_requests && admit->nr_running < limit &&
 	    rate_allows(admit)) {
-		if (is_too_late(admit, request, 0))
+		if (is_too_late(admit, request, 0) ||
+		    is_due_before(admit, request, 0))
 			return ADMIT_REFUSED_DEADLINE;
 		start(admit, request);
 		return ADMIT_RUN;
 	}
 	wait_ns = expected_wait(admit, request);
 	if (is_too_late(admit, request, wait_ns) ||
-	    waits_too_long(admit, request, wait_ns))
+	    waits_too_long(admit, request, wait_ns) ||
+	    is_due_before(admit, request, wait_ns))
 		return ADMIT_REFUSED_DEADLINE;
 	if (admit->queue.nr_requests >= admit->queue_max) {
 		*displaced =
@@ -289,6 +325,7 @@
 	service_ns = now - request->started;
 	request->state = ADMIT_IDLE;
 	service->nr_running--;
+	service->started_sum -= request->started;
 	admit->nr_running--;
 	/* A request that was given up would have taken at least this long. */
 	if (outcome == ADMIT_ANSWERED ||
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -67,6 +67,12 @@
 	 * still gain by it; when a slot is free it runs all the same.
 	 */
 	int64_t objective;
+	/*
+	 * Until when it is to be answered as long as other servers may do so;
+	 * 0: none. It is refused when this one would not, even with a free
+	 * slot.
+	 */
+	int64_t due;
 	int cost; /* share of a caller's turn, 1 (also 0) to ADMIT_COST_MAX */
 
 	/* Set by the library. */
@@ -230,6 +236,12 @@
 int admit_limit(struct admit *admit, int64_t now);
 int admit_running(const struct admit *admit);
 int admit_queued(const struct admit *admit);
+/*
+ * How long a request of the priority is expected to run: the mean, or longer
+ * when those that run take longer already.
+ */
+int64_t admit_service_ns(const struct admit *admit,
+			 enum admit_priority priority);
 /* When a request that came now would start, by the mean service time. */
 int64_t admit_wait_ns(const struct admit *admit);
 /* Below the limit of a warm backend server. */
--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -142,6 +142,11 @@
 	uint32_t queue;
 	uint32_t limit;
 	bool draining;
+	/*
+	 * How long the target's daemon expects such a request to take; 0: not
+	 * told. What a slow target refuses says that it is slow.
+	 */
+	int64_t expected_ns;
 };
 
 struct balance;
--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -110,6 +110,11 @@
 	int64_t latency = MAX(result->latency_ns, 1);
 	bool answered = result->reason == FAILURE_NONE;
 
+	if (!answered && result->expected_ns > target->latency) {
+		target->latency = result->expected_ns;
+		target->latency_at = now;
+		return;
+	}
 	/* A quick failure is not a quick answer, but a late one is slow. */
 	if (!answered &&
 	    (result->reason != FAILURE_DEADLINE || latency <= target->latency))
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -134,7 +134,8 @@
 /*
  * fields are the header lines that are passed on. Within objective_left_ms the
  * answer is worth most; it may have passed. answer_bytes is the usual length of
- * the route's answers.
+ * the route's answers. due_left_ms, unless 0, asks to refuse the request if it
+ * would be answered later.
  */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
@@ -150,6 +151,7 @@
 	bool at_most_once;
 	unsigned hyper fingerprint;
 	int answer_bytes;
+	hyper due_left_ms;
 	opaque body<PEER_BODY_MAX>;
 };
 
@@ -163,6 +165,7 @@
 	int in_flight;
 	int limit;
 	hyper wait_ms;
+	hyper expected_ms;
 	hyper service_us;
 	peer_crash crash;
 	string fields<RELAY_FIELDS_MAX>;
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -286,6 +286,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->answer_bytes))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 		 return FALSE;
 	return TRUE;
@@ -326,6 +328,8 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->wait_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->expected_ms))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->service_us))
 			 return FALSE;
 		 if (!xdr_peer_crash (xdrs, &objp->crash))
@@ -364,6 +368,8 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->wait_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->expected_ms))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->service_us))
 			 return FALSE;
 		 if (!xdr_peer_crash (xdrs, &objp->crash))
@@ -391,6 +397,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->expected_ms))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->service_us))
 		 return FALSE;
 	 if (!xdr_peer_crash (xdrs, &objp->crash))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -164,6 +164,7 @@
 	bool_t at_most_once;
 	u_quad_t fingerprint;
 	int answer_bytes;
+	quad_t due_left_ms;
 	struct {
 		u_int body_len;
 		char *body_val;
@@ -179,6 +180,7 @@
 	int in_flight;
 	int limit;
 	quad_t wait_ms;
+	quad_t expected_ms;
 	quad_t service_us;
 	struct peer_crash crash;
 	char *fields;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -45,12 +45,14 @@
 /* Answers. */
 
 static void fill_load(const struct backend_side *side,
-		      struct relay_answer *answer)
+		      const struct relay_job *job, struct relay_answer *answer)
 {
 	answer->in_flight = admit_running(side->admit);
 	answer->queued = admit_queued(side->admit);
 	answer->limit = MAX(1, side->slots);
 	answer->wait_ms = admit_wait_ns(side->admit) / NS_PER_MS;
+	answer->expected_ms =
+		admit_service_ns(side->admit, job->admit.priority) / NS_PER_MS;
 	if (side->draining || !side->in_service)
 		answer->flags |= TRAFFIC_DRAINING;
 }
@@ -79,7 +81,7 @@
 		       struct relay_answer *answer)
 {
 	forget_job(side, job);
-	fill_load(side, answer);
+	fill_load(side, job, answer);
 	if (!answer->fields)
 		answer->fields = strdup("");
 	job->done(job, answer);
@@ -364,6 +366,9 @@
 	job->admit.caller = hash_string(job->request.caller_service);
 	send_ns = send_time(side, job);
 	job->admit.deadline = job->deadline - send_ns;
+	if (job->request.due_left_ms > 0)
+		job->admit.due =
+			now + job->request.due_left_ms * NS_PER_MS - send_ns;
 	job->admit.objective =
 		now + job->request.objective_left_ms * NS_PER_MS - send_ns;
 	reason = arrival_reason(side, job, now);
--- a/relay/call.c
+++ b/relay/call.c
@@ -11,6 +11,12 @@
  */
 #define PLACED_MAX 4
 
+/*
+ * Daemons that are asked to refuse a request that they would answer late. The
+ * next ones take it, since a late answer is better than none.
+ */
+#define DUE_PLACED_MAX 2
+
 /*
  * A repeatable request that has no answer after this share of its objective is
  * sent to a second backend server as well.
@@ -95,6 +101,9 @@
 	request->fields = message->fields->str;
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
 	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
+	if (call->nr_placed <= DUE_PLACED_MAX && !call->nr_sent &&
+	    !call->hedged)
+		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
 	request->caller_service = call->side->context->host->service;
 	request->request_id =
 		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
@@ -121,6 +130,7 @@
 		result.in_flight = (uint32_t)MAX(answer->in_flight, 0);
 		result.queue = (uint32_t)MAX(answer->queued, 0);
 		result.limit = (uint32_t)MAX(answer->limit, 1);
+		result.expected_ns = answer->expected_ms * NS_PER_MS;
 		result.draining = answer->flags & TRAFFIC_DRAINING;
 	}
 	balance_finish(side->balance, attempt->target, &result, now);
--- a/relay/call.h
+++ b/relay/call.h
@@ -58,7 +58,8 @@
 	int64_t arrival;
 	int64_t deadline;
 	struct route_state *state; /* of its route */
-	int64_t objective;	   /* until when the answer is worth most */
+	int64_t objective;	   /* until when it may wait for a slot */
+	int64_t due;		   /* until when the answer is worth most */
 	uint64_t fingerprint;
 	struct cds_list_head attempts; /* under way */
 	int nr_attempts;	       /* under way */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -283,8 +283,9 @@
 
 	call->deadline =
 		call->arrival + MIN(route->deadline_ms, asked_ms) * NS_PER_MS;
-	call->objective =
+	call->due =
 		call->arrival + (route->objective_ms - waited_ms) * NS_PER_MS;
+	call->objective = call->due;
 	/* Urgent requests wait as long as they can be answered at all. */
 	if (call_priority(call) == ADMIT_ORDER)
 		call->objective = call->deadline;
--- a/tests/admit/test_load.cc
+++ b/tests/admit/test_load.cc
@@ -31,6 +31,9 @@
 	int64_t deadline_ms = 1000;
 	double orders = 0; /* share of requests in the order class */
 	bool keep_objective = true;
+	/* From this second on all takes so many times as long. */
+	double slow_from = INFINITY, slow_times = 1;
+	bool ask_due = false; /* other servers may answer in time */
 };
 
 struct Outcome {
@@ -95,6 +98,13 @@
 		return (int64_t)(draw() / load.per_s * NS_PER_SEC) + 1;
 	}
 
+	double slowness() const
+	{
+		return (double)now / NS_PER_SEC >= load.slow_from
+			       ? load.slow_times
+			       : 1;
+	}
+
 	void refuse(struct admit_request *admitted)
 	{
 		Request *request = (Request *)admitted;
@@ -119,9 +129,12 @@
 		Request *request = new Request();
 
 		outcome.arrived++;
-		request->service_ns = (int64_t)(load.service_ms * NS_PER_MS *
-						(0.5 + draw() / 2));
+		request->service_ns =
+			(int64_t)(load.service_ms * NS_PER_MS *
+				  (0.5 + draw() / 2) * slowness());
 		request->objective = now + load.objective_ms * NS_PER_MS;
+		if (load.ask_due)
+			request->admit.due = request->objective;
 		request->admit.deadline = now + load.deadline_ms * NS_PER_MS;
 		request->admit.priority =
 			rng_below(&rng, 1000) < load.orders * 1000
@@ -239,6 +252,28 @@
 	EXPECT_GT(outcome.refused, outcome.arrived / 5);
 }
 
+/*
+ * A server turns 12 times as slow under half of its load, so that all it runs
+ * is late. Guards against requests that are spent on it until its mean has
+ * followed: before, 16 answers had to be late.
+ */
+TEST(AdmitLoad, ServerThatTurnsSlowRefusesSoon)
+{
+	Load load;
+	Outcome asked, plain;
+
+	load.per_s = 0.5 * load.slots * 1000 / load.service_ms;
+	load.deadline_ms = 3000;
+	load.slow_from = 5;
+	load.slow_times = 12;
+	plain = Replay(load).run();
+	load.ask_due = true;
+	asked = Replay(load).run();
+	EXPECT_GT(plain.late, 50);
+	EXPECT_LE(asked.late, 30);
+	EXPECT_GE(asked.in_objective, plain.in_objective * 9 / 10);
+}
+
 /* Below what the server can do nobody is refused. */
 TEST(AdmitLoad, UsualLoadIsServedWhole)
 {
@@ -248,6 +283,9 @@
 	load.per_s = 0.6 * load.slots * 1000 / load.service_ms;
 	outcome = Replay(load).run();
 	EXPECT_LE(outcome.refused, outcome.arrived / 200);
+	load.ask_due = true;
+	outcome = Replay(load).run();
+	EXPECT_LE(outcome.refused, outcome.arrived / 200);
 }
 
 /*
