--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -3,6 +3,7 @@
  * with faults injected from outside them while callers send orders and lookups.
  * soak SEED SECONDS; the seed draws the faults, not the timing of processes.
  */
+#include "judge.h"
 #include "platform.h"
 
 #include <atomic>
@@ -19,11 +20,6 @@
 const int HOSTS = 4;
 const int CALLERS = 6;
 
-struct Sent {
-	bool order;
-	int status;
-};
-
 /* What callers saw, by request id. */
 struct Ledger {
 	std::mutex lock;
@@ -31,11 +27,6 @@
 	std::map<int, int> by_status;
 };
 
-struct Check {
-	const char *promise;
-	long judged, broken;
-};
-
 class Soak
 {
       public:
@@ -178,31 +169,14 @@
 	int report()
 	{
 		std::map<std::string, int> runs;
-		Check once = { "an order runs at most once", 0, 0 };
-		Check not_run = { "503 means that it did not run", 0, 0 };
-		Check ran = { "200 means that it ran", 0, 0 };
 		Check back = { "every daemon serves again", HOSTS, 0 };
+		std::vector<Check> checks;
 		int broken = 0;
 
 		for (int i = 0; i < HOSTS; i++)
 			for (const std::string &id : platform.run_ids(i))
 				runs[id]++;
-		for (const auto &one : ledger.sent) {
-			int nr = runs.count(one.first) ? runs[one.first] : 0;
-
-			if (one.second.order) {
-				once.judged++;
-				once.broken += nr > 1;
-			}
-			if (one.second.status == 503 && one.second.order) {
-				not_run.judged++;
-				not_run.broken += nr > 0;
-			}
-			if (one.second.status == 200) {
-				ran.judged++;
-				ran.broken += nr == 0;
-			}
-		}
+		checks = judge(ledger.sent, runs);
 		platform.delete_item("op/evacuate/z1");
 		for (int i = 0; i < HOSTS; i++)
 			platform.publish_entry(i);
@@ -216,7 +190,8 @@
 			       fault.second);
 		for (const auto &status : ledger.by_status)
 			printf("answers %d: %d\n", status.first, status.second);
-		for (const Check &check : { once, not_run, ran, back }) {
+		checks.push_back(back);
+		for (const Check &check : checks) {
 			printf("promise: %s: judged %ld, broken %ld%s\n",
 			       check.promise, check.judged, check.broken,
 			       check.judged ? "" : " (judged nothing)");
