--- a/relay/call.c
+++ b/relay/call.c
@@ -102,7 +102,7 @@
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
 	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
 	if (call->nr_placed <= DUE_PLACED_MAX && !call->nr_sent &&
-	    !call->hedged)
+	    !call->hedged && !call->takes_late)
 		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
 	request->caller_service = call->side->context->host->service;
 	request->request_id =
@@ -176,6 +176,22 @@
 				call->fingerprint, clock_monotonic_ns(), NULL);
 }
 
+/*
+ * All that may get the request were asked, some of them only whether they would
+ * be in time: these are offered it again, to wait.
+ */
+static bool offer_late(struct call *call, enum failure_reason reason)
+{
+	if (call->takes_late || call->nr_sent || call->nr_attempts ||
+	    failure_get(reason)->outcome != OUTCOME_NOT_RUN ||
+	    !call->nr_due_refused || clock_monotonic_ns() >= call->deadline)
+		return false;
+	call->takes_late = true;
+	call->nr_excluded = 0;
+	call->nr_placed = 0;
+	return !is_quarantined(call) && try_place(call) == FAILURE_NONE;
+}
+
 /* An attempt failed: it is made again, another one goes on, or it is over. */
 static void go_on(struct call *call, enum failure_reason reason, bool sent)
 {
@@ -185,6 +201,8 @@
 		if (try_place(call) == FAILURE_NONE)
 			return;
 	}
+	if (offer_late(call, reason))
+		return;
 	if (!call->nr_attempts)
 		call_end(call, reason, NULL);
 }
@@ -223,6 +241,8 @@
 	free_attempt(attempt);
 	if (sent)
 		call->nr_sent++;
+	if (reason == FAILURE_TARGET_DEADLINE)
+		call->nr_due_refused++;
 	if (failure_get(reason)->outcome == OUTCOME_UNKNOWN)
 		call->may_have_run = true;
 	if (answer && answer->reason != FAILURE_NONE && !answer->sent)
--- a/relay/call.h
+++ b/relay/call.h
@@ -65,9 +65,11 @@
 	int nr_attempts;	       /* under way */
 	int nr_placed;		       /* sent to daemons */
 	int nr_sent;		       /* that reached a backend server */
+	int nr_due_refused; /* by daemons that would have been late */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
 	bool may_have_run;
+	bool takes_late;    /* no daemon is asked to refuse it for being late */
 	int64_t wait_ms;    /* the shortest wait that a daemon told; -1: none */
 	struct timer timer; /* the deadline, or the second attempt */
 	bool hedged;
