Free connection buffers after long records and answers

Each of some hundred connections of a host kept a buffer as long as the longest answer it had carried.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -14,6 +14,9 @@
 /* Bytes after a request that are kept until it is answered. */
 #define AHEAD_MAX 65536
 
+/* A kept connection frees its buffer after a longer answer. */
+#define OUT_KEEP_BYTES 8192
+
 enum conn_state {
 	CONN_READING, /* a request, or idle before its first byte */
 	CONN_SERVING, /* the owner has the request */
@@ -100,6 +103,10 @@
 
 static void finish_reply(struct http_server_conn *conn)
 {
+	if (conn->out->len > OUT_KEEP_BYTES) {
+		g_byte_array_unref(conn->out);
+		conn->out = g_byte_array_new();
+	}
 	g_byte_array_set_size(conn->out, 0);
 	conn->out_done = 0;
 	if (conn->close_after || conn->ended) {
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -13,8 +13,11 @@
 
 #define READ_BYTES 65536
 
-/* The kept input buffer shrinks to this size after a large record. */
-#define INPUT_KEEP_BYTES 65536
+/*
+ * A buffer that has held more is freed once it is empty: a host has hundreds of
+ * connections, and each may have carried a long answer.
+ */
+#define BUFFER_KEEP_BYTES 8192
 
 /* Output from this length on is paced. */
 #define PACED_LEAST_BYTES 16384
@@ -29,6 +32,7 @@
 	pthread_mutex_t lock; /* guards output, connecting and closed */
 	GByteArray *output;
 	size_t output_sent;
+	bool output_long;	/* has held more than BUFFER_KEEP_BYTES */
 	struct net_paced paced; /* loop's thread only */
 	bool connecting;
 	bool closed;
@@ -186,14 +190,23 @@
 	net_pacer_add(conn->options.pacer, &conn->paced, clock_monotonic_ns());
 }
 
+static void renew(GByteArray **buffer)
+{
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
 /* Notes that bytes of the output were sent. */
 static void drop_sent(struct net_conn *conn, size_t bytes)
 {
 	conn->output_sent += bytes;
 	count_sent(conn, bytes);
 	if (!waiting_bytes(conn)) {
+		if (conn->output_long)
+			renew(&conn->output);
 		g_byte_array_set_size(conn->output, 0);
 		conn->output_sent = 0;
+		conn->output_long = false;
 	} else if (conn->output_sent >= OUTPUT_DROP_BYTES) {
 		g_byte_array_remove_range(conn->output, 0,
 					  (guint)conn->output_sent);
@@ -225,6 +238,7 @@
 	if (sent >= 0 && (size_t)sent < len) {
 		g_byte_array_append(conn->output, (const guint8 *)data + sent,
 				    (guint)(len - (size_t)sent));
+		conn->output_long |= conn->output->len > BUFFER_KEEP_BYTES;
 		if (!conn->connecting && is_paced(conn, waiting_bytes(conn)))
 			wait_for_turn(conn);
 		else if (!conn->paced.waiting)
@@ -329,10 +343,8 @@
 	}
 	if (used)
 		g_byte_array_remove_range(conn->input, 0, (guint)used);
-	if (!conn->input->len && used > INPUT_KEEP_BYTES) {
-		g_byte_array_unref(conn->input);
-		conn->input = g_byte_array_new();
-	}
+	if (!conn->input->len && used > BUFFER_KEEP_BYTES)
+		renew(&conn->input);
 	return true;
 }
 
