--- a/relay/call.c
+++ b/relay/call.c
@@ -49,10 +49,21 @@
 	       call->route->objective_ms * NS_PER_MS * HEDGE_PERCENT / 100;
 }
 
+static enum peer_lane lane_of(const struct call *call)
+{
+	return call->state->answer_bytes >= RELAY_LONG_ANSWER_BYTES
+		       ? PEER_LANE_LONG
+		       : PEER_LANE_SHORT;
+}
+
+/*
+ * A long answer that is late mostly waits for the link of its host, and a copy
+ * of it would take as much of another one.
+ */
 static bool may_hedge(const struct call *call)
 {
 	return !call->hedged && !call->route->at_most_once &&
-	       call->route->attempts > 1;
+	       call->route->attempts > 1 && lane_of(call) == PEER_LANE_SHORT;
 }
 
 static void set_timer(struct call *call)
@@ -295,13 +306,6 @@
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
-static enum peer_lane lane_of(const struct call *call)
-{
-	return call->state->answer_bytes >= RELAY_LONG_ANSWER_BYTES
-		       ? PEER_LANE_LONG
-		       : PEER_LANE_SHORT;
-}
-
 static void start_attempt(struct call *call,
 			  const struct balance_choice *choice)
 {
