Run orders elsewhere while a server loses answers; say version, not draining, without a server

And after all hosts start anew, daemons that had not heard of their server yet answered target-draining, which kept callers away for a second. Change: lib/admit/sound smooths the share of lost runs; above 0.1 the first three daemons that are offered a request that runs at most once refuse it (target-unsound, not run).

--- /dev/null
+++ b/lib/admit/sound.c
@@ -0,0 +1,35 @@
+#include "admit/sound.h"
+
+#include <glib.h>
+#include <math.h>
+
+#include "base/clock.h"
+
+/* Weight of a new request in the share. */
+#define WEIGHT (1.0 / 16)
+
+/* From this share of failures on a server is not sound. */
+#define FAILING_MAX 0.1
+
+/* Without new requests the share halves in this time, so that it is tried. */
+#define HALF_LIFE_NS (1 * NS_PER_SEC)
+
+static double failing_at(const struct sound *sound, int64_t now)
+{
+	double age = (double)MAX(now - sound->counted, 0);
+
+	return sound->failing * exp2(-age / HALF_LIFE_NS);
+}
+
+void sound_count(struct sound *sound, bool failed, int64_t now)
+{
+	double failing = failing_at(sound, now);
+
+	sound->failing = failing + ((failed ? 1 : 0) - failing) * WEIGHT;
+	sound->counted = now;
+}
+
+bool sound_holds(const struct sound *sound, int64_t now)
+{
+	return failing_at(sound, now) < FAILING_MAX;
+}
--- /dev/null
+++ b/lib/admit/sound.h
@@ -0,0 +1,25 @@
+#ifndef ADMIT_SOUND_H
+#define ADMIT_SOUND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Whether a backend server is sound, by how its last requests ended. A server
+ * may be healthy by its status check and still lose the answers of many
+ * requests that it ran. Lookups are repeated then; a request that runs at most
+ * once is better run elsewhere as long as others may take it.
+ */
+
+/* All zero at the start, which is sound. */
+struct sound {
+	double failing;	 /* smoothed share of requests that failed */
+	int64_t counted; /* when the last one was counted (monotonic ns) */
+};
+
+/* Counts the end of a request at the server. */
+void sound_count(struct sound *sound, bool failed, int64_t now);
+
+bool sound_holds(const struct sound *sound, int64_t now);
+
+#endif
--- a/lib/retry/failure.c
+++ b/lib/retry/failure.c
@@ -39,6 +39,8 @@
 	[FAILURE_TARGET_DEADLINE] = { "target-deadline", OUTCOME_NOT_RUN, 504,
 				      true, false },
 	[FAILURE_VERSION] = { "version", OUTCOME_NOT_RUN, 503, true, false },
+	[FAILURE_TARGET_UNSOUND] = { "target-unsound", OUTCOME_NOT_RUN, 503,
+				     true, false },
 	[FAILURE_BACKEND_REFUSED] = { "backend-refused", OUTCOME_NOT_RUN, 502,
 				      true, true },
 	[FAILURE_BACKEND_SHED] = { "backend-shed", OUTCOME_NOT_RUN, 503, true,
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -54,6 +54,7 @@
 	FAILURE_TARGET_DRAINING,
 	FAILURE_TARGET_DEADLINE, /* could not meet its deadline, dropped */
 	FAILURE_VERSION,	 /* its version lacks the route */
+	FAILURE_TARGET_UNSOUND,	 /* its backend server loses answers */
 
 	/* The backend server. */
 	FAILURE_BACKEND_REFUSED, /* refused the connection */
--- a/lib/trace/trace.c
+++ b/lib/trace/trace.c
@@ -118,6 +118,9 @@
 	case FAILURE_TARGET_DEADLINE:
 		return "the servers of its service bear no more now: no place "
 		       "would have come in its time";
+	case FAILURE_TARGET_UNSOUND:
+		return "the servers that were tried lose answers, so they get "
+		       "nothing that runs at most once";
 	case FAILURE_BACKEND_SHED:
 		return "the servers that were tried refused it themselves";
 	case FAILURE_TARGET_DRAINING:
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -16,6 +16,9 @@
 /* Places in the queue for each slot of the backend server. */
 #define QUEUE_PER_SLOT 3
 
+/* From this status on a server says that it failed. */
+#define HTTP_STATUS_FAILED 500
+
 /* Part of the allowed cold rate that is used, for requests under way. */
 #define COLD_BURST_SHARE 0.6
 
@@ -34,6 +37,7 @@
 	bool draining;
 	uint64_t life; /* counts crashes of the server, from 1 */
 	struct losses losses;
+	struct sound sound;
 	struct counter admitted;
 	struct counter refused;
 	struct counter crashes;
@@ -53,7 +57,7 @@
 	answer->wait_ms = admit_wait_ns(side->admit) / NS_PER_MS;
 	answer->expected_ms =
 		admit_service_ns(side->admit, job->admit.priority) / NS_PER_MS;
-	if (side->draining || !side->in_service)
+	if (backend_side_is_draining(side))
 		answer->flags |= TRAFFIC_DRAINING;
 }
 
@@ -207,6 +211,25 @@
 		  admit_running(side->admit), admit_queued(side->admit));
 }
 
+/*
+ * A failure that the server tells may be that of a call that it made, unless
+ * the request is one that should not fail.
+ */
+static void count_sound(struct backend_side *side, const struct relay_job *job,
+			enum failure_reason reason,
+			const struct http_message *response)
+{
+	int64_t now = clock_monotonic_ns();
+	bool told = reason == FAILURE_NONE &&
+		    response->status >= HTTP_STATUS_FAILED;
+
+	if (reason == FAILURE_BACKEND_LOST ||
+	    (told && job->request.at_most_once))
+		sound_count(&side->sound, true, now);
+	else if (reason == FAILURE_NONE && !told)
+		sound_count(&side->sound, false, now);
+}
+
 static void on_response(enum http_end end, struct http_message *response,
 			void *ctx)
 {
@@ -217,6 +240,7 @@
 	struct relay_answer answer = { .reason = (int)reason };
 
 	end_run(side, job, reason);
+	count_sound(side, job, reason, response);
 	log_run(side, job, reason, response ? response->status : 0);
 	probe_note_answer(side->probe);
 	answer.sent = reason != FAILURE_BACKEND_REFUSED;
@@ -260,7 +284,7 @@
 /* Why the server must not get a request now, or FAILURE_NONE. */
 static enum failure_reason blocked_reason(const struct backend_side *side)
 {
-	if (side->draining || !side->in_service)
+	if (backend_side_is_draining(side))
 		return FAILURE_TARGET_DRAINING;
 	if (!side->backend_id)
 		return FAILURE_VERSION;
@@ -328,6 +352,10 @@
 		return FAILURE_QUARANTINED;
 	if (job->deadline <= now)
 		return FAILURE_TARGET_DEADLINE;
+	/* Others may still take it. */
+	if (request->at_most_once && request->due_left_ms > 0 &&
+	    !sound_holds(&side->sound, now))
+		return FAILURE_TARGET_UNSOUND;
 	return blocked_reason(side);
 }
 
@@ -484,7 +512,12 @@
 
 bool backend_side_is_draining(const struct backend_side *side)
 {
-	return side->draining || !side->in_service;
+	/*
+	 * A daemon that has not heard of its server yet does not say that it is
+	 * leaving: after a restart of all hosts callers would stay away from it
+	 * for a second.
+	 */
+	return side->draining || (side->backend_id && !side->in_service);
 }
 
 int backend_side_nr_jobs(const struct backend_side *side)
--- a/relay/call.c
+++ b/relay/call.c
@@ -12,10 +12,12 @@
 #define PLACED_MAX 4
 
 /*
- * Daemons that are asked to refuse a request that they would answer late. The
- * next ones take it, since a late answer is better than none.
+ * Daemons that are asked to refuse a request that they would answer late, or
+ * may lose if it runs at most once. The next ones take it, since a late answer
+ * is better than none.
  */
 #define DUE_PLACED_MAX 2
+#define DUE_PLACED_MAX_ONCE 3
 
 /*
  * A repeatable request that has no answer after this share of its objective is
@@ -103,6 +105,8 @@
 	const struct http_message *message = call->message;
 	int64_t now = clock_monotonic_ns();
 	int64_t left = call->deadline - now;
+	int due_placed_max = call->route->at_most_once ? DUE_PLACED_MAX_ONCE
+						       : DUE_PLACED_MAX;
 
 	memset(request, 0, sizeof(*request));
 	request->service = (char *)call->service;
@@ -112,7 +116,7 @@
 	request->fields = message->fields->str;
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
 	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
-	if (call->nr_placed <= DUE_PLACED_MAX && !call->nr_sent &&
+	if (call->nr_placed <= due_placed_max && !call->nr_sent &&
 	    !call->hedged && !call->takes_late)
 		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
 	request->caller_service = call->side->context->host->service;
@@ -252,7 +256,8 @@
 	free_attempt(attempt);
 	if (sent)
 		call->nr_sent++;
-	if (reason == FAILURE_TARGET_DEADLINE)
+	if (reason == FAILURE_TARGET_DEADLINE ||
+	    reason == FAILURE_TARGET_UNSOUND)
 		call->nr_due_refused++;
 	if (failure_get(reason)->outcome == OUTCOME_UNKNOWN)
 		call->may_have_run = true;
--- a/relay/call.h
+++ b/relay/call.h
@@ -65,7 +65,7 @@
 	int nr_attempts;	       /* under way */
 	int nr_placed;		       /* sent to daemons */
 	int nr_sent;		       /* that reached a backend server */
-	int nr_due_refused; /* by daemons that would have been late */
+	int nr_due_refused;	       /* by daemons that may not do well */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
 	bool may_have_run;
--- a/relay/job.h
+++ b/relay/job.h
@@ -2,6 +2,7 @@
 #define RELAY_JOB_H
 
 #include "admit/admit.h"
+#include "admit/sound.h"
 #include "base/rng.h"
 #include "wire/wire.h"
 
