Build news on what other daemons knew a moment ago

Change: news for a daemon that has not said what it knows build on the revision of a second ago; a daemon that knows less says so and is sent the rest at once. Tests: Recent.*; test_mesh 21 of 21, test_relay 12 of 12.

--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -216,12 +216,10 @@
  * the request is one that should not fail.
  */
 static void count_sound(struct backend_side *side, const struct relay_job *job,
-			enum failure_reason reason,
-			const struct http_message *response)
+			enum failure_reason reason, int status)
 {
 	int64_t now = clock_monotonic_ns();
-	bool told = reason == FAILURE_NONE &&
-		    response->status >= HTTP_STATUS_FAILED;
+	bool told = reason == FAILURE_NONE && status >= HTTP_STATUS_FAILED;
 
 	if (reason == FAILURE_BACKEND_LOST ||
 	    (told && job->request.at_most_once))
@@ -237,11 +235,12 @@
 	struct relay_job *job = ctx;
 	struct backend_side *side = job->side;
 	enum failure_reason reason = backend_message_judge(end, response);
+	int status = response ? response->status : 0;
 	struct relay_answer answer = { .reason = (int)reason };
 
 	end_run(side, job, reason);
-	count_sound(side, job, reason, response);
-	log_run(side, job, reason, response ? response->status : 0);
+	count_sound(side, job, reason, status);
+	log_run(side, job, reason, status);
 	probe_note_answer(side->probe);
 	answer.sent = reason != FAILURE_BACKEND_REFUSED;
 	answer.service_us =
--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -2,6 +2,7 @@
 #define RELAY_FEED_INTERNAL_H
 
 #include "mesh/readers.h"
+#include "mesh/recent.h"
 #include "net/rpc.h"
 #include "relay/feed_peers.h"
 
@@ -14,6 +15,9 @@
 #define FEED_OUTPUT_MAX (32 * 1024 * 1024)
 #define TELL_INTERVAL_NS (READERS_TELL_INTERVAL_MS * NS_PER_MS)
 
+/* The daemon has not said yet what it knows. */
+#define FEED_ACKED_UNKNOWN (-1)
+
 /* A daemon whose news are passed on. */
 struct root {
 	char *ip;      /* NULL: the place is free */
@@ -31,11 +35,12 @@
 	struct rpc_conn *conn; /* NULL: none */
 	struct rpc_call call;
 	bool calling;
-	int64_t acked;	 /* revision that it has confirmed */
-	int64_t sent_to; /* revision of the push under way */
-	uint32_t due;	 /* roots to tell it of, by their places */
-	uint32_t sent;	 /* roots in the push under way */
-	bool failed;	 /* the last push was not answered */
+	int64_t acked; /* revision that it has confirmed; FEED_ACKED_UNKNOWN */
+	int64_t sent_from; /* revision that the push under way builds on */
+	int64_t sent_to;   /* revision of the push under way */
+	uint32_t due;	   /* roots to tell it of, by their places */
+	uint32_t sent;	   /* roots in the push under way */
+	bool failed;	   /* the last push was not answered */
 	int64_t next_push;
 	int64_t reads_at; /* when it was last heard to read; 0: never */
 	int64_t named_at; /* when the last view that has it was taken */
@@ -53,6 +58,8 @@
 	bool own_named;	   /* by the present view */
 	struct timer timer;
 	bool reads;
+	/* What daemons that were told nothing yet may be expected to know. */
+	struct mesh_recent recent;
 	/* The last value that was packed, since it goes to all daemons. */
 	GBytes *plain;
 	GBytes *packed; /* NULL: does not get shorter */
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -47,6 +47,8 @@
 	}
 	if (tells && peers->next_tell <= now)
 		feed_mark_own(peers, now);
+	mesh_recent_note(&peers->recent, feed_revision(peers->options.feed),
+			 now);
 	feed_push_due(peers, now);
 	next = next_update(peers, now, tells);
 	if (next != DEADLINE_NEVER)
@@ -199,7 +201,8 @@
 	take_roots(peers, push, news, now);
 	/* It restarted, or missed something: it is told what it lacks. */
 	if (peer && push->to < feed_revision(feed)) {
-		peer->acked = MIN(peer->acked, push->to);
+		if (peer->acked == FEED_ACKED_UNKNOWN || peer->acked > push->to)
+			peer->acked = push->to;
 		feed_push_to(peer, NULL, 0, now);
 	}
 	feed_update(peers, now);
@@ -278,6 +281,7 @@
 		peer->peers = peers;
 		peer->ip = g_strdup(ip);
 		peer->next_push = DEADLINE_NEVER;
+		peer->acked = FEED_ACKED_UNKNOWN;
 		text = g_strdup_printf("%s:%u", ip,
 				       peers->options.host->control.port);
 		net_address_parse(&peer->address, text, NULL);
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -166,7 +166,7 @@
 	bool is_new = !peer->failed;
 
 	peer->failed = true;
-	peer->acked = 0;
+	peer->acked = FEED_ACKED_UNKNOWN;
 	peer->due |= peer->sent;
 	peer->next_push = now + PUSH_RETRY_NS;
 	for (int i = 0; is_new && i < FEED_ROOTS_MAX; i++)
@@ -190,7 +190,10 @@
 		peer->failed = false;
 		if (peer->acked < peer->sent_to) {
 			peer->due |= peer->sent;
-			peer->next_push = now + PUSH_RETRY_NS;
+			peer->next_push = now;
+			/* It knew less than the push built on, if that. */
+			if (peer->acked >= peer->sent_from)
+				peer->next_push += PUSH_RETRY_NS;
 		}
 	} else {
 		mark_failed(peer, now);
@@ -237,20 +240,21 @@
 	return nr;
 }
 
-static void send_push(struct peer *peer, struct batch *batch)
+static void send_push(struct peer *peer, struct batch *batch, int64_t from)
 {
 	struct feed_peers *peers = peer->peers;
 	struct feed_push *push = &batch->push;
 	struct feed_root roots[FEED_ROOTS_MAX];
 
 	push->ip = peers->options.host->ip;
-	push->from = peer->acked;
+	push->from = from;
 	push->to = feed_revision(peers->options.feed);
 	push->roots.roots_val = roots;
 	push->roots.roots_len = fill_roots(peer, roots, batch->now);
 	push->entries.entries_len = batch->entries->len;
 	push->entries.entries_val = (struct feed_entry *)batch->entries->data;
 	peer->calling = true;
+	peer->sent_from = from;
 	peer->sent_to = push->to;
 	peer->sent = peer->due;
 	peer->due = 0;
@@ -266,13 +270,16 @@
 {
 	struct peer_crash told[PEER_CRASHES_MAX];
 	struct batch batch = { .peers = peer->peers, .now = now };
+	int64_t from = peer->acked;
 
 	if (peer->calling || !connect_peer(peer))
 		return;
+	if (peer->acked == FEED_ACKED_UNKNOWN)
+		from = peer->peers->recent.revision;
 	batch.entries = g_array_new(FALSE, TRUE, sizeof(struct feed_entry));
-	if (peer->acked < feed_revision(peer->peers->options.feed))
-		feed_each_after(peer->peers->options.feed, peer->acked,
-				add_entry, &batch);
+	if (from < feed_revision(peer->peers->options.feed))
+		feed_each_after(peer->peers->options.feed, from, add_entry,
+				&batch);
 	for (size_t i = 0; i < MIN(nr, PEER_CRASHES_MAX); i++) {
 		told[i].fingerprint = crashes[i].fingerprint;
 		told[i].origin = crashes[i].origin;
@@ -282,7 +289,7 @@
 	}
 	batch.push.crashes.crashes_len = (u_int)MIN(nr, PEER_CRASHES_MAX);
 	batch.push.crashes.crashes_val = told;
-	send_push(peer, &batch);
+	send_push(peer, &batch, from);
 	g_array_unref(batch.entries);
 }
 
