--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -25,6 +25,7 @@
 static struct event_rate rates[MAX_EVENT_NAMES];
 static int max_priority = LOG_INFO;
 static int output = STDERR_FILENO;
+static int nr_dropped; /* lines that the descriptor did not take */
 
 void log_set_output(int fd)
 {
@@ -79,7 +80,7 @@
 {
 	int64_t now = clock_wall_ms();
 	g_autoptr(GString) line = NULL;
-	int suppressed;
+	int suppressed, dropped;
 	va_list args;
 
 	if (priority > __atomic_load_n(&max_priority, __ATOMIC_RELAXED))
@@ -92,6 +93,9 @@
 			(long long)(now / 1000), (int)(now % 1000), event);
 	if (suppressed)
 		g_string_append_printf(line, " suppressed=%d", suppressed);
+	dropped = __atomic_exchange_n(&nr_dropped, 0, __ATOMIC_RELAXED);
+	if (dropped)
+		g_string_append_printf(line, " dropped=%d", dropped);
 	if (*fmt) {
 		g_string_append_c(line, ' ');
 		va_start(args, fmt);
@@ -101,7 +105,7 @@
 	g_string_append_c(line, '\n');
 	/* One write for each line keeps lines of several threads apart. */
 	if (write(output, line->str, line->len) < 0)
-		return;
+		__atomic_add_fetch(&nr_dropped, dropped + 1, __ATOMIC_RELAXED);
 }
 
 static int needs_quotes(const char *value)
--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -11,7 +11,8 @@
  *	<6>ts=1764840000.123 event=config_accepted version=7
  *
  * Lines of one event name are limited to LOG_LINES_PER_SEC a second; the next
- * line that passes says how many were left out as suppressed=N.
+ * line that passes says how many were left out as suppressed=N. A line that the
+ * descriptor does not take is dropped; the next one says so as dropped=N.
  */
 
 #define LOG_LINES_PER_SEC 20
--- a/tests/base/test_base.cc
+++ b/tests/base/test_base.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
 #include <string>
+#include <unistd.h>
 
 extern "C" {
 #include "base/counters.h"
@@ -109,6 +111,36 @@
 	findings_release(&f);
 }
 
+/* Guards against a reader that stops and then blocks the daemon, unseen. */
+TEST(Log, FullPipeDropsLinesAndSaysSo)
+{
+	std::string text;
+	char buffer[65536];
+	int flags = fcntl(STDERR_FILENO, F_GETFL);
+	ssize_t n;
+	int fds[2];
+
+	ASSERT_EQ(pipe(fds), 0);
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	log_set_output(fds[1]);
+	while (write(fds[1], buffer, 1) == 1)
+		;
+	for (int i = 0; i < 3; i++)
+		log_event(LOG_INFO, "full_pipe", "n=%d", i);
+	while (read(fds[0], buffer, sizeof(buffer)) > 0)
+		;
+	log_event(LOG_INFO, "pipe_read", "n=4");
+	n = read(fds[0], buffer, sizeof(buffer));
+	ASSERT_GT(n, 0);
+	text.assign(buffer, (size_t)n);
+	EXPECT_NE(text.find("event=pipe_read dropped=3 n=4"), std::string::npos)
+		<< text;
+	log_set_output(STDERR_FILENO);
+	fcntl(STDERR_FILENO, F_SETFL, flags);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 /* Guards against log values that break the key=value form of a line. */
 TEST(Log, QuotesValuesThatNeedIt)
 {
