--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -201,6 +201,30 @@
 	EXPECT_LE(failed, 10);
 }
 
+/*
+ * A copy of a lookup is under way when the first server ends. Guards against a
+ * third server for a route that allows two.
+ */
+TEST(Relay, CopyUnderWayCountsAsAnAttempt)
+{
+	Platform in = make(3, "2500");
+	std::thread caller;
+	int first = -1;
+	auto all_runs = [&] { return in.runs(0) + in.runs(1) + in.runs(2); };
+
+	in.start_all();
+	caller = std::thread([&in] { in.ask(0, "GET", "/stock/1", "", 3000); });
+	EXPECT_TRUE(eventually([&] { return all_runs() == 1; }));
+	for (int i = 0; i < 3; i++)
+		if (in.runs(i))
+			first = i;
+	EXPECT_TRUE(eventually([&] { return all_runs() == 2; }));
+	in.stop_server(first);
+	usleep(700000);
+	EXPECT_EQ(in.runs((first + 1) % 3) + in.runs((first + 2) % 3), 1u);
+	caller.join();
+}
+
 /* Takes the place of a host that lost power: connections to it hang. */
 class DeadHost
 {
