Do not count service times that span a stop of the process

Cause of ProcessOnce.PausedDaemonAnswersNobodyElse (KNOWN-RED): a daemon that stood still takes the time until it reads the answers for service time. The first sample of a fresh target was 1.5 s, so the queue was expected to last longer than the deadline of 0.7 s and orders were refused as target-deadline until seven runs had lowered the mean. The relay learns the same after a freeze.

Change: while requests run the admission asks for a call every 250 ms; a gap of more than 600 ms is a stop, and requests that ran in it move no mean and no ramp. Their age counts from the end of the stop.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -12,12 +12,21 @@
 struct service {
 	int64_t mean_ns; /* 0: not known */
 	int nr_running;
-	int64_t started_sum; /* of those that run */
+	int64_t started_sum; /* of those that run; see counted_start() */
 };
 
 /* Requests that the mean counts for beside those that run. */
 #define MEAN_COUNTS_FOR 2
 
+/* While requests run the calling code is asked for a call so often. */
+#define BEAT_NS (250 * NS_PER_MS)
+
+/*
+ * A longer time between two calls while requests run means that this process
+ * was stopped: what it took for slow answers had come in time.
+ */
+#define PAUSE_NS (600 * NS_PER_MS)
+
 struct admit {
 	int queue_max;
 	const struct admit_limit_policy *policy;
@@ -26,6 +35,8 @@
 	struct service services[ADMIT_NR_PRIORITIES];
 	int64_t mean_ns; /* of all priorities */
 	int64_t latest;	 /* largest `now` seen */
+	int64_t resumed; /* end of the last pause */
+	uint64_t nr_pauses;
 	uint64_t life;
 	int nr_running;
 	bool draining;
@@ -35,8 +46,27 @@
 	int64_t cold_filled; /* when tokens were last added */
 };
 
+/* From when the time of a running request counts: its start or a pause's end.
+ */
+static int64_t counted_start(const struct admit *admit,
+			     const struct admit_request *request)
+{
+	return MAX(request->started, admit->resumed);
+}
+
+static void end_pause(struct admit *admit, int64_t now)
+{
+	admit->resumed = now;
+	admit->nr_pauses++;
+	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+		admit->services[i].started_sum =
+			admit->services[i].nr_running * now;
+}
+
 static int64_t admit_now(struct admit *admit, int64_t now)
 {
+	if (admit->nr_running && now - admit->latest > PAUSE_NS)
+		end_pause(admit, now);
 	if (now > admit->latest)
 		admit->latest = now;
 	return admit->latest;
@@ -58,7 +88,7 @@
 {
 	struct admit *admit = g_new0(struct admit, 1);
 
-	admit->latest = now;
+	admit->latest = admit->resumed = now;
 	admit->life = 1;
 	take_options(admit, options);
 	queue_init(&admit->queue);
@@ -325,8 +355,10 @@
 	service_ns = now - request->started;
 	request->state = ADMIT_IDLE;
 	service->nr_running--;
-	service->started_sum -= request->started;
+	service->started_sum -= counted_start(admit, request);
 	admit->nr_running--;
+	if (counted_start(admit, request) != request->started)
+		return;
 	/* A request that was given up would have taken at least this long. */
 	if (outcome == ADMIT_ANSWERED ||
 	    (outcome == ADMIT_FAILED && service_ns > service->mean_ns)) {
@@ -403,6 +435,8 @@
 {
 	int64_t timer = DEADLINE_NEVER;
 
+	if (admit->nr_running)
+		timer = admit->latest + BEAT_NS;
 	if (!admit->queue.nr_requests)
 		return timer;
 	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
@@ -472,7 +506,7 @@
 {
 	const struct admit_class *classes = admit->queue.classes;
 
-	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:I, s:I, "
+	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:I, s:I, s:I, "
 			 "s:{s:i, s:i, s:i}}",
 			 "limit_policy", admit->policy->name, "limit",
 			 admit->ramp.limit, "slots", admit->ramp.slots,
@@ -480,8 +514,9 @@
 			 admit->nr_running, "queue_max", admit->queue_max,
 			 "draining", admit->draining, "life",
 			 (json_int_t)admit->life, "mean_us",
-			 (json_int_t)(admit->mean_ns / NS_PER_US), "queued",
-			 "order", classes[ADMIT_ORDER].nr_requests, "lookup",
+			 (json_int_t)(admit->mean_ns / NS_PER_US), "pauses",
+			 (json_int_t)admit->nr_pauses, "queued", "order",
+			 classes[ADMIT_ORDER].nr_requests, "lookup",
 			 classes[ADMIT_LOOKUP].nr_requests, "background",
 			 classes[ADMIT_BACKGROUND].nr_requests);
 }
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -214,7 +214,9 @@
 
 /*
  * When admit_expire() or admit_next() should be called next though no request
- * ends; INT64_MAX for never.
+ * ends; INT64_MAX for never. While requests run that is soon: a call that comes
+ * much later shows that the process was stopped, and the service times of the
+ * requests that ran are not counted.
  */
 int64_t admit_next_timer(const struct admit *admit);
 
--- a/tests/admit/test_load.cc
+++ b/tests/admit/test_load.cc
@@ -34,6 +34,8 @@
 	/* From this second on all takes so many times as long. */
 	double slow_from = INFINITY, slow_times = 1;
 	bool ask_due = false; /* other servers may answer in time */
+	/* The process with the queue stands still; the server goes on. */
+	double stopped_at = INFINITY, stopped_s = 0;
 };
 
 struct Outcome {
@@ -72,6 +74,11 @@
 		int64_t end = (int64_t)(load.seconds * NS_PER_SEC);
 
 		for (int64_t at = gap(); at < end; at += gap()) {
+			if ((double)at / NS_PER_SEC >= load.stopped_at) {
+				at += (int64_t)(load.stopped_s * NS_PER_SEC);
+				load.stopped_at = INFINITY;
+				now = at;
+			}
 			while (step(at))
 				;
 			now = at;
@@ -191,7 +198,7 @@
 			if (!first || ends(request) < ends(first))
 				first = request;
 		if (first && ends(first) <= std::min(until, timer)) {
-			now = ends(first);
+			now = std::max(now, ends(first));
 			finish(first);
 		} else if (timer < until) {
 			now = std::max(now, timer);
@@ -274,6 +281,26 @@
 	EXPECT_GE(asked.in_objective, plain.in_objective * 9 / 10);
 }
 
+/*
+ * A daemon that stood still for 5 s finds the answers of its server, which came
+ * in time. Guards against service times of 5 s that are learnt from them: the
+ * requests of the next second were refused as too late.
+ */
+TEST(AdmitLoad, StoppedDaemonGoesOnAsBefore)
+{
+	Load load;
+	Outcome outcome;
+
+	load.per_s = 0.6 * load.slots * 1000 / load.service_ms;
+	load.stopped_at = 5;
+	load.stopped_s = 5;
+	load.ask_due = true;
+	outcome = Replay(load).run();
+	EXPECT_LE(outcome.refused, outcome.arrived / 200);
+	/* Those that ran meanwhile. */
+	EXPECT_LE(outcome.late, load.slots);
+}
+
 /* Below what the server can do nobody is refused. */
 TEST(AdmitLoad, UsualLoadIsServedWhole)
 {
