Keep requests off servers that fail them, and try told failures elsewhere

Cause: a server that answers 500 to part of what it runs, in good health by its status check, went on to draw its share of the lookups: an answer of 500 counted as an answer. Only orders left it.

Ruled out: repeating every lookup that failed.

Change: the daemon beside a server counts the failures that it tells, unless one of the calls that the server made through this daemon failed meanwhile; an unsound server gets nothing, lookups included, while others may take it. A lookup that failed at a server without calls of its own is tried elsewhere, and the caller gets the first answer when no other is better.

--- a/lib/admit/sound.h
+++ b/lib/admit/sound.h
@@ -6,9 +6,9 @@
 
 /*
  * Whether a backend server is sound, by how its last requests ended. A server
- * may be healthy by its status check and still lose the answers of many
- * requests that it ran. Lookups are repeated then; a request that runs at most
- * once is better run elsewhere as long as others may take it.
+ * may be healthy by its status check and still fail many requests, or lose
+ * their answers. It gets nothing then as long as others may take it, but one
+ * request now and then that shows whether it is sound again.
  */
 
 /* All zero at the start, which is sound. */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -47,6 +48,7 @@
 	bool is_head;
 	bool ended; /* the caller sent its last byte */
 	void *data;
+	char peer_ip[INET6_ADDRSTRLEN];
 };
 
 static void conn_close(struct http_server_conn *conn);
@@ -327,10 +329,25 @@
 		conn_close(conn);
 }
 
-static void add_conn(struct http_server *server, int fd)
+static void format_ip(const struct sockaddr_storage *address, char *text,
+		      socklen_t size)
+{
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+
+	if (address->ss_family == AF_INET)
+		inet_ntop(AF_INET, &v4->sin_addr, text, size);
+	else if (address->ss_family == AF_INET6)
+		inet_ntop(AF_INET6, &v6->sin6_addr, text, size);
+}
+
+static void add_conn(struct http_server *server, int fd,
+		     const struct sockaddr_storage *peer)
 {
 	struct http_server_conn *conn = g_new0(struct http_server_conn, 1);
 
+	format_ip(peer, conn->peer_ip, sizeof(conn->peer_ip));
+
 	conn->server = server;
 	conn->source.fd = fd;
 	conn->source.ready = on_conn_ready;
@@ -350,12 +367,16 @@
 {
 	struct http_server *server =
 		caa_container_of(source, struct http_server, listener);
+	struct sockaddr_storage peer = { 0 };
+	socklen_t len = sizeof(peer);
 	int fd;
 
 	(void)events;
-	while ((fd = accept4(source->fd, NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
-		add_conn(server, fd);
+	while ((fd = accept4(source->fd, (struct sockaddr *)&peer, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		add_conn(server, fd, &peer);
+		len = sizeof(peer);
+	}
 	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
 		log_event(LOG_ERR, "accept_failed", "errno=%d", errno);
 }
@@ -407,3 +428,8 @@
 {
 	return server->nr_conns;
 }
+
+const char *http_server_peer_ip(const struct http_server_conn *conn)
+{
+	return conn->peer_ip;
+}
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -74,6 +74,9 @@
 /* Closes a connection without an answer to its request. */
 void http_server_abort(struct http_server_conn *conn);
 
+/* The IP number from which the connection came; "" when it is not known. */
+const char *http_server_peer_ip(const struct http_server_conn *conn);
+
 /* What the owner of the request keeps with its connection. */
 void http_server_set_data(struct http_server_conn *conn, void *data);
 void *http_server_data(const struct http_server_conn *conn);
--- a/lib/retry/failure.c
+++ b/lib/retry/failure.c
@@ -45,6 +45,8 @@
 				      true, true },
 	[FAILURE_BACKEND_SHED] = { "backend-shed", OUTCOME_NOT_RUN, 503, true,
 				   false },
+	[FAILURE_BACKEND_FAILED] = { "backend-failed", OUTCOME_RAN, 0, true,
+				     false },
 	[FAILURE_BACKEND_LOST] = { "backend-lost", OUTCOME_UNKNOWN, 502, true,
 				   true },
 	[FAILURE_DEADLINE] = { "deadline", OUTCOME_UNKNOWN, 504, false, true },
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -59,6 +59,7 @@
 	/* The backend server. */
 	FAILURE_BACKEND_REFUSED, /* refused the connection */
 	FAILURE_BACKEND_SHED,	 /* 503 with Godwitspur-Shed: 1 */
+	FAILURE_BACKEND_FAILED,	 /* answered that it failed; may be repeated */
 	FAILURE_BACKEND_LOST,	 /* connection lost after sending */
 	FAILURE_DEADLINE,	 /* the deadline passed while it ran */
 	FAILURE_TRUNCATED,	 /* the response broke off after its start */
--- a/lib/trace/trace.c
+++ b/lib/trace/trace.c
@@ -121,6 +121,8 @@
 	case FAILURE_TARGET_UNSOUND:
 		return "the servers that were tried lose answers, so they get "
 		       "nothing that runs at most once";
+	case FAILURE_BACKEND_FAILED:
+		return "the servers that were tried answered that they failed";
 	case FAILURE_BACKEND_SHED:
 		return "the servers that were tried refused it themselves";
 	case FAILURE_TARGET_DRAINING:
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -53,6 +53,7 @@
 const TRAFFIC_CRASHED = 2;
 const TRAFFIC_REPLAYED = 4;
 const TRAFFIC_BROKEN = 8;
+const TRAFFIC_CALLS_OTHERS = 16; /* the server makes calls of its own */
 
 struct peer_version {
 	hyper number;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -54,6 +54,7 @@
 #define TRAFFIC_CRASHED 2
 #define TRAFFIC_REPLAYED 4
 #define TRAFFIC_BROKEN 8
+#define TRAFFIC_CALLS_OTHERS 16
 
 struct peer_version {
 	quad_t number;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -16,12 +16,12 @@
 /* Places in the queue for each slot of the backend server. */
 #define QUEUE_PER_SLOT 3
 
-/* From this status on a server says that it failed. */
-#define HTTP_STATUS_FAILED 500
-
 /* Part of the allowed cold rate that is used, for requests under way. */
 #define COLD_BURST_SHARE 0.6
 
+/* How long a server that made a call counts as one that makes calls. */
+#define CALLS_LIFE_NS (60 * NS_PER_SEC)
+
 struct backend_side {
 	const struct relay_context *context;
 	struct mesh_view *view;
@@ -35,7 +35,9 @@
 	int slots;
 	bool in_service;
 	bool draining;
-	uint64_t life; /* counts crashes of the server, from 1 */
+	uint64_t life;	     /* counts crashes of the server, from 1 */
+	int64_t calls_until; /* counts as one that makes calls */
+	int64_t call_failed; /* when one of its calls last failed */
 	struct losses losses;
 	struct sound sound;
 	struct counter admitted;
@@ -59,6 +61,8 @@
 		admit_service_ns(side->admit, job->admit.priority) / NS_PER_MS;
 	if (backend_side_is_draining(side))
 		answer->flags |= TRAFFIC_DRAINING;
+	if (clock_monotonic_ns() < side->calls_until)
+		answer->flags |= TRAFFIC_CALLS_OTHERS;
 }
 
 /* The usual length of the answer, when it is long. */
@@ -212,19 +216,29 @@
 }
 
 /*
- * A failure that the server tells may be that of a call that it made, unless
- * the request is one that should not fail.
+ * Whether the server itself failed the request. A lookup that failed while one
+ * of the server's own calls did, or ran out of time, is not its fault; an order
+ * should not fail at all.
  */
+static bool is_told_failure(const struct backend_side *side,
+			    const struct relay_job *job, int status)
+{
+	if (status < HTTP_STATUS_FAILED)
+		return false;
+	return job->request.at_most_once ||
+	       (status != HTTP_STATUS_TIMEOUT &&
+		side->call_failed < job->admit.started);
+}
+
 static void count_sound(struct backend_side *side, const struct relay_job *job,
 			enum failure_reason reason, int status)
 {
 	int64_t now = clock_monotonic_ns();
-	bool told = reason == FAILURE_NONE && status >= HTTP_STATUS_FAILED;
 
 	if (reason == FAILURE_BACKEND_LOST ||
-	    (told && job->request.at_most_once))
+	    (reason == FAILURE_NONE && is_told_failure(side, job, status)))
 		sound_count(&side->sound, true, now);
-	else if (reason == FAILURE_NONE && !told)
+	else if (reason == FAILURE_NONE && status < HTTP_STATUS_FAILED)
 		sound_count(&side->sound, false, now);
 }
 
@@ -352,8 +366,7 @@
 	if (job->deadline <= now)
 		return FAILURE_TARGET_DEADLINE;
 	/* Others may still take it. */
-	if (request->at_most_once && request->due_left_ms > 0 &&
-	    !sound_holds(&side->sound, now))
+	if (request->due_left_ms > 0 && !sound_holds(&side->sound, now))
 		return FAILURE_TARGET_UNSOUND;
 	return blocked_reason(side);
 }
@@ -504,6 +517,16 @@
 	start_next(side);
 }
 
+void backend_side_note_call(struct backend_side *side, int64_t now)
+{
+	side->calls_until = now + CALLS_LIFE_NS;
+}
+
+void backend_side_note_failed_call(struct backend_side *side, int64_t now)
+{
+	side->call_failed = now;
+}
+
 void backend_side_drain(struct backend_side *side)
 {
 	side->draining = true;
--- a/relay/backend_side.h
+++ b/relay/backend_side.h
@@ -25,6 +25,11 @@
 /* Withdraws a job, whose memory the calling code keeps; done is not called. */
 void backend_side_cancel(struct backend_side *side, struct relay_job *job);
 
+/* The server sent a request of its own to this daemon. */
+void backend_side_note_call(struct backend_side *side, int64_t now);
+/* Such a request ended without success, so what the server runs may fail. */
+void backend_side_note_failed_call(struct backend_side *side, int64_t now);
+
 /* Refuses new jobs from now on. */
 void backend_side_drain(struct backend_side *side);
 bool backend_side_is_draining(const struct backend_side *side);
--- a/relay/call.c
+++ b/relay/call.c
@@ -207,6 +207,15 @@
 	return !is_quarantined(call) && try_place(call) == FAILURE_NONE;
 }
 
+/* No better answer can come: the caller gets the server's, if there is one. */
+static void end_failed(struct call *call, enum failure_reason reason)
+{
+	if (call->failed_answer)
+		call_end(call, FAILURE_NONE, call->failed_answer);
+	else
+		call_end(call, reason, NULL);
+}
+
 /* An attempt failed: it is made again, another one goes on, or it is over. */
 static void go_on(struct call *call, enum failure_reason reason, bool sent)
 {
@@ -219,7 +228,32 @@
 	if (offer_late(call, reason))
 		return;
 	if (!call->nr_attempts)
-		call_end(call, reason, NULL);
+		end_failed(call, reason);
+}
+
+/*
+ * Whether an answer tells a failure that another server may not have, with time
+ * left for as long a run as this one was. A server that makes calls may only
+ * pass on that one of them failed, and a repeat would make all of them again,
+ * at services whose repeats are not counted here.
+ */
+static bool is_worth_repeating(const struct call *call,
+			       const struct relay_answer *answer)
+{
+	return answer->status >= HTTP_STATUS_FAILED &&
+	       !(answer->flags & TRAFFIC_CALLS_OTHERS) &&
+	       !call->route->at_most_once &&
+	       clock_monotonic_ns() + answer->service_us * NS_PER_US <
+		       call->deadline;
+}
+
+/* Keeps the first failure that a server told, and leaves an empty answer. */
+static void keep_failed_answer(struct call *call, struct relay_answer *answer)
+{
+	if (call->failed_answer)
+		return;
+	call->failed_answer = g_memdup2(answer, sizeof(*answer));
+	memset(answer, 0, sizeof(*answer));
 }
 
 /* The daemon's answer tells the load that it decided by. */
@@ -250,6 +284,8 @@
 	/* A daemon that was lost may have passed the request on. */
 	bool sent = answer ? answer->sent : reason == FAILURE_LINK_LOST;
 
+	if (reason == FAILURE_NONE && is_worth_repeating(call, answer))
+		reason = FAILURE_BACKEND_FAILED;
 	note_result(attempt, reason, answer);
 	if (reason != FAILURE_NONE)
 		log_attempt(attempt, reason, answer);
@@ -265,6 +301,8 @@
 		call->wait_ms = call->wait_ms < 0
 					? answer->wait_ms
 					: MIN(call->wait_ms, answer->wait_ms);
+	if (reason == FAILURE_BACKEND_FAILED)
+		keep_failed_answer(call, answer);
 	if (reason == FAILURE_NONE)
 		call_end(call, FAILURE_NONE, answer);
 	else
@@ -384,7 +422,7 @@
 		return;
 	}
 	call->may_have_run = true;
-	call_end(call, FAILURE_DEADLINE, NULL);
+	end_failed(call, FAILURE_DEADLINE);
 }
 
 void call_start(struct call *call)
--- a/relay/call.h
+++ b/relay/call.h
@@ -68,7 +68,10 @@
 	int nr_due_refused;	       /* by daemons that may not do well */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
+	bool is_from_backend; /* sent by the server on this host */
 	bool may_have_run;
+	/* The first answer that tells a failure, until another is better. */
+	struct relay_answer *failed_answer;
 	bool takes_late;    /* no daemon is asked to refuse it for being late */
 	int64_t wait_ms;    /* the shortest wait that a daemon told; -1: none */
 	struct timer timer; /* the deadline, or the second attempt */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -83,6 +83,11 @@
 static void free_call(struct call *call)
 {
 	call->side->nr_calls--;
+	if (call->failed_answer) {
+		xdr_free((xdrproc_t)xdr_relay_answer,
+			 (char *)call->failed_answer);
+		g_free(call->failed_answer);
+	}
 	mesh_view_unref(call->view);
 	http_message_free(call->message);
 	g_free(call);
@@ -134,14 +139,18 @@
 	reply_failure(side, call->conn, status, retry_after_ms);
 }
 
-/* The same sample on all hosts, so that whole ways can be read. */
+/*
+ * The same sample on all hosts, so that whole ways can be read, and all that
+ * servers failed.
+ */
 static void log_success(const struct call *call,
 			const struct relay_answer *answer, int64_t total_us)
 {
 	const char *id =
 		http_message_value(call->message, HTTP_ROLE_REQUEST_ID);
 
-	if (!id || !relay_is_sampled(id))
+	if (!id ||
+	    (answer->status < HTTP_STATUS_FAILED && !relay_is_sampled(id)))
 		return;
 	log_event(LOG_INFO, "request_served",
 		  "id=%s route=%s version=%" PRId64
@@ -182,6 +191,10 @@
 {
 	call_cancel(call);
 	http_server_set_data(call->conn, NULL);
+	if (call->is_from_backend &&
+	    (reason != FAILURE_NONE || answer->status >= HTTP_STATUS_FAILED))
+		backend_side_note_failed_call(call->side->backend_side,
+					      clock_monotonic_ns());
 	if (reason == FAILURE_NONE)
 		answer_success(call, answer);
 	else
@@ -324,11 +337,21 @@
 	return call;
 }
 
+static bool is_from_backend(const struct caller_side *side,
+			    const struct http_server_conn *conn)
+{
+	return !strcmp(http_server_peer_ip(conn),
+		       side->context->host->backend.host);
+}
+
 static void serve(struct caller_side *side, struct http_server_conn *conn,
 		  struct http_message *message, const struct mesh_route *route)
 {
 	struct call *call = new_call(side, conn, message, route);
 
+	call->is_from_backend = is_from_backend(side, conn);
+	if (call->is_from_backend)
+		backend_side_note_call(side->backend_side, call->arrival);
 	CDS_INIT_LIST_HEAD(&call->attempts);
 	call->wait_ms = -1;
 	if (call->service_index < 0) {
@@ -352,6 +375,9 @@
 
 	log_event(LOG_INFO, "request_refused", "id=%s reason=%s status=%d",
 		  log_quote(id ? id : ""), reason, status);
+	if (is_from_backend(side, conn))
+		backend_side_note_failed_call(side->backend_side,
+					      clock_monotonic_ns());
 	counter_add(&side->requests[OUTCOME_NOT_RUN], 1);
 	reply_failure(side, conn, status,
 		      status == 503 ? come_back_ms(side, -1) : 0);
@@ -389,6 +415,9 @@
 	(void)ctx;
 	if (!call)
 		return;
+	if (call->is_from_backend)
+		backend_side_note_failed_call(call->side->backend_side,
+					      clock_monotonic_ns());
 	call_cancel(call);
 	free_call(call);
 }
--- a/relay/job.h
+++ b/relay/job.h
@@ -12,6 +12,12 @@
 /* One request in so many that are served is logged on each host. */
 #define RELAY_SAMPLE_ONE_IN 256
 
+/* From this status on an answer tells that the backend server failed. */
+#define HTTP_STATUS_FAILED 500
+
+/* The server's own time limit for a run has passed. */
+#define HTTP_STATUS_TIMEOUT 504
+
 /* Whether a request that is served is logged, by its id. */
 static inline bool relay_is_sampled(const char *request_id)
 {
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -188,6 +188,20 @@
 CallerAnswer Platform::ask_as(const std::string &id, int index,
 			      const char *method, const std::string &path,
 			      const std::string &body, int time_left_ms)
+{
+	return send(id, index, method, path, body, time_left_ms, nullptr);
+}
+
+CallerAnswer Platform::call_from_server(int index, const std::string &path)
+{
+	return send("c" + std::to_string(++next_id), index, "GET", path, "",
+		    3000, hosts[(size_t)index].ip.c_str());
+}
+
+CallerAnswer Platform::send(const std::string &id, int index,
+			    const char *method, const std::string &path,
+			    const std::string &body, int time_left_ms,
+			    const char *source)
 {
 	std::string headers =
 		"Host: mesh.example\r\nX-Request-Id: " + id +
@@ -202,6 +216,7 @@
 		return std::string(value ? value : "");
 	};
 
+	request.source = source;
 	request.address = hosts[(size_t)index].callers.c_str();
 	request.method = method;
 	request.target = path.c_str();
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -55,6 +55,8 @@
 	CallerAnswer ask_as(const std::string &id, int host, const char *method,
 			    const std::string &path, const std::string &body,
 			    int time_left_ms);
+	/* A call that the server on a host makes through its daemon. */
+	CallerAnswer call_from_server(int host, const std::string &path);
 	/* The ids of the requests that a host's server has run. */
 	std::vector<std::string> run_ids(int host);
 	/* The state dump of a daemon; the reference is the caller's. */
@@ -68,6 +70,9 @@
 	std::unique_ptr<Standin> store;
 
       private:
+	CallerAnswer send(const std::string &id, int host, const char *method,
+			  const std::string &path, const std::string &body,
+			  int time_left_ms, const char *source);
 	void add_host(int index, const std::vector<std::string> &backend);
 	std::string directory;
 	std::string ports[5];
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -201,6 +201,58 @@
 	EXPECT_LE(failed, 10);
 }
 
+/*
+ * One server fails what it runs and says so. Guards against a failure that is
+ * passed on although another server would have done it, against a repeat of
+ * an order, and against a made-up answer when all servers fail.
+ */
+TEST(Relay, FailureThatAServerTellsIsTriedElsewhere)
+{
+	Platform in = make(2);
+	int failed = 0;
+
+	in.start_all();
+	in.fault(0, "fail");
+	for (int i = 0; i < 20; i++)
+		failed += in.ask(0, "GET", "/stock/1").status != 200;
+	EXPECT_EQ(failed, 0);
+	EXPECT_GT(in.runs(0), 0u);
+	for (int i = 0; i < 10; i++) {
+		size_t before = in.runs(0) + in.runs(1);
+
+		in.ask(0, "POST", "/orders/1", "x");
+		EXPECT_LE(in.runs(0) + in.runs(1), before + 1);
+	}
+	in.fault(1, "fail");
+	CallerAnswer answer = in.ask(0, "GET", "/stock/1");
+	EXPECT_EQ(answer.status, 500);
+	EXPECT_EQ(answer.receipt, "proof");
+}
+
+/*
+ * Servers make calls of their own, so that what they fail is not tried
+ * elsewhere. Guards against one that fails what it runs, in good health by its
+ * status check, and goes on to draw its share of the lookups of every sender.
+ */
+TEST(Relay, ServerThatFailsGetsFewLookups)
+{
+	Platform in = make(3);
+
+	in.start_all();
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(in.call_from_server(i, "/stock/1").status, 200);
+	in.fault(0, "fail");
+	for (int i = 0; i < 150; i++)
+		in.ask(i % 3, "GET", "/stock/1");
+	EXPECT_GT(in.runs(0), 0u);
+	EXPECT_LE(in.runs(0), 15u);
+	in.fault(0, "none");
+	EXPECT_TRUE(eventually([&] {
+		in.ask(0, "GET", "/stock/1");
+		return in.runs(0) > 30u;
+	}));
+}
+
 /*
  * A copy of a lookup is under way when the first server ends. Guards against a
  * third server for a route that allows two.
--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -79,6 +79,7 @@
 	      struct http_response *response)
 {
 	static pthread_once_t once = PTHREAD_ONCE_INIT;
+	ne_inet_addr *source = NULL;
 	ne_session *session;
 	ne_request *req;
 	int result;
@@ -90,6 +91,10 @@
 	response->body = g_byte_array_new();
 
 	session = open_session(request);
+	if (request->source) {
+		source = ne_iaddr_parse(request->source, ne_iaddr_ipv4);
+		ne_set_localaddr(session, source);
+	}
 	req = ne_request_create(session,
 				request->method ? request->method : "GET",
 				request->target ? request->target : "/");
@@ -108,6 +113,8 @@
 	g_byte_array_set_size(response->body, response->body->len - 1);
 	ne_request_destroy(req);
 	ne_session_destroy(session);
+	if (source)
+		ne_iaddr_free(source);
 	return response->status;
 }
 
--- a/tests/support/http.h
+++ b/tests/support/http.h
@@ -18,7 +18,8 @@
 	const char *headers; /* lines "Name: value", each ended by \r\n */
 	const void *body;    /* none */
 	size_t body_len;
-	int timeout_s; /* of each read and of the connect, 70 */
+	int timeout_s;	    /* of each read and of the connect, 70 */
+	const char *source; /* IP number to come from; NULL: any */
 };
 
 struct http_response {
