Keep requests off servers that refuse although they have room

Cause: a server that sheds part of its requests with free slots was asked again and again by every daemon; each refusal cost a repeat, and inner calls, which have one attempt, failed with the work of their callers.

Change: the daemon beside a server counts a refusal with half of the slots free as a failure of the server (admit/sound). Senders ask for this with a flag of its own (unless_unsound) and stop asking for 1 s when more than half of their offers to the service were refused so. Once a server has failed the request, the daemons that only refused early are offered it again.

Ruled out: the change without the last two parts.

--- a/lib/admit/sound.h
+++ b/lib/admit/sound.h
@@ -22,4 +22,19 @@
 
 bool sound_holds(const struct sound *sound, int64_t now);
 
+/*
+ * Whether a sender asks unsound servers of a service to refuse its requests.
+ * When all servers are unsound that only costs time and places, so it stops
+ * for a while once most offers were refused. All zero at the start.
+ */
+struct sound_asking {
+	struct sound offers; /* failed: refused as unsound */
+	int64_t resumes;     /* not asked before */
+};
+
+/* Counts the end of an offer to a server of the service. */
+void sound_asking_count(struct sound_asking *asking, bool refused, int64_t now);
+
+bool sound_asking_holds(const struct sound_asking *asking, int64_t now);
+
 #endif
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -149,6 +149,7 @@
 	string caller_service<PEER_NAME_MAX>;
 	string request_id<RELAY_ID_MAX>;
 	int priority;
+	bool unless_unsound; /* refused while the server fails requests */
 	bool at_most_once;
 	unsigned hyper fingerprint;
 	int answer_bytes;
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -260,6 +260,93 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->method, 16))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, RELAY_TARGET_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->time_left_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->objective_left_ms))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->caller_service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request_id, RELAY_ID_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unless_unsound))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->at_most_once))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->priority);
+		IXDR_PUT_BOOL(buf, objp->unless_unsound);
+		IXDR_PUT_BOOL(buf, objp->at_most_once);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->answer_bytes))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->method, 16))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, RELAY_TARGET_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->time_left_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->objective_left_ms))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->caller_service, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request_id, RELAY_ID_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unless_unsound))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->at_most_once))
+				 return FALSE;
+
+		} else {
+		objp->priority = IXDR_GET_LONG(buf);
+		objp->unless_unsound = IXDR_GET_BOOL(buf);
+		objp->at_most_once = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->answer_bytes))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->service, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
@@ -280,6 +367,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unless_unsound))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->at_most_once))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -162,6 +162,7 @@
 	char *caller_service;
 	char *request_id;
 	int priority;
+	bool_t unless_unsound;
 	bool_t at_most_once;
 	u_quad_t fingerprint;
 	int answer_bytes;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -230,12 +230,19 @@
 		side->call_failed < job->admit.started);
 }
 
+/* Whether the server had free slots when it refused, so that it need not. */
+static bool has_room(const struct backend_side *side)
+{
+	return admit_running(side->admit) < side->slots / 2;
+}
+
 static void count_sound(struct backend_side *side, const struct relay_job *job,
 			enum failure_reason reason, int status)
 {
 	int64_t now = clock_monotonic_ns();
 
 	if (reason == FAILURE_BACKEND_LOST ||
+	    (reason == FAILURE_BACKEND_SHED && has_room(side)) ||
 	    (reason == FAILURE_NONE && is_told_failure(side, job, status)))
 		sound_count(&side->sound, true, now);
 	else if (reason == FAILURE_NONE && status < HTTP_STATUS_FAILED)
@@ -366,7 +373,7 @@
 	if (job->deadline <= now)
 		return FAILURE_TARGET_DEADLINE;
 	/* Others may still take it. */
-	if (request->due_left_ms > 0 && !sound_holds(&side->sound, now))
+	if (request->unless_unsound && !sound_holds(&side->sound, now))
 		return FAILURE_TARGET_UNSOUND;
 	return blocked_reason(side);
 }
--- a/relay/call.c
+++ b/relay/call.c
@@ -43,6 +43,11 @@
 static void on_call_timer(struct timer *timer, int64_t now);
 static enum failure_reason try_place(struct call *call);
 
+static struct service_state *service_of(const struct call *call)
+{
+	return caller_side_service(call->side, call->service_index);
+}
+
 /* Under way. */
 
 static int64_t hedge_time(const struct call *call)
@@ -117,8 +122,11 @@
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
 	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
 	if (call->nr_placed <= due_placed_max && !call->nr_sent &&
-	    !call->hedged && !call->takes_late)
+	    !call->hedged && !call->takes_late) {
 		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
+		request->unless_unsound =
+			sound_asking_holds(&service_of(call)->asking, now);
+	}
 	request->caller_service = call->side->context->host->service;
 	request->request_id =
 		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
@@ -157,9 +165,8 @@
 	enum retry_urgency urgency =
 		call_priority(call) == ADMIT_ORDER ? RETRY_URGENT : RETRY_USUAL;
 
-	return retry_window_take(caller_side_repeats(call->side,
-						     call->service_index),
-				 urgency, clock_monotonic_ns());
+	return retry_window_take(&service_of(call)->repeats, urgency,
+				 clock_monotonic_ns());
 }
 
 /* Whether an attempt that ended so may be made again elsewhere. */
@@ -203,6 +210,7 @@
 		return false;
 	call->takes_late = true;
 	call->nr_excluded = 0;
+	memset(call->refused_due, 0, sizeof(call->refused_due));
 	call->nr_placed = 0;
 	return !is_quarantined(call) && try_place(call) == FAILURE_NONE;
 }
@@ -216,9 +224,41 @@
 		call_end(call, reason, NULL);
 }
 
+static bool is_due_refusal(enum failure_reason reason)
+{
+	return reason == FAILURE_TARGET_DEADLINE ||
+	       reason == FAILURE_TARGET_UNSOUND;
+}
+
+static void note_due_refusal(struct call *call, balance_handle target)
+{
+	call->nr_due_refused++;
+	for (size_t i = 0; i < call->nr_excluded; i++)
+		call->refused_due[i] |= call->excluded[i] == target;
+}
+
+/*
+ * Once a server has failed the request the others are not asked to refuse it
+ * any more, so those that did are offered it again. Without that, a service
+ * whose servers are all unsound would have none left for a repeat.
+ */
+static void readmit_due_refused(struct call *call)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < call->nr_excluded; i++) {
+		if (!call->refused_due[i])
+			call->excluded[kept++] = call->excluded[i];
+		call->refused_due[i] = false;
+	}
+	call->nr_excluded = kept;
+}
+
 /* An attempt failed: it is made again, another one goes on, or it is over. */
 static void go_on(struct call *call, enum failure_reason reason, bool sent)
 {
+	if (sent)
+		readmit_due_refused(call);
 	if (may_repeat(call, reason, sent) && !is_quarantined(call)) {
 		if (sent)
 			counter_add(&call->side->nr_repeats, 1);
@@ -281,20 +321,23 @@
 			struct relay_answer *answer)
 {
 	struct call *call = attempt->call;
+	balance_handle target = attempt->target;
 	/* A daemon that was lost may have passed the request on. */
 	bool sent = answer ? answer->sent : reason == FAILURE_LINK_LOST;
 
 	if (reason == FAILURE_NONE && is_worth_repeating(call, answer))
 		reason = FAILURE_BACKEND_FAILED;
 	note_result(attempt, reason, answer);
+	sound_asking_count(&service_of(call)->asking,
+			   reason == FAILURE_TARGET_UNSOUND,
+			   clock_monotonic_ns());
 	if (reason != FAILURE_NONE)
 		log_attempt(attempt, reason, answer);
 	free_attempt(attempt);
 	if (sent)
 		call->nr_sent++;
-	if (reason == FAILURE_TARGET_DEADLINE ||
-	    reason == FAILURE_TARGET_UNSOUND)
-		call->nr_due_refused++;
+	if (is_due_refusal(reason))
+		note_due_refusal(call, target);
 	if (failure_get(reason)->outcome == OUTCOME_UNKNOWN)
 		call->may_have_run = true;
 	if (answer && answer->reason != FAILURE_NONE && !answer->sent)
--- a/relay/call.h
+++ b/relay/call.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_CALL_H
 #define RELAY_CALL_H
 
+#include "admit/sound.h"
 #include "balance/balance.h"
 #include "base/rng.h"
 #include "http/server.h"
@@ -29,6 +30,12 @@
 	GArray *credits; /* int64_t by part */
 };
 
+/* What this daemon knows of a service as a whole. */
+struct service_state {
+	struct retry_window repeats; /* that its servers bear from here */
+	struct sound_asking asking;
+};
+
 struct caller_side {
 	const struct relay_context *context;
 	struct backend_side *backend_side;
@@ -36,7 +43,7 @@
 	struct mesh_view *view;
 	struct http_server *http;
 	struct balance *balance;
-	GArray *repeats; /* struct retry_window by service index */
+	GArray *services; /* struct service_state by service index */
 	struct rng rng;
 	GHashTable *routes; /* route name -> struct route_state */
 	int nr_calls;
@@ -68,6 +75,9 @@
 	int nr_due_refused;	       /* by daemons that may not do well */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
+	/* Those of the excluded that only refused for the time or as unsound.
+	 */
+	bool refused_due[BALANCE_EXCLUDED_MAX];
 	bool is_from_backend; /* sent by the server on this host */
 	bool may_have_run;
 	/* The first answer that tells a failure, until another is better. */
@@ -97,7 +107,6 @@
 void call_end(struct call *call, enum failure_reason reason,
 	      const struct relay_answer *answer);
 
-/* What may be repeated of a service. */
-struct retry_window *caller_side_repeats(struct caller_side *side, int service);
+struct service_state *caller_side_service(struct caller_side *side, int index);
 
 #endif
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -41,9 +41,9 @@
 /* Weight of a new answer's length in the mean: one in this many. */
 #define ANSWER_BYTES_WEIGHT 8
 
-struct retry_window *caller_side_repeats(struct caller_side *side, int service)
+struct service_state *caller_side_service(struct caller_side *side, int index)
 {
-	return &g_array_index(side->repeats, struct retry_window, service);
+	return &g_array_index(side->services, struct service_state, index);
 }
 
 /* Answers. */
@@ -363,8 +363,9 @@
 		call_end(call, FAILURE_QUARANTINED, NULL);
 		return;
 	}
-	retry_window_request(caller_side_repeats(side, call->service_index),
-			     call->arrival);
+	retry_window_request(
+		&caller_side_service(side, call->service_index)->repeats,
+		call->arrival);
 	call_start(call);
 }
 
@@ -491,9 +492,10 @@
 		.nr_daemons = side->nr_daemons,
 	};
 
-	if (index >= side->repeats->len)
-		g_array_set_size(side->repeats, index + 1);
-	retry_window_set(caller_side_repeats(side, (int)index), &options, now);
+	if (index >= side->services->len)
+		g_array_set_size(side->services, index + 1);
+	retry_window_set(&caller_side_service(side, (int)index)->repeats,
+			 &options, now);
 }
 
 static void apply_limits(struct caller_side *side,
@@ -591,7 +593,7 @@
 					    context->host->peers.port);
 	rng_init(&side->rng, context->incarnation);
 	side->balance = balance_new(&balance);
-	side->repeats = g_array_new(FALSE, TRUE, sizeof(struct retry_window));
+	side->services = g_array_new(FALSE, TRUE, sizeof(struct service_state));
 	side->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     free_state);
 	add_metrics(side);
--- a/tests/admit/test_sound.cc
+++ b/tests/admit/test_sound.cc
@@ -78,4 +78,39 @@
 	EXPECT_TRUE(sound_holds(&server.sound, server.now));
 }
 
+/* Offers of 100 requests a second, of which up to two each are refused. */
+int count_refusals(double unsound_share, int seconds)
+{
+	struct sound_asking asking = {};
+	struct rng rng;
+	int64_t now = NS_PER_SEC;
+	int refusals = 0;
+
+	rng_init(&rng, 5);
+	for (int i = 0; i < 100 * seconds; i++, now += 10 * NS_PER_MS) {
+		for (int offer = 0; offer < 3; offer++) {
+			bool refused =
+				offer < 2 && sound_asking_holds(&asking, now) &&
+				rng_below(&rng, 100) < unsound_share * 100;
+
+			sound_asking_count(&asking, refused, now);
+			refusals += refused;
+			if (!refused)
+				break;
+		}
+	}
+	return refusals;
+}
+
+/*
+ * All servers refuse half of what they are sent, as on the users' bench.
+ * Guards against offers that are all refused first: they left no server for a
+ * repeat. While a part is sound, the others are not asked in vain.
+ */
+TEST(Sound, ServersThatAreAllUnsoundAreNotAskedToRefuse)
+{
+	EXPECT_LE(count_refusals(1, 8), 8 * 20);
+	EXPECT_GE(count_refusals(0.3, 8), 8 * 100 * 3 / 10);
+}
+
 } // namespace
