Count requests by route, outcome and reason

The metrics had outcomes only, so that a complaint about one route could not be seen in them. Each route has counters by outcome and a histogram from its first request on, 128 routes at most and one set for all others; failures are counted by the last reason. Registration takes a lock now, as routes come at run time.

--- a/lib/base/counters.c
+++ b/lib/base/counters.c
@@ -9,18 +9,23 @@
 
 void metrics_init(struct metrics *metrics)
 {
+	pthread_mutex_init(&metrics->lock, NULL);
 	CDS_INIT_LIST_HEAD(&metrics->counters);
 	CDS_INIT_LIST_HEAD(&metrics->histograms);
 }
 
 void metrics_add_counter(struct metrics *metrics, struct counter *counter)
 {
+	pthread_mutex_lock(&metrics->lock);
 	cds_list_add_tail(&counter->node, &metrics->counters);
+	pthread_mutex_unlock(&metrics->lock);
 }
 
 void metrics_add_histogram(struct metrics *metrics, struct histogram *hist)
 {
+	pthread_mutex_lock(&metrics->lock);
 	cds_list_add_tail(&hist->node, &metrics->histograms);
+	pthread_mutex_unlock(&metrics->lock);
 }
 
 void counter_add(struct counter *counter, uint64_t n)
@@ -86,13 +91,14 @@
 
 static void render_histogram(const struct histogram *h, GString *out)
 {
+	const char *labels = h->labels ? h->labels : "";
+	const char *comma = h->labels ? "," : "";
 	uint64_t cumulative = 0;
 
-	g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n",
-			       h->name, h->help, h->name);
 	for (int i = 0; i < HISTOGRAM_BUCKETS; i++) {
 		cumulative += load(&h->buckets[i]);
-		g_string_append_printf(out, "%s_bucket{le=\"", h->name);
+		g_string_append_printf(out, "%s_bucket{%s%sle=\"", h->name,
+				       labels, comma);
 		if (i < HISTOGRAM_BUCKETS - 1)
 			g_string_append_printf(out, "%g",
 					       (double)bucket_bounds_us[i] /
@@ -102,17 +108,37 @@
 		g_string_append_printf(out, "\"} %" G_GUINT64_FORMAT "\n",
 				       cumulative);
 	}
-	g_string_append_printf(out, "%s_sum %g\n", h->name,
-			       (double)load(&h->sum_us) / 1e6);
-	g_string_append_printf(out, "%s_count %" G_GUINT64_FORMAT "\n", h->name,
-			       load(&h->count));
+	g_string_append_printf(out,
+			       h->labels ? "%s_sum{%s} %g\n" : "%s_sum%s %g\n",
+			       h->name, labels, (double)load(&h->sum_us) / 1e6);
+	g_string_append_printf(out,
+			       h->labels ? "%s_count{%s} %" G_GUINT64_FORMAT
+					   "\n"
+					 : "%s_count%s %" G_GUINT64_FORMAT "\n",
+			       h->name, labels, load(&h->count));
 }
 
-void metrics_render(const struct metrics *metrics, GString *out)
+static void render_histograms(const struct metrics *metrics, GString *out)
 {
+	const char *family = "";
 	struct histogram *h;
 
-	render_counters(metrics, out);
-	cds_list_for_each_entry (h, &metrics->histograms, node)
+	cds_list_for_each_entry (h, &metrics->histograms, node) {
+		/* Histograms of one family are registered one after another. */
+		if (strcmp(family, h->name) != 0)
+			g_string_append_printf(out,
+					       "# HELP %s %s\n"
+					       "# TYPE %s histogram\n",
+					       h->name, h->help, h->name);
+		family = h->name;
 		render_histogram(h, out);
+	}
+}
+
+void metrics_render(struct metrics *metrics, GString *out)
+{
+	pthread_mutex_lock(&metrics->lock);
+	render_counters(metrics, out);
+	render_histograms(metrics, out);
+	pthread_mutex_unlock(&metrics->lock);
 }
--- a/lib/base/counters.h
+++ b/lib/base/counters.h
@@ -2,13 +2,14 @@
 #define BASE_COUNTERS_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdint.h>
 #include <urcu/list.h>
 
 /*
  * Counters, gauges and latency histograms of a process, written as Prometheus
- * text format 0.0.4. Updates are atomic and take no lock; registration is done
- * before threads start.
+ * text format 0.0.4. Updates are atomic and take no lock; registration and
+ * rendering do, so that a route's metrics may come with its first request.
  */
 
 /* Upper bounds of the histogram buckets in microseconds; the last is +Inf. */
@@ -25,6 +26,7 @@
 struct histogram {
 	struct cds_list_head node;
 	const char *name;
+	const char *labels; /* route="a"; NULL: none */
 	const char *help;
 	uint64_t buckets[HISTOGRAM_BUCKETS];
 	uint64_t sum_us;
@@ -32,6 +34,7 @@
 };
 
 struct metrics {
+	pthread_mutex_t lock; /* guards the lists */
 	struct cds_list_head counters;
 	struct cds_list_head histograms;
 };
@@ -50,6 +53,6 @@
 void histogram_observe(struct histogram *hist, uint64_t us);
 
 /* Appends all metrics as text. */
-void metrics_render(const struct metrics *metrics, GString *out);
+void metrics_render(struct metrics *metrics, GString *out);
 
 #endif
--- a/relay/call.h
+++ b/relay/call.h
@@ -16,6 +16,14 @@
 
 #define CALL_NR_OUTCOMES 3
 
+/* Counters and times of a route; kept as long as the process. */
+struct route_metrics {
+	char *names[CALL_NR_OUTCOMES];
+	char *labels;
+	struct counter requests[CALL_NR_OUTCOMES];
+	struct histogram time;
+};
+
 /* What a route's requests have shown, kept over configurations. */
 struct route_state {
 	char *route;
@@ -26,6 +34,7 @@
 	int64_t longest_wait_ms;
 	int64_t longest_seen;
 	int64_t answer_bytes; /* smoothed */
+	struct route_metrics *metrics;
 	/* Turns of the parts, so that shares hold for small numbers too. */
 	GArray *credits; /* int64_t by part */
 };
@@ -50,6 +59,11 @@
 	int nr_daemons;
 	char *own_traffic; /* address of the own daemon */
 	struct counter requests[CALL_NR_OUTCOMES];
+	/* Of requests that were not served, by the last reason. */
+	struct counter failures[FAILURE_REASONS];
+	char *failure_names[FAILURE_REASONS];
+	struct route_metrics *other_routes; /* beyond ROUTE_METRICS_MAX */
+	int nr_route_metrics;
 	struct counter nr_repeats;
 	struct histogram added_time;
 };
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -41,6 +41,9 @@
 /* Weight of a new answer's length in the mean: one in this many. */
 #define ANSWER_BYTES_WEIGHT 8
 
+/* Routes with metrics of their own; the others share one set. */
+#define ROUTE_METRICS_MAX 128
+
 struct service_state *caller_side_service(struct caller_side *side, int index)
 {
 	return &g_array_index(side->services, struct service_state, index);
@@ -119,6 +122,16 @@
 		  (call->deadline - now) / NS_PER_MS);
 }
 
+static void count_end(const struct call *call, enum outcome outcome)
+{
+	struct route_metrics *metrics = call->state->metrics;
+	int64_t held = clock_monotonic_ns() - call->arrival;
+
+	counter_add(&call->side->requests[outcome], 1);
+	counter_add(&metrics->requests[outcome], 1);
+	histogram_observe(&metrics->time, (uint64_t)(held / NS_PER_US));
+}
+
 static void answer_failure(struct call *call, enum failure_reason reason)
 {
 	struct caller_side *side = call->side;
@@ -134,7 +147,8 @@
 	} else if (reason == FAILURE_DEADLINE) {
 		status = 504;
 	}
-	counter_add(&side->requests[outcome], 1);
+	count_end(call, outcome);
+	counter_add(&side->failures[reason], 1);
 	log_failure(call, reason, status);
 	reply_failure(side, call->conn, status, retry_after_ms);
 }
@@ -176,7 +190,9 @@
 	call->state->answer_bytes +=
 		((int64_t)answer->body.body_len - call->state->answer_bytes) /
 		ANSWER_BYTES_WEIGHT;
-	counter_add(&side->requests[OUTCOME_RAN], 1);
+	count_end(call, OUTCOME_RAN);
+	if (answer->status >= HTTP_STATUS_FAILED)
+		counter_add(&side->failures[FAILURE_BACKEND_FAILED], 1);
 	log_success(call, answer, total_us);
 	histogram_observe(&side->added_time,
 			  (uint64_t)MAX(total_us - answer->service_us, 0));
@@ -192,7 +208,7 @@
 	call_cancel(call);
 	http_server_set_data(call->conn, NULL);
 	if (call->is_from_backend &&
-	    (reason != FAILURE_NONE || answer->status >= HTTP_STATUS_FAILED))
+	    (!answer || answer->status >= HTTP_STATUS_FAILED))
 		backend_side_note_failed_call(call->side->backend_side,
 					      clock_monotonic_ns());
 	if (reason == FAILURE_NONE)
@@ -202,6 +218,44 @@
 	free_call(call);
 }
 
+/* Metrics of routes. */
+
+static struct route_metrics *new_route_metrics(struct caller_side *side,
+					       const char *route)
+{
+	struct route_metrics *metrics = g_new0(struct route_metrics, 1);
+	g_autofree char *escaped = g_strescape(route, NULL);
+
+	metrics->labels = g_strdup_printf("route=\"%s\"", escaped);
+	for (int i = 0; i < CALL_NR_OUTCOMES; i++) {
+		metrics->names[i] = g_strdup_printf(
+			"godwitspur_route_requests_total{%s,outcome=\"%s\"}",
+			metrics->labels, outcome_name((enum outcome)i));
+		metrics->requests[i].name = metrics->names[i];
+		metrics->requests[i].help =
+			"Callers' requests by route and outcome.";
+		metrics_add_counter(side->context->metrics,
+				    &metrics->requests[i]);
+	}
+	metrics->time.name = "godwitspur_route_seconds";
+	metrics->time.labels = metrics->labels;
+	metrics->time.help = "Time from a request's arrival to its answer.";
+	metrics_add_histogram(side->context->metrics, &metrics->time);
+	return metrics;
+}
+
+static struct route_metrics *get_route_metrics(struct caller_side *side,
+					       const char *route)
+{
+	if (side->nr_route_metrics < ROUTE_METRICS_MAX) {
+		side->nr_route_metrics++;
+		return new_route_metrics(side, route);
+	}
+	if (!side->other_routes)
+		side->other_routes = new_route_metrics(side, "other");
+	return side->other_routes;
+}
+
 /* Routing. */
 
 static struct route_state *get_state(struct caller_side *side,
@@ -214,6 +268,7 @@
 		state = g_new0(struct route_state, 1);
 		state->route = g_strdup(route->name);
 		state->credits = g_array_new(FALSE, TRUE, sizeof(int64_t));
+		state->metrics = get_route_metrics(side, route->name);
 		g_hash_table_insert(side->routes, state->route, state);
 	}
 	return state;
@@ -548,6 +603,16 @@
 		side->requests[i].help = "Callers' requests by outcome.";
 		metrics_add_counter(metrics, &side->requests[i]);
 	}
+	for (int i = 0; i < FAILURE_REASONS; i++) {
+		side->failure_names[i] = g_strdup_printf(
+			"godwitspur_failures_total{reason=\"%s\"}",
+			failure_get((enum failure_reason)i)->name);
+		side->failures[i].name = side->failure_names[i];
+		side->failures[i].help =
+			"Callers' requests that were not served, by reason.";
+		if (i != FAILURE_NONE)
+			metrics_add_counter(metrics, &side->failures[i]);
+	}
 	side->nr_repeats.name = "godwitspur_repeats_total";
 	side->nr_repeats.help = "Requests sent to a further backend server.";
 	metrics_add_counter(metrics, &side->nr_repeats);
