Show the daemon of the users platform in make demo; let the store stand-in tell its calls

It found that GET /calls of the stand-in never answered: jansson encodes a bare number only when it is told to.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	@scripts/check
 
 demo: build
+	@scripts/demo-platform $(BUILD)
 	@scripts/demo $(BUILD)
 
 soak: build
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -323,7 +323,7 @@
 enum MHD_Result reply_json(const struct request *request, unsigned int status,
 			   json_t *json)
 {
-	char *text = json_dumps(json, JSON_COMPACT);
+	char *text = json_dumps(json, JSON_COMPACT | JSON_ENCODE_ANY);
 	enum MHD_Result result;
 
 	json_decref(json);
