Harm the links between daemons and to the store in the soak, by a proxy on loopback

tests/relay/proxy delays, silences one way or both, and resets the connections that pass it; with links, a Platform puts one before each daemon and one between each daemon and the store. The soak draws these faults beside the others and prints how many connections passed.

Cause: runs side by side may share the number of a host, and ports were only tried on the own one; they are now tried on all hosts of the platform.

Relay.LinkThatIsSilentOneWayIsGoneRound: lookups are served and no order runs twice while answers of one daemon do not arrive.

--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -14,22 +14,44 @@
 	std::ofstream(path) << text;
 }
 
-Platform::Platform(int count, const std::vector<std::string> &backend)
+/* Far from the numbers of tests that run side by side. */
+static std::string ip_of(int index)
+{
+	return "127.0.0." +
+	       std::to_string(2 + (getpid() + 60 * (index + 1)) % 250);
+}
+
+/* A port that is free on all hosts, as tests may share a host's number. */
+static std::string common_port(int hosts)
+{
+	char address[ADDRESS_CHARS];
+	bool is_free;
+	std::string port;
+
+	do {
+		is_free = true;
+		free_address(address);
+		port = port_of(address);
+		for (int i = 0; i < hosts; i++)
+			is_free &= address_is_free(
+				(ip_of(i) + ":" + port).c_str());
+	} while (!is_free);
+	return port;
+}
+
+Platform::Platform(int count, const std::vector<std::string> &backend,
+		   bool links)
 {
 	char pattern[] = "/tmp/test-relay-XXXXXX";
 
 	directory = mkdtemp(pattern);
 	store = std::make_unique<Standin>(STANDIN_STORE);
 	/* Ports are the same on all hosts. */
-	for (std::string &port : ports) {
-		char address[ADDRESS_CHARS];
-
-		free_address(address);
-		port = port_of(address);
-	}
+	for (std::string &port : ports)
+		port = common_port(count);
 	hosts.resize((size_t)count);
 	for (int i = 0; i < count; i++)
-		add_host(i, backend);
+		add_host(i, backend, links);
 }
 
 Platform::~Platform()
@@ -43,17 +65,16 @@
 	rmdir(directory.c_str());
 }
 
-void Platform::add_host(int index, const std::vector<std::string> &backend)
+void Platform::add_host(int index, const std::vector<std::string> &backend,
+			bool links)
 {
 	PlatformHost &host = hosts[(size_t)index];
 	char address[ADDRESS_CHARS], control[ADDRESS_CHARS];
 	std::vector<const char *> argv;
-	std::string text;
+	std::string text, listen_peers, store_address = store->address;
 
 	free_address(address);
-	/* Far from the numbers of tests that run side by side. */
-	host.ip = "127.0.0." +
-		  std::to_string(2 + (getpid() + 60 * (index + 1)) % 250);
+	host.ip = ip_of(index);
 	host.zone = "z" + std::to_string(index % 3);
 	host.service = index % 4 == 3 ? "docs" : "shop";
 	host.id = "i-" + std::to_string(++next_id);
@@ -68,6 +89,18 @@
 	free_address_at(host.ip.c_str(), control);
 	host.backend = address;
 	host.backend_control = control;
+	listen_peers = host.peers;
+	if (links) {
+		char link[ADDRESS_CHARS];
+
+		/* The daemon listens beside its IP number, the proxy on it. */
+		listen_peers = "127.0.1" + host.peers.substr(7);
+		free_address_at(host.ip.c_str(), link);
+		store_address = link;
+		host.peers_link =
+			std::make_unique<Proxy>(host.peers, listen_peers);
+		host.store_link = std::make_unique<Proxy>(link, store->address);
+	}
 	argv = { STANDIN_TARGET, "--listen", address,	     "--control",
 		 control,	 "--id",     host.id.c_str() };
 	for (const std::string &option : backend)
@@ -79,10 +112,10 @@
 	       "\nregion=r\nip=" + host.ip + "\nservice=" + host.service +
 	       "\napp_addr=" + host.backend +
 	       "\nlisten.egress=" + host.callers +
-	       "\nlisten.ingress=" + host.peers +
+	       "\nlisten.ingress=" + listen_peers +
 	       "\nlisten.readiness=" + host.ready + "\nport_range=" + ports[3] +
 	       "," + std::to_string(std::stoi(ports[3]) + 3) +
-	       "\nprovider.address=" + store->address +
+	       "\nprovider.address=" + store_address +
 	       "\nbounds.retry_budget_ratio=0.2\nbounds.budget_slack=200"
 	       "\nbounds.warmup_overage=1.5\nbounds.warmup_slack=5"
 	       "\nbounds.grace=5s\n";
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "proxy.h"
 #include "support/standin.hh"
 
 /*
@@ -21,6 +22,8 @@
 	std::string peers; /* where daemons send requests */
 	std::string backend, backend_control;
 	struct process daemon = {}, server = {};
+	/* Between other daemons and this one, and between it and the store. */
+	std::unique_ptr<Proxy> peers_link, store_link;
 };
 
 /* An answer to a caller. */
@@ -32,8 +35,11 @@
 class Platform
 {
       public:
+	/* With links, requests of daemons and calls of the store are proxied.
+	 */
 	explicit Platform(int hosts,
-			  const std::vector<std::string> &backend = {});
+			  const std::vector<std::string> &backend = {},
+			  bool links = false);
 	~Platform();
 
 	/* Publishes a configuration with two routes and more rows. */
@@ -75,7 +81,8 @@
 	CallerAnswer send(const std::string &id, int host, const char *method,
 			  const std::string &path, const std::string &body,
 			  int time_left_ms, const char *source);
-	void add_host(int index, const std::vector<std::string> &backend);
+	void add_host(int index, const std::vector<std::string> &backend,
+		      bool links);
 	std::string directory;
 	std::string ports[5];
 	int next_id = 0;
--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -31,7 +31,7 @@
 {
       public:
 	Soak(unsigned seed, int seconds)
-	    : platform(HOSTS, { "--service-ms", "20" }), random(seed),
+	    : platform(HOSTS, { "--service-ms", "20" }, true), random(seed),
 	      seconds(seconds)
 	{
 	}
@@ -84,6 +84,19 @@
 		process_signal(&platform.hosts[(size_t)host].daemon, SIGCONT);
 	}
 
+	/* Harms one direction or both, or ends that; or resets all. */
+	void harm(Proxy &link)
+	{
+		int mode = draw(0, 2 * Proxy::NR_MODES);
+
+		if (mode >= Proxy::NR_MODES + 2)
+			link.set(Proxy::PASS);
+		else if (mode >= Proxy::NR_MODES)
+			link.reset();
+		else
+			link.set((Proxy::Mode)mode);
+	}
+
 	void inject()
 	{
 		static const char *const modes[] = { "close",	    "fail",
@@ -94,7 +107,7 @@
 						       "slow&ms=300", "none" };
 		int host = draw(0, HOSTS - 1);
 
-		switch (draw(0, 7)) {
+		switch (draw(0, 9)) {
 		case 0:
 			note("daemon killed");
 			restart(host, SIGKILL);
@@ -127,6 +140,14 @@
 			platform.publish_entry(host, draw(0, 2) ? "ready"
 								: "draining");
 			break;
+		case 7:
+			note("link between daemons harmed or mended");
+			harm(*platform.hosts[(size_t)host].peers_link);
+			break;
+		case 8:
+			note("link to the store harmed or mended");
+			harm(*platform.hosts[(size_t)host].store_link);
+			break;
 		default:
 			note("configuration");
 			platform.publish_config(
@@ -162,8 +183,11 @@
 	void recover()
 	{
 		platform.store->fault("none");
-		for (int i = 0; i < HOSTS; i++)
+		for (int i = 0; i < HOSTS; i++) {
 			platform.fault(i, "none");
+			platform.hosts[(size_t)i].peers_link->set(Proxy::PASS);
+			platform.hosts[(size_t)i].store_link->set(Proxy::PASS);
+		}
 	}
 
 	int report()
@@ -188,6 +212,13 @@
 		for (const auto &fault : faults)
 			printf("fault: %s: %d\n", fault.first.c_str(),
 			       fault.second);
+		for (int i = 0; i < HOSTS; i++)
+			printf("connections through the links of host %d: %d "
+			       "from daemons, %d to the store\n",
+			       i,
+			       platform.hosts[(size_t)i].peers_link->nr_conns(),
+			       platform.hosts[(size_t)i]
+				       .store_link->nr_conns());
 		for (const auto &status : ledger.by_status)
 			printf("answers %d: %d\n", status.first, status.second);
 		checks.push_back(back);
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -235,6 +235,34 @@
 			"1\n"));
 }
 
+/*
+ * A link carries requests to a daemon and nothing back. Guards against lookups
+ * that wait for it to their end, and against an order that runs twice.
+ */
+TEST(Relay, LinkThatIsSilentOneWayIsGoneRound)
+{
+	Platform in(3, {}, true);
+
+	in.start_all();
+	/* The caller's daemon has no server, so all goes over links. */
+	in.publish_entry(0, "draining");
+	EXPECT_TRUE(eventually([&] {
+		in.ask(0, "GET", "/stock/1");
+		return in.runs(1) + in.runs(2) > 5;
+	}));
+	int used = in.runs(1) > in.runs(2) ? 1 : 2;
+	EXPECT_GT(in.hosts[(size_t)used].peers_link->nr_conns(), 0);
+	in.hosts[(size_t)used].peers_link->set(Proxy::SILENCE_OUT);
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(in.ask(0, "GET", "/stock/1").status, 200);
+	for (int i = 0; i < 5; i++) {
+		size_t before = in.runs(1) + in.runs(2);
+
+		in.ask(0, "POST", "/orders/1", "x");
+		EXPECT_LE(in.runs(1) + in.runs(2), before + 1);
+	}
+}
+
 /* A lookup that failed at one server is served by another. */
 TEST(Relay, LookupIsRepeatedElsewhereAndAnOrderIsNot)
 {
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -56,7 +56,7 @@
 	return open_socket(address, connect);
 }
 
-static bool is_free(const char *address)
+bool address_is_free(const char *address)
 {
 	int fd = open_socket(address, bind);
 
@@ -74,7 +74,7 @@
 		n = __atomic_fetch_add(&next, 1, __ATOMIC_RELAXED);
 		snprintf(address, ADDRESS_CHARS, "%s:%d", ip,
 			 FIRST_PORT + (getpid() / 250 * 97 + n) % NR_PORTS);
-	} while (!is_free(address) && n < NR_PORTS);
+	} while (!address_is_free(address) && n < NR_PORTS);
 }
 
 void free_address(char address[ADDRESS_CHARS])
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -22,6 +22,9 @@
  */
 void free_address(char address[ADDRESS_CHARS]);
 
+/* Whether nothing is bound to IP:PORT. */
+bool address_is_free(const char *address);
+
 /* The same at an IP number of the caller's choice. */
 void free_address_at(const char *ip, char address[ADDRESS_CHARS]);
 
