--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -46,8 +46,7 @@
 	int64_t cold_filled; /* when tokens were last added */
 };
 
-/* From when the time of a running request counts: its start or a pause's end.
- */
+/* From when the time of a running request counts. */
 static int64_t counted_start(const struct admit *admit,
 			     const struct admit_request *request)
 {
--- a/lib/admit/sound.c
+++ b/lib/admit/sound.c
@@ -14,8 +14,7 @@
 /* Without new requests the share halves in this time, so that it is tried. */
 #define HALF_LIFE_NS (1 * NS_PER_SEC)
 
-/* From this share of refused offers on the servers are taken for all unsound.
- */
+/* From this share of refused offers on all servers are taken for unsound. */
 #define REFUSED_MAX 0.5
 
 /* How long unsound servers are not asked to refuse then. */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -347,7 +347,6 @@
 	struct http_server_conn *conn = g_new0(struct http_server_conn, 1);
 
 	format_ip(peer, conn->peer_ip, sizeof(conn->peer_ip));
-
 	conn->server = server;
 	conn->source.fd = fd;
 	conn->source.ready = on_conn_ready;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -7,18 +7,9 @@
 #include "base/rng.h"
 #include "platform/platform.h"
 #include "relay/backend_message.h"
-#include "relay/backend_pool.h"
-#include "relay/backend_side.h"
-#include "relay/losses.h"
-#include "relay/probe.h"
+#include "relay/backend_side_internal.h"
 #include "retry/retry.h"
 
-/* Places in the queue for each slot of the backend server. */
-#define QUEUE_PER_SLOT 3
-
-/* Part of the allowed cold rate that is used, for requests under way. */
-#define COLD_BURST_SHARE 0.6
-
 /* How long a server that made a call counts as one that makes calls. */
 #define CALLS_LIFE_NS (60 * NS_PER_SEC)
 
@@ -28,32 +19,6 @@
  */
 #define COLD_MARGIN_NS (100 * NS_PER_MS)
 
-struct backend_side {
-	const struct relay_context *context;
-	struct mesh_view *view;
-	struct backend_pool *pool;
-	struct probe *probe;
-	struct admit *admit;
-	struct cds_list_head running;
-	char *backend_id; /* of the registered server; NULL: none */
-	int nr_jobs;
-	size_t long_bytes; /* of the answers that its jobs will have */
-	int slots;
-	bool in_service;
-	bool draining;
-	uint64_t life;	     /* counts crashes of the server, from 1 */
-	int64_t calls_until; /* counts as one that makes calls */
-	int64_t call_failed; /* when one of its calls last failed */
-	struct losses losses;
-	struct sound sound;
-	struct counter admitted;
-	struct counter refused;
-	struct counter crashes;
-	struct histogram service_time;
-};
-
-static void start_next(struct backend_side *side);
-
 /* Answers. */
 
 static void fill_load(const struct backend_side *side,
@@ -169,7 +134,7 @@
 			       now);
 	else if (!cold_left_ms)
 		probe_set_cold(side->probe, side->admit, now, now);
-	start_next(side);
+	backend_side_start_next(side);
 }
 
 /* Running a job. */
@@ -287,7 +252,7 @@
 	else if (reason != FAILURE_BACKEND_SHED)
 		probe_now(side->probe);
 	finish_job(side, job, &answer);
-	start_next(side);
+	backend_side_start_next(side);
 }
 
 static void run_job(struct backend_side *side, struct relay_job *job)
@@ -334,7 +299,7 @@
 	}
 }
 
-static void start_next(struct backend_side *side)
+void backend_side_start_next(struct backend_side *side)
 {
 	int64_t now = clock_monotonic_ns();
 	struct admit_request *request;
@@ -455,82 +420,7 @@
 		backend_pool_cancel(side->pool, conn);
 	}
 	forget_job(side, job);
-	start_next(side);
-}
-
-/* Views. */
-
-/* The server on this host that the view names, or NULL. */
-static const struct mesh_target *own_target(const struct backend_side *side)
-{
-	return mesh_view_at_address(side->view,
-				    side->context->host->backend_text,
-				    side->context->host->service);
-}
-
-static void take_target(struct backend_side *side,
-			const struct mesh_target *target, int64_t now)
-{
-	struct admit_options options = {
-		.slots = target->slots,
-		.cold_slots = target->slots,
-		.queue_max = target->slots * QUEUE_PER_SLOT,
-		.limit_policy = &admit_limit_fixed,
-	};
-	bool is_new =
-		!side->backend_id || strcmp(side->backend_id, target->id) != 0;
-
-	admit_set_policy(side->admit, &options, now);
-	side->slots = target->slots;
-	if (!is_new)
-		return;
-	log_event(LOG_NOTICE, "backend_registered", "backend=%s slots=%d",
-		  target->id, target->slots);
-	g_free(side->backend_id);
-	side->backend_id = g_strdup(target->id);
-	backend_pool_close_idle(side->pool);
-	/* Until a probe tells, a server that is new here counts as cold. */
-	probe_restart(side->probe, side->admit, now);
-}
-
-static void take_service(struct backend_side *side)
-{
-	const struct mesh_host *host = side->context->host;
-	const struct mesh_service *service =
-		g_hash_table_lookup(side->view->config->services,
-				    host->service);
-	struct admit_cold_rate rate = { 0 };
-
-	backend_pool_set_body_max(
-		side->pool, (size_t)side->view->config->limits.body_max_bytes);
-	if (!service)
-		return;
-	rate.per_s = service->cold_per_s;
-	rate.burst = MAX(1, (service->cold_per_s * (host->cold_overage - 1) +
-			     host->cold_slack) *
-				    COLD_BURST_SHARE);
-	probe_set_service(side->probe, service->health_path, &rate);
-}
-
-void backend_side_apply(struct backend_side *side, struct mesh_view *view)
-{
-	int64_t now = clock_monotonic_ns();
-	const struct mesh_target *target;
-
-	mesh_view_unref(side->view);
-	side->view = mesh_view_ref(view);
-	if (view->config)
-		take_service(side);
-	target = own_target(side);
-	if (target)
-		take_target(side, target, now);
-	else
-		g_clear_pointer(&side->backend_id, g_free);
-	if (target && !side->in_service && mesh_view_in_service(view, target))
-		/* It may have become cold while it got nothing. */
-		probe_restart(side->probe, side->admit, now);
-	side->in_service = target && mesh_view_in_service(view, target);
-	start_next(side);
+	backend_side_start_next(side);
 }
 
 void backend_side_note_call(struct backend_side *side, int64_t now)
@@ -592,7 +482,7 @@
 	end_late(side, now);
 	admit_expire(side->admit, now, &expired);
 	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
-	start_next(side);
+	backend_side_start_next(side);
 }
 
 int64_t backend_side_next_deadline(const struct backend_side *side)
--- /dev/null
+++ b/relay/backend_side_internal.h
@@ -0,0 +1,41 @@
+#ifndef RELAY_BACKEND_SIDE_INTERNAL_H
+#define RELAY_BACKEND_SIDE_INTERNAL_H
+
+#include "relay/backend_pool.h"
+#include "relay/backend_side.h"
+#include "relay/losses.h"
+#include "relay/probe.h"
+
+/*
+ * Shared by the files of the backend server's side: backend_side.c admits, runs
+ * and answers requests, backend_view.c takes up what is published.
+ */
+
+struct backend_side {
+	const struct relay_context *context;
+	struct mesh_view *view;
+	struct backend_pool *pool;
+	struct probe *probe;
+	struct admit *admit;
+	struct cds_list_head running;
+	char *backend_id; /* of the registered server; NULL: none */
+	int nr_jobs;
+	size_t long_bytes; /* of the answers that its jobs will have */
+	int slots;
+	bool in_service;
+	bool draining;
+	uint64_t life;	     /* counts crashes of the server, from 1 */
+	int64_t calls_until; /* counts as one that makes calls */
+	int64_t call_failed; /* when one of its calls last failed */
+	struct losses losses;
+	struct sound sound;
+	struct counter admitted;
+	struct counter refused;
+	struct counter crashes;
+	struct histogram service_time;
+};
+
+/* Starts what waits, as far as slots and the cold rate allow. */
+void backend_side_start_next(struct backend_side *side);
+
+#endif
--- /dev/null
+++ b/relay/backend_view.c
@@ -0,0 +1,86 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/backend_side_internal.h"
+
+/* What is published about the server on this host, and about its service. */
+
+/* Places in the queue for each slot of the backend server. */
+#define QUEUE_PER_SLOT 3
+
+/* Part of the allowed cold rate that is used, for requests under way. */
+#define COLD_BURST_SHARE 0.6
+
+/* The server on this host that the view names, or NULL. */
+static const struct mesh_target *own_target(const struct backend_side *side)
+{
+	return mesh_view_at_address(side->view,
+				    side->context->host->backend_text,
+				    side->context->host->service);
+}
+
+static void take_target(struct backend_side *side,
+			const struct mesh_target *target, int64_t now)
+{
+	struct admit_options options = {
+		.slots = target->slots,
+		.cold_slots = target->slots,
+		.queue_max = target->slots * QUEUE_PER_SLOT,
+		.limit_policy = &admit_limit_fixed,
+	};
+	bool is_new =
+		!side->backend_id || strcmp(side->backend_id, target->id) != 0;
+
+	admit_set_policy(side->admit, &options, now);
+	side->slots = target->slots;
+	if (!is_new)
+		return;
+	log_event(LOG_NOTICE, "backend_registered", "backend=%s slots=%d",
+		  target->id, target->slots);
+	g_free(side->backend_id);
+	side->backend_id = g_strdup(target->id);
+	backend_pool_close_idle(side->pool);
+	/* Until a probe tells, a server that is new here counts as cold. */
+	probe_restart(side->probe, side->admit, now);
+}
+
+static void take_service(struct backend_side *side)
+{
+	const struct mesh_host *host = side->context->host;
+	const struct mesh_service *service =
+		g_hash_table_lookup(side->view->config->services,
+				    host->service);
+	struct admit_cold_rate rate = { 0 };
+
+	backend_pool_set_body_max(
+		side->pool, (size_t)side->view->config->limits.body_max_bytes);
+	if (!service)
+		return;
+	rate.per_s = service->cold_per_s;
+	rate.burst = MAX(1, (service->cold_per_s * (host->cold_overage - 1) +
+			     host->cold_slack) *
+				    COLD_BURST_SHARE);
+	probe_set_service(side->probe, service->health_path, &rate);
+}
+
+void backend_side_apply(struct backend_side *side, struct mesh_view *view)
+{
+	int64_t now = clock_monotonic_ns();
+	const struct mesh_target *target;
+
+	mesh_view_unref(side->view);
+	side->view = mesh_view_ref(view);
+	if (view->config)
+		take_service(side);
+	target = own_target(side);
+	if (target)
+		take_target(side, target, now);
+	else
+		g_clear_pointer(&side->backend_id, g_free);
+	if (target && !side->in_service && mesh_view_in_service(view, target))
+		/* It may have become cold while it got nothing. */
+		probe_restart(side->probe, side->admit, now);
+	side->in_service = target && mesh_view_in_service(view, target);
+	backend_side_start_next(side);
+}
--- a/relay/call.h
+++ b/relay/call.h
@@ -6,6 +6,7 @@
 #include "base/rng.h"
 #include "http/server.h"
 #include "relay/caller_side.h"
+#include "relay/route_metrics.h"
 #include "retry/retry.h"
 #include "retry/window.h"
 
@@ -14,15 +15,7 @@
  * caller_side.c reads and answers it, call.c sends it to backend servers.
  */
 
-#define CALL_NR_OUTCOMES 3
-
-/* Counters and times of a route; kept as long as the process. */
-struct route_metrics {
-	char *names[CALL_NR_OUTCOMES];
-	char *labels;
-	struct counter requests[CALL_NR_OUTCOMES];
-	struct histogram time;
-};
+#define CALL_NR_OUTCOMES ROUTE_METRICS_OUTCOMES
 
 /* What a route's requests have shown, kept over configurations. */
 struct route_state {
@@ -62,8 +55,7 @@
 	/* Of requests that were not served, by the last reason. */
 	struct counter failures[FAILURE_REASONS];
 	char *failure_names[FAILURE_REASONS];
-	struct route_metrics *other_routes; /* beyond ROUTE_METRICS_MAX */
-	int nr_route_metrics;
+	struct route_metrics_set route_metrics;
 	struct counter nr_repeats;
 	struct histogram added_time;
 };
@@ -89,8 +81,7 @@
 	int nr_due_refused;	       /* by daemons that may not do well */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
-	/* Those of the excluded that only refused for the time or as unsound.
-	 */
+	/* Of the excluded: those that refused for the time or as unsound. */
 	bool refused_due[BALANCE_EXCLUDED_MAX];
 	bool is_from_backend; /* sent by the server on this host */
 	bool may_have_run;
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -20,12 +20,7 @@
 /* A request that crashes servers is told to stay away for long. */
 #define COME_BACK_QUARANTINED_MS 30000
 
-/*
- * A backend server left or crashed with its connection, so others take over at
- * once; only half of a service may be out by what one daemon saw.
- */
-#define EJECT_PERCENT_MAX 50
-#define ZONE_OVERFLOW_PERCENT 80
+/* A backend server left or crashed: others take over at once. */
 #define REPORT_LIFE_NS (500 * NS_PER_MS)
 #define DRAINING_LIFE_NS (1 * NS_PER_SEC)
 #define EJECT_FIRST_NS (500 * NS_PER_MS)
@@ -41,9 +36,6 @@
 /* Weight of a new answer's length in the mean: one in this many. */
 #define ANSWER_BYTES_WEIGHT 8
 
-/* Routes with metrics of their own; the others share one set. */
-#define ROUTE_METRICS_MAX 128
-
 struct service_state *caller_side_service(struct caller_side *side, int index)
 {
 	return &g_array_index(side->services, struct service_state, index);
@@ -124,12 +116,9 @@
 
 static void count_end(const struct call *call, enum outcome outcome)
 {
-	struct route_metrics *metrics = call->state->metrics;
-	int64_t held = clock_monotonic_ns() - call->arrival;
-
 	counter_add(&call->side->requests[outcome], 1);
-	counter_add(&metrics->requests[outcome], 1);
-	histogram_observe(&metrics->time, (uint64_t)(held / NS_PER_US));
+	route_metrics_count(call->state->metrics, outcome,
+			    clock_monotonic_ns() - call->arrival);
 }
 
 static void answer_failure(struct call *call, enum failure_reason reason)
@@ -218,44 +207,6 @@
 	free_call(call);
 }
 
-/* Metrics of routes. */
-
-static struct route_metrics *new_route_metrics(struct caller_side *side,
-					       const char *route)
-{
-	struct route_metrics *metrics = g_new0(struct route_metrics, 1);
-	g_autofree char *escaped = g_strescape(route, NULL);
-
-	metrics->labels = g_strdup_printf("route=\"%s\"", escaped);
-	for (int i = 0; i < CALL_NR_OUTCOMES; i++) {
-		metrics->names[i] = g_strdup_printf(
-			"godwitspur_route_requests_total{%s,outcome=\"%s\"}",
-			metrics->labels, outcome_name((enum outcome)i));
-		metrics->requests[i].name = metrics->names[i];
-		metrics->requests[i].help =
-			"Callers' requests by route and outcome.";
-		metrics_add_counter(side->context->metrics,
-				    &metrics->requests[i]);
-	}
-	metrics->time.name = "godwitspur_route_seconds";
-	metrics->time.labels = metrics->labels;
-	metrics->time.help = "Time from a request's arrival to its answer.";
-	metrics_add_histogram(side->context->metrics, &metrics->time);
-	return metrics;
-}
-
-static struct route_metrics *get_route_metrics(struct caller_side *side,
-					       const char *route)
-{
-	if (side->nr_route_metrics < ROUTE_METRICS_MAX) {
-		side->nr_route_metrics++;
-		return new_route_metrics(side, route);
-	}
-	if (!side->other_routes)
-		side->other_routes = new_route_metrics(side, "other");
-	return side->other_routes;
-}
-
 /* Routing. */
 
 static struct route_state *get_state(struct caller_side *side,
@@ -268,7 +219,8 @@
 		state = g_new0(struct route_state, 1);
 		state->route = g_strdup(route->name);
 		state->credits = g_array_new(FALSE, TRUE, sizeof(int64_t));
-		state->metrics = get_route_metrics(side, route->name);
+		state->metrics =
+			route_metrics_get(&side->route_metrics, route->name);
 		g_hash_table_insert(side->routes, state->route, state);
 	}
 	return state;
@@ -483,110 +435,6 @@
 	.gone = on_gone,
 };
 
-/* Views. */
-
-static void apply_targets(struct caller_side *side,
-			  const struct mesh_view *view,
-			  const struct mesh_service *service, int64_t now)
-{
-	struct balance_service settings = {
-		.key = service->name,
-		.eject_percent_max = EJECT_PERCENT_MAX,
-		.zone_overflow_percent = ZONE_OVERFLOW_PERCENT,
-	};
-	struct balance_target *targets =
-		g_new0(struct balance_target, view->targets->len + 1);
-	g_autoptr(GPtrArray) addresses = g_ptr_array_new_with_free_func(g_free);
-	size_t nr = 0;
-
-	for (guint i = 0; i < view->targets->len; i++) {
-		const struct mesh_target *target =
-			g_ptr_array_index(view->targets, i);
-		char *address;
-
-		if (strcmp(target->service, service->name) != 0)
-			continue;
-		address = g_strdup_printf("%s:%u", target->ip,
-					  side->context->host->peers.port);
-		g_ptr_array_add(addresses, address);
-		targets[nr].host = target->id;
-		targets[nr].zone = target->zone;
-		targets[nr].region = side->context->host->region;
-		targets[nr].traffic = address;
-		targets[nr].slots = (uint32_t)target->slots;
-		targets[nr].cold_slots = (uint32_t)MAX(1, target->slots / 3);
-		targets[nr].in_service = mesh_view_in_service(view, target);
-		nr++;
-	}
-	balance_update(side->balance, &settings, targets, nr, now);
-	g_free(targets);
-}
-
-static int count_daemons(const struct mesh_view *view)
-{
-	g_autoptr(GHashTable) ips = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; i < view->targets->len; i++) {
-		struct mesh_target *target =
-			g_ptr_array_index(view->targets, i);
-
-		g_hash_table_add(ips, target->ip);
-	}
-	return (int)MAX(1, g_hash_table_size(ips));
-}
-
-static void apply_repeats(struct caller_side *side, const char *name,
-			  int64_t now)
-{
-	const struct mesh_host *host = side->context->host;
-	guint index = (guint)balance_service_index(side->balance, name);
-	struct retry_window_options options = {
-		.window_ms = host->retry_window_ms,
-		.ratio = host->retry_ratio,
-		.slack = host->retry_slack,
-		.nr_daemons = side->nr_daemons,
-	};
-
-	if (index >= side->services->len)
-		g_array_set_size(side->services, index + 1);
-	retry_window_set(&caller_side_service(side, (int)index)->repeats,
-			 &options, now);
-}
-
-static void apply_limits(struct caller_side *side,
-			 const struct mesh_limits *limits)
-{
-	struct http_server_limits server = {
-		.message = { .head_max = (size_t)limits->head_max_bytes,
-			     .body_max = (size_t)limits->body_max_bytes },
-		.head_wait_ns = limits->head_wait_ms * NS_PER_MS,
-		.idle_wait_ns = limits->idle_wait_ms * NS_PER_MS,
-	};
-
-	http_server_set_limits(side->http, &server);
-}
-
-void caller_side_apply(struct caller_side *side, struct mesh_view *view)
-{
-	int64_t now = clock_monotonic_ns();
-	struct mesh_service *service;
-	GHashTableIter iter;
-
-	mesh_view_unref(side->view);
-	side->view = mesh_view_ref(view);
-	side->nr_daemons = count_daemons(view);
-	if (!view->config)
-		return;
-	apply_limits(side, &view->config->limits);
-	balance_update_begin(side->balance);
-	g_hash_table_iter_init(&iter, view->config->services);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
-		apply_targets(side, view, service, now);
-		apply_repeats(side, service->name, now);
-	}
-	balance_update_end(side->balance, now);
-}
-
 /* Life. */
 
 static void add_metrics(struct caller_side *side)
@@ -652,6 +500,7 @@
 	};
 
 	side->context = context;
+	side->route_metrics.metrics = context->metrics;
 	side->backend_side = backend_side;
 	side->peers = peers;
 	side->own_traffic = g_strdup_printf("%s:%u", context->host->ip,
