Let an order leave only for a daemon that is known to be alive

Cause: a host that stands still or is cut off still takes connections and bytes. Its peers noticed after 1.2 s; the orders sent to it meanwhile ended as unknown (502, or 504 at the deadline), and nobody could try them again.

Change: an order to a daemon that was not heard in the last 10 ms waits for the answer to a ping. A ping that stays unanswered for 250 ms takes the daemon out of use: what waited goes elsewhere, lookups under way get a copy, and after 1.2 s the connection is given up as before. What is believed of a daemon is decided in lib/mesh/liveness, without I/O.

Ruled out: the queue of the stopped host (its requests reached no server), the store (the view was in force), the repeat budget (orders are not repeated).

An order that was sent within the 10 ms before the stop is still lost with the host.

--- a/relay/call.c
+++ b/relay/call.c
@@ -42,6 +42,7 @@
 
 static void on_call_timer(struct timer *timer, int64_t now);
 static enum failure_reason try_place(struct call *call);
+static void hedge(struct call *call);
 
 static struct service_state *service_of(const struct call *call)
 {
@@ -392,32 +393,40 @@
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
+/* A copy may be answered before the other daemon is heard again. */
+static void on_peer_silent(struct peer_call *peer)
+{
+	struct attempt *attempt = caa_container_of(peer, struct attempt, peer);
+
+	if (may_hedge(attempt->call))
+		hedge(attempt->call);
+}
+
 static void start_attempt(struct call *call,
 			  const struct balance_choice *choice)
 {
 	struct caller_side *side = call->side;
 	struct attempt *attempt = g_new0(struct attempt, 1);
-	struct relay_request request;
 
 	attempt->call = call;
 	attempt->target = choice->target;
 	g_strlcpy(attempt->backend, choice->host, sizeof(attempt->backend));
 	attempt->started = clock_monotonic_ns();
 	attempt->peer.done = on_peer_done;
+	attempt->peer.silent = on_peer_silent;
 	attempt->job.done = on_local_done;
 	cds_list_add_tail(&attempt->node, &call->attempts);
 	call->nr_attempts++;
 	call->nr_placed++;
 	call->excluded[call->nr_excluded++] = choice->target;
-	build_request(call, &request);
+	build_request(call, &attempt->job.request);
 	attempt->is_local = !strcmp(choice->traffic, side->own_traffic);
 	/* From here the call may have ended and its memory be gone. */
 	if (attempt->is_local) {
-		attempt->job.request = request;
 		backend_side_submit(side->backend_side, &attempt->job);
 	} else {
-		peers_send(side->peers, choice->traffic, lane_of(call),
-			   &request, &attempt->peer);
+		peer_links_send(side->links, choice->traffic, lane_of(call),
+				&attempt->job.request, &attempt->peer);
 	}
 }
 
@@ -491,7 +500,7 @@
 			backend_side_cancel(call->side->backend_side,
 					    &attempt->job);
 		else
-			peers_cancel(call->side->peers, &attempt->peer);
+			peer_links_cancel(&attempt->peer);
 		note_result(attempt, FAILURE_CANCELLED, NULL);
 		free_attempt(attempt);
 	}
--- a/relay/call.h
+++ b/relay/call.h
@@ -41,7 +41,7 @@
 struct caller_side {
 	const struct relay_context *context;
 	struct backend_side *backend_side;
-	struct peers *peers;
+	struct peer_links *links;
 	struct mesh_view *view;
 	struct http_server *http;
 	struct balance *balance;
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -472,7 +472,7 @@
 
 struct caller_side *caller_side_new(const struct relay_context *context,
 				    struct backend_side *backend_side,
-				    struct peers *peers, GError **error)
+				    struct peer_links *links, GError **error)
 {
 	struct caller_side *side = g_new0(struct caller_side, 1);
 	struct balance_options balance = {
@@ -502,7 +502,7 @@
 	side->context = context;
 	side->route_metrics.metrics = context->metrics;
 	side->backend_side = backend_side;
-	side->peers = peers;
+	side->links = links;
 	side->own_traffic = g_strdup_printf("%s:%u", context->host->ip,
 					    context->host->peers.port);
 	rng_init(&side->rng, context->incarnation);
--- a/relay/caller_side.h
+++ b/relay/caller_side.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 
 #include "relay/backend_side.h"
-#include "relay/peers.h"
+#include "relay/peer_links.h"
 #include "relay/relay.h"
 
 /*
@@ -17,7 +17,7 @@
 
 struct caller_side *caller_side_new(const struct relay_context *context,
 				    struct backend_side *backend_side,
-				    struct peers *peers, GError **error);
+				    struct peer_links *links, GError **error);
 
 /* Takes a new view, which stays referenced while requests use it. */
 void caller_side_apply(struct caller_side *side, struct mesh_view *view);
--- /dev/null
+++ b/relay/peer_links.c
@@ -0,0 +1,512 @@
+#include "relay/peer_links.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "mesh/liveness.h"
+#include "relay/peers.h"
+
+/* After a failed connection the next attempt waits this long. */
+#define RECONNECT_NS (100 * NS_PER_MS)
+
+/*
+ * While requests are out and nothing has come for this long, the other daemon
+ * is asked for a sign of life.
+ */
+static const int64_t ping_after_ns[PEER_NR_LANES] = {
+	[PEER_LANE_SHORT] = 150 * NS_PER_MS,
+	[PEER_LANE_LONG] = 300 * NS_PER_MS,
+};
+
+/*
+ * A daemon's processor may stand still for 100 ms and a lost packet comes again
+ * after 200 ms. Long answers may wait for their turn at the other daemon's
+ * link, so only a long silence counts behind them.
+ */
+static const struct liveness_waits liveness_waits[PEER_NR_LANES] = {
+	[PEER_LANE_SHORT] = { .suspect_ns = 250 * NS_PER_MS,
+			      .lost_ns = 1200 * NS_PER_MS },
+	[PEER_LANE_LONG] = { .suspect_ns = 2500 * NS_PER_MS,
+			     .lost_ns = 2500 * NS_PER_MS },
+};
+
+/*
+ * A daemon that fell silent gets no request until it has answered a ping. A
+ * connection to it is tried anew this often, since a first packet that is lost
+ * in a partition comes again only after seconds.
+ */
+#define REVIVE_NS (300 * NS_PER_MS)
+
+/* Tries end when nothing was to be sent for so long. */
+#define REVIVE_UNUSED_NS (10 * NS_PER_SEC)
+
+enum link_state {
+	LINK_USABLE,
+	LINK_SUSPECT, /* gets no request until it has answered a ping */
+	LINK_SILENT   /* the same, and its connection was given up */
+};
+
+/* The connection to another daemon. */
+struct peer_link {
+	char *address;
+	enum peer_lane lane;
+	struct peer_links *links;
+	struct rpc_conn *conn; /* NULL: none */
+	int64_t retry_deadline;
+	struct liveness liveness;   /* of the present connection */
+	struct cds_list_head calls; /* that were sent */
+	/* That wait for a sign of life; a ping is out then. */
+	struct cds_list_head held;
+	int64_t busy_since; /* when the first of the calls was sent */
+	struct timer timer; /* the next ping, or the end of the wait for it */
+	struct rpc_call ping;
+	enum link_state state;
+	int64_t wanted_at; /* when a request was last to be sent */
+	struct timer revive;
+};
+
+struct peer_links {
+	const struct relay_context *context;
+	struct backend_side *backend_side;
+	GHashTable *lanes[PEER_NR_LANES]; /* address -> struct peer_link */
+};
+
+static void connect_link(struct peer_link *link);
+static void send_ping(struct peer_link *link, int64_t now);
+
+/* What is known of the other daemon, with the bytes that came since. */
+static enum liveness_state state_of(struct peer_link *link, int64_t now)
+{
+	if (link->conn && link->liveness.asked_at)
+		link->liveness.heard_at = MAX(link->liveness.heard_at,
+					      rpc_conn_last_read(link->conn));
+	return liveness_state(&link->liveness, &liveness_waits[link->lane],
+			      now);
+}
+
+static bool is_open(const struct peer_link *link)
+{
+	return link->conn && !rpc_conn_closed(link->conn) &&
+	       rpc_conn_established(link->conn);
+}
+
+/* Calls. */
+
+static int count_calls(const struct peer_link *link)
+{
+	const struct peer_call *call;
+	int nr = 0;
+
+	cds_list_for_each_entry (call, &link->calls, node)
+		nr++;
+	cds_list_for_each_entry (call, &link->held, node)
+		nr++;
+	return nr;
+}
+
+static void end_call(struct peer_call *call)
+{
+	call->ended = true;
+	call->request = NULL;
+	cds_list_del(&call->node);
+	rpc_conn_unref(call->conn);
+	call->conn = NULL;
+}
+
+static void fail_held(struct peer_link *link)
+{
+	while (!cds_list_empty(&link->held)) {
+		struct peer_call *call =
+			cds_list_first_entry(&link->held, struct peer_call,
+					     node);
+
+		end_call(call);
+		call->done(call, RPC_NOT_SENT, NULL);
+	}
+}
+
+static struct peer_call *next_untold(const struct peer_link *link)
+{
+	struct peer_call *call;
+
+	cds_list_for_each_entry (call, &link->calls, node)
+		if (!call->told_silent)
+			return call;
+	return NULL;
+}
+
+/* Each callee may end or start calls, so the list is begun anew. */
+static void tell_silent(struct peer_link *link)
+{
+	struct peer_call *call;
+
+	while ((call = next_untold(link))) {
+		call->told_silent = true;
+		call->silent(call);
+	}
+}
+
+static void set_link_timer(struct peer_link *link, int64_t now)
+{
+	int64_t next = liveness_next(&link->liveness,
+				     &liveness_waits[link->lane], now);
+
+	if (next == DEADLINE_NEVER && !cds_list_empty(&link->calls))
+		next = MAX(link->liveness.heard_at, link->busy_since) +
+		       ping_after_ns[link->lane];
+	if (next != DEADLINE_NEVER)
+		timers_set(link->links->context->timers, &link->timer, next);
+}
+
+static void watch_link(struct peer_link *link, int64_t now)
+{
+	if (!link->timer.position)
+		set_link_timer(link, now);
+}
+
+static void on_done(struct rpc_call *rpc, enum rpc_status status, XDR *xdr)
+{
+	struct peer_call *call = caa_container_of(rpc, struct peer_call, rpc);
+	struct relay_answer answer = { 0 };
+
+	if (status == RPC_DONE)
+		call->link->liveness.heard_at = clock_monotonic_ns();
+	end_call(call);
+	if (status == RPC_DONE && !xdr_relay_answer(xdr, &answer)) {
+		xdr_free((xdrproc_t)xdr_relay_answer, (char *)&answer);
+		status = RPC_LOST;
+	}
+	call->done(call, status, status == RPC_DONE ? &answer : NULL);
+}
+
+static void transmit(struct peer_link *link, struct peer_call *call,
+		     struct relay_request *request, int64_t now)
+{
+	if (cds_list_empty(&link->calls))
+		link->busy_since = now;
+	cds_list_add_tail(&call->node, &link->calls);
+	watch_link(link, now);
+	rpc_call_start(call->conn, &call->rpc, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_REQUEST, (xdrproc_t)xdr_relay_request, request);
+}
+
+/* The time that a request was held here is not left to the other daemon. */
+static void age_request(struct relay_request *request, int64_t held_ms)
+{
+	request->time_left_ms = MAX(request->time_left_ms - held_ms, 1);
+	request->objective_left_ms -= held_ms;
+	if (request->due_left_ms)
+		request->due_left_ms = MAX(request->due_left_ms - held_ms, 1);
+}
+
+static void send_held(struct peer_link *link, int64_t now)
+{
+	while (!cds_list_empty(&link->held)) {
+		struct peer_call *call =
+			cds_list_first_entry(&link->held, struct peer_call,
+					     node);
+
+		struct relay_request *request = call->request;
+
+		cds_list_del(&call->node);
+		call->request = NULL;
+		age_request(request, (now - call->held_at) / NS_PER_MS);
+		transmit(link, call, request, now);
+	}
+}
+
+/* Signs of life. */
+
+static void set_revive(struct peer_link *link)
+{
+	timers_set(link->links->context->timers, &link->revive,
+		   clock_monotonic_ns() + REVIVE_NS);
+}
+
+/* Takes the link out of use; logged when that is news. */
+static void set_state(struct peer_link *link, enum link_state state)
+{
+	if (link->state != state)
+		log_event(LOG_WARNING,
+			  state == LINK_SUSPECT ? "peer_suspect"
+						: "peer_silent",
+			  "peer=%s requests=%d", link->address,
+			  count_calls(link));
+	link->state = state;
+	set_revive(link);
+}
+
+static void set_heard(struct peer_link *link)
+{
+	int64_t now = clock_monotonic_ns();
+
+	link->liveness.heard_at = now;
+	if (link->state != LINK_USABLE) {
+		log_event(LOG_NOTICE, "peer_back", "peer=%s", link->address);
+		link->state = LINK_USABLE;
+		timers_cancel(link->links->context->timers, &link->revive);
+	}
+	send_held(link, now);
+}
+
+static void drop_conn(struct peer_link *link)
+{
+	struct rpc_conn *conn = link->conn;
+
+	if (!conn)
+		return;
+	if (link->liveness.asked_at)
+		rpc_forget(conn, &link->ping);
+	link->liveness = (struct liveness){ 0 };
+	link->conn = NULL;
+	rpc_conn_close(conn);
+	rpc_conn_unref(conn);
+	fail_held(link);
+}
+
+static void give_up(struct peer_link *link)
+{
+	set_state(link, LINK_SILENT);
+	drop_conn(link);
+}
+
+/*
+ * The other daemon may stand still. What was not sent goes elsewhere, and so
+ * may copies of what was.
+ */
+static void suspect(struct peer_link *link)
+{
+	set_state(link, LINK_SUSPECT);
+	fail_held(link);
+	tell_silent(link);
+}
+
+static void on_link_timer(struct timer *timer, int64_t now)
+{
+	struct peer_link *link =
+		caa_container_of(timer, struct peer_link, timer);
+	enum liveness_state state = state_of(link, now);
+
+	if (!link->conn)
+		return;
+	/* Nothing has left on a connection that is not established. */
+	if (state == LIVENESS_LOST ||
+	    (state == LIVENESS_SUSPECT && !is_open(link))) {
+		give_up(link);
+		return;
+	}
+	if (state == LIVENESS_SUSPECT && link->state == LINK_USABLE)
+		suspect(link);
+	else if (!link->liveness.asked_at && !cds_list_empty(&link->calls) &&
+		 now - MAX(link->liveness.heard_at, link->busy_since) >=
+			 ping_after_ns[link->lane])
+		send_ping(link, now);
+	watch_link(link, now);
+}
+
+static void on_pong(struct rpc_call *call, enum rpc_status status, XDR *xdr)
+{
+	struct peer_link *link = caa_container_of(call, struct peer_link, ping);
+
+	(void)xdr;
+	link->liveness.asked_at = 0;
+	if (status == RPC_DONE)
+		set_heard(link);
+	else
+		fail_held(link);
+}
+
+static void send_ping(struct peer_link *link, int64_t now)
+{
+	struct relay_ping ping = { .draining = backend_side_is_draining(
+					   link->links->backend_side) };
+
+	link->liveness.asked_at = now;
+	link->ping.done = on_pong;
+	link->ping.deadline = DEADLINE_NEVER;
+	set_link_timer(link, now);
+	rpc_call_start(link->conn, &link->ping, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_PING, (xdrproc_t)xdr_relay_ping, &ping);
+}
+
+static void on_revive(struct timer *timer, int64_t now)
+{
+	struct peer_link *link =
+		caa_container_of(timer, struct peer_link, revive);
+
+	if (!is_open(link) || state_of(link, now) == LIVENESS_LOST)
+		connect_link(link);
+	else if (!link->liveness.asked_at)
+		send_ping(link, now);
+	if (now - link->wanted_at < REVIVE_UNUSED_NS)
+		timers_set(link->links->context->timers, timer,
+			   now + REVIVE_NS);
+}
+
+/* Links. */
+
+static struct peer_link *find_link(struct peer_links *links,
+				   const char *address, enum peer_lane lane)
+{
+	struct peer_link *link =
+		g_hash_table_lookup(links->lanes[lane], address);
+
+	if (link)
+		return link;
+	link = g_new0(struct peer_link, 1);
+	link->address = g_strdup(address);
+	link->lane = lane;
+	link->links = links;
+	link->timer.fire = on_link_timer;
+	link->revive.fire = on_revive;
+	CDS_INIT_LIST_HEAD(&link->calls);
+	CDS_INIT_LIST_HEAD(&link->held);
+	g_hash_table_insert(links->lanes[lane], link->address, link);
+	return link;
+}
+
+/* Nothing is known of the daemon behind a new connection, so it is asked. */
+static void connect_link(struct peer_link *link)
+{
+	struct rpc_options options = {
+		.loop = link->links->context->loop,
+		.record_max = WIRE_TRAFFIC_RECORD_MAX,
+		.output_max = PEERS_OUTPUT_MAX,
+		.pacer = link->links->context->pacer,
+	};
+	int64_t now = clock_monotonic_ns();
+	struct net_address address;
+
+	drop_conn(link);
+	if (now < link->retry_deadline ||
+	    !net_address_parse(&address, link->address, NULL))
+		return;
+	link->retry_deadline = now + RECONNECT_NS;
+	link->conn = rpc_connect(&options, &address, NULL);
+	if (link->conn)
+		send_ping(link, now);
+}
+
+/* The connection for a request, or NULL while there is none to send it on. */
+static struct rpc_conn *conn_for(struct peer_link *link)
+{
+	if (link->state != LINK_USABLE) {
+		if (!link->revive.position)
+			set_revive(link);
+		return NULL;
+	}
+	if (!link->conn || rpc_conn_closed(link->conn))
+		connect_link(link);
+	return link->conn ? rpc_conn_ref(link->conn) : NULL;
+}
+
+static bool must_hold(struct peer_link *link,
+		      const struct relay_request *request, int64_t now)
+{
+	return request->at_most_once && link->lane == PEER_LANE_SHORT &&
+	       state_of(link, now) != LIVENESS_SURE;
+}
+
+void peer_links_send(struct peer_links *links, const char *address,
+		     enum peer_lane lane, struct relay_request *request,
+		     struct peer_call *call)
+{
+	struct peer_link *link = find_link(links, address, lane);
+	int64_t now = clock_monotonic_ns();
+
+	link->wanted_at = now;
+	call->link = link;
+	call->ended = false;
+	call->told_silent = false;
+	call->rpc.done = on_done;
+	call->rpc.deadline = DEADLINE_NEVER;
+	call->conn = conn_for(link);
+	if (!call->conn) {
+		call->ended = true;
+		call->done(call, RPC_NOT_SENT, NULL);
+		return;
+	}
+	if (!must_hold(link, request, now)) {
+		transmit(link, call, request, now);
+		return;
+	}
+	call->request = request;
+	call->held_at = now;
+	cds_list_add_tail(&call->node, &link->held);
+	if (!link->liveness.asked_at)
+		send_ping(link, now);
+}
+
+/* The answer to a cancellation only shows that the other side is there. */
+static void free_cancel(struct rpc_call *rpc, enum rpc_status status, XDR *xdr)
+{
+	(void)status;
+	(void)xdr;
+	g_free(rpc);
+}
+
+static void send_cancel(struct peer_call *call)
+{
+	struct relay_cancel cancel = { .xid = call->rpc.xid };
+	struct rpc_call *rpc = g_new0(struct rpc_call, 1);
+
+	rpc->done = free_cancel;
+	rpc->deadline = DEADLINE_NEVER;
+	rpc_call_start(call->conn, rpc, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_CANCEL, (xdrproc_t)xdr_relay_cancel, &cancel);
+}
+
+void peer_links_cancel(struct peer_call *call)
+{
+	if (call->ended)
+		return;
+	if (!call->request) {
+		if (!rpc_forget(call->conn, &call->rpc))
+			return;
+		send_cancel(call);
+	}
+	end_call(call);
+}
+
+struct peer_links *peer_links_new(const struct relay_context *context,
+				  struct backend_side *backend_side)
+{
+	struct peer_links *links = g_new0(struct peer_links, 1);
+
+	links->context = context;
+	links->backend_side = backend_side;
+	for (int i = 0; i < PEER_NR_LANES; i++)
+		links->lanes[i] = g_hash_table_new(g_str_hash, g_str_equal);
+	return links;
+}
+
+static void dump_lane(const struct peer_links *links, enum peer_lane lane,
+		      json_t *array)
+{
+	struct peer_link *link;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, links->lanes[lane]);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&link)) {
+		bool open = link->conn && !rpc_conn_closed(link->conn);
+
+		json_array_append_new(
+			array,
+			json_pack("{s:s, s:s, s:b, s:b, s:i}", "address",
+				  link->address, "lane",
+				  lane == PEER_LANE_LONG ? "long" : "short",
+				  "open", open, "usable",
+				  link->state == LINK_USABLE, "requests",
+				  count_calls(link)));
+	}
+}
+
+json_t *peer_links_dump(const struct peer_links *links)
+{
+	json_t *array = json_array();
+
+	for (int i = 0; i < PEER_NR_LANES; i++)
+		dump_lane(links, (enum peer_lane)i, array);
+	return array;
+}
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -13,6 +13,7 @@
 #include "relay/caller_side.h"
 #include "relay/mesh_control.h"
 #include "relay/desk.h"
+#include "relay/peer_links.h"
 #include "relay/peers.h"
 #include "relay/relay.h"
 
@@ -50,6 +51,7 @@
 	struct timespec settings_changed;
 	struct backend_side *backend_side;
 	struct peers *peers;
+	struct peer_links *links;
 	struct caller_side *caller_side;
 	struct mesh_control *control;
 	struct desk *desk;
@@ -161,7 +163,7 @@
 			  "control", json_loads(control_text, 0, NULL),
 			  "callers", caller_side_dump(relay->caller_side),
 			  "backend", backend_side_dump(relay->backend_side),
-			  "peers", peers_dump(relay->peers));
+			  "peers", peer_links_dump(relay->links));
 	char *json = json_dumps(dump, JSON_INDENT(2) | JSON_SORT_KEYS);
 	char *text = g_strdup(json ? json : "{}");
 
@@ -338,8 +340,9 @@
 	relay->peers = peers_new(context, relay->backend_side, error);
 	if (!relay->peers)
 		return false;
+	relay->links = peer_links_new(context, relay->backend_side);
 	relay->caller_side = caller_side_new(context, relay->backend_side,
-					     relay->peers, error);
+					     relay->links, error);
 	if (!relay->caller_side)
 		return false;
 	relay->desk = desk_new(context, &desk_ops, relay, error);
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "base/clock.h"
+#include "mesh/liveness.h"
 }
 
 namespace
@@ -436,6 +437,41 @@
 	}));
 }
 
+/*
+ * A daemon that stands still takes connections and bytes all the same. Guards
+ * against orders that it holds, whose outcome nobody could tell, and against
+ * lookups that wait for it although others would answer.
+ */
+TEST(Relay, DaemonThatStandsStillGetsNoOrder)
+{
+	Platform in = make(4);
+	int served = 0;
+
+	in.start_all();
+	for (int i = 0; i < 12; i++)
+		in.ask(3, "GET", "/stock/1");
+	process_signal(&in.hosts[0].daemon, SIGSTOP);
+	process_signal(&in.hosts[1].daemon, SIGSTOP);
+	/* What is sent at the moment of the stop cannot be known. */
+	usleep(2 * LIVENESS_SURE_NS / NS_PER_US);
+	for (int i = 0; i < 12; i++) {
+		int64_t start = clock_monotonic_ns();
+
+		served +=
+			in.ask(3, "POST", "/orders/1", "x", 2000).status == 200;
+		EXPECT_LT(clock_monotonic_ns() - start, NS_PER_SEC);
+		EXPECT_EQ(in.ask(3, "GET", "/stock/1", "", 2000).status, 200);
+	}
+	EXPECT_EQ(served, 12);
+	process_signal(&in.hosts[0].daemon, SIGCONT);
+	process_signal(&in.hosts[1].daemon, SIGCONT);
+	/* What they were not sent they do not run. */
+	EXPECT_TRUE(eventually([&] {
+		in.ask(3, "POST", "/orders/1", "x");
+		return in.runs(0) + in.runs(1) > 0;
+	}));
+}
+
 /* No server gets more at once than it says that it runs. */
 TEST(Relay, SlotsAreKept)
 {
