Let other daemons use the server of a stopping daemon for 2.4 s more

A daemon refused what others sent to its server from SIGTERM on, though it ended only 4.1 s later (log: stopping at 20.22, stopped at 24.31, serving at 24.98): a third of all servers stood idle, and from 22 to 28 s 2,270 requests for the portal were refused as target-deadline.

Ruled out: the servers (none ended), the cold rate (they were warm), soundness.

Change: the server is refused to others from 2.4 s after SIGTERM on. What runs then has 3.2 s until the process must end, more than any route's deadline here; end_late() and the margin of the stop hold as before. Readiness and the callers' side are unchanged.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -24,6 +24,12 @@
  */
 #define STOP_LEAST_NS (2600 * NS_PER_MS)
 
+/*
+ * Other daemons may use the backend server so long: it loses nothing by the
+ * stop, and what it runs then ends well before the process has to.
+ */
+#define STOP_BACKEND_NS (2400 * NS_PER_MS)
+
 /*
  * From then on a stopping daemon takes no request: it closes its listening
  * socket and idle connections, so that those that it has read can end in time.
@@ -61,6 +67,7 @@
 	bool configured;
 	bool stopping;
 	int64_t stop_least;
+	int64_t stop_backend;
 	int64_t stop_taking;
 	int64_t stop_latest;
 };
@@ -192,6 +199,8 @@
 		net_loop_stop(relay->context.loop);
 		return;
 	}
+	if (now >= relay->stop_backend)
+		backend_side_drain(relay->backend_side);
 	if (now >= relay->stop_taking)
 		caller_side_stop(relay->caller_side);
 	timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
@@ -206,11 +215,11 @@
 	log_event(LOG_NOTICE, "stopping", "host=%s", relay->context.host->name);
 	relay->stopping = true;
 	relay->stop_least = now + STOP_LEAST_NS;
+	relay->stop_backend = now + STOP_BACKEND_NS;
 	relay->stop_taking = now + STOP_TAKING_NS;
 	relay->stop_latest = now +
 			     relay->context.host->stop_grace_ms * NS_PER_MS -
 			     STOP_MARGIN_NS;
-	backend_side_drain(relay->backend_side);
 	caller_side_drain(relay->caller_side);
 	timers_set(&relay->timers, &relay->stop_timer, now + STOP_CHECK_NS);
 }
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -551,6 +551,34 @@
 	EXPECT_EQ(status, 0);
 }
 
+/*
+ * A stop concerns the daemon, not its server. Guards against the loss of a
+ * third of all servers while hosts are restarted in turn, and against requests
+ * that the stop then cuts.
+ */
+TEST(Relay, StoppingDaemonKeepsItsServerInUse)
+{
+	Platform in = make(2, "100");
+	std::vector<std::thread> callers;
+	int status = -1;
+
+	in.start_all();
+	process_signal(&in.hosts[0].daemon, SIGTERM);
+	usleep(300000);
+	size_t before = in.runs(0);
+	for (int i = 0; i < 6; i++)
+		callers.emplace_back([&in] {
+			for (int n = 0; n < 25; n++)
+				EXPECT_EQ(in.ask(1, "GET", "/stock/1").status,
+					  200);
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_GT(in.runs(0), before + 10);
+	EXPECT_TRUE(process_wait(&in.hosts[0].daemon, 10000, &status));
+	EXPECT_EQ(status, 0);
+}
+
 /* The store's calls must not grow with the daemons and their heartbeats. */
 TEST(Relay, FewDaemonsReadTheStore)
 {
