End a stopping daemon as soon as its callers are served

Cause: after SIGTERM a daemon took callers' requests for 3 s although the platform sends none after two misses of its readiness, 2 s, and then ended while other daemons might still send to it.

Change: callers' requests are taken for 2.5 s. Others are refused once no caller is served any more, 3 s after SIGTERM at the latest, and for 150 ms before the end, so that none of their requests meets the end.

Ruled out: ending without the 150 ms.

Test: Relay.PlannedStopCutsNothing, Relay.StoppingDaemonKeepsItsServerInUse.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -22,19 +22,23 @@
  * seen that it is not ready. Readiness is asked once a second and counts after
  * two misses.
  */
-#define STOP_LEAST_NS (2600 * NS_PER_MS)
+#define STOP_LEAST_NS (2300 * NS_PER_MS)
 
 /*
- * Other daemons may use the backend server so long: it loses nothing by the
- * stop, and what it runs then ends well before the process has to.
+ * Other daemons may use the backend server until no caller is served here any
+ * more, and at most so long: it loses nothing by the stop, and what it runs
+ * then ends well before the process has to.
  */
-#define STOP_BACKEND_NS (2400 * NS_PER_MS)
+#define STOP_BACKEND_NS (3 * NS_PER_SEC)
+
+/* They are refused for so long before the end, so that no request meets it. */
+#define STOP_REFUSING_NS (150 * NS_PER_MS)
 
 /*
  * From then on a stopping daemon takes no request: it closes its listening
  * socket and idle connections, so that those that it has read can end in time.
  */
-#define STOP_TAKING_NS (3 * NS_PER_SEC)
+#define STOP_TAKING_NS (2500 * NS_PER_MS)
 
 /* The process ends so long before it would be killed. */
 #define STOP_MARGIN_NS (400 * NS_PER_MS)
@@ -68,6 +72,7 @@
 	bool stopping;
 	int64_t stop_least;
 	int64_t stop_backend;
+	int64_t backend_stopped; /* since when others are refused; 0: not */
 	int64_t stop_taking;
 	int64_t stop_latest;
 };
@@ -186,21 +191,40 @@
 
 /* Stopping. */
 
+/* Other daemons have to take their requests elsewhere. */
+static void stop_backend(struct relay *relay, int64_t now)
+{
+	if (relay->backend_stopped)
+		return;
+	relay->backend_stopped = now;
+	backend_side_drain(relay->backend_side);
+}
+
+static bool can_end(const struct relay *relay, int64_t now)
+{
+	if (now >= relay->stop_latest)
+		return true;
+	return relay->backend_stopped &&
+	       now - relay->backend_stopped >= STOP_REFUSING_NS &&
+	       !backend_side_nr_jobs(relay->backend_side) &&
+	       !caller_side_nr_calls(relay->caller_side);
+}
+
 static void on_stop_timer(struct timer *timer, int64_t now)
 {
 	struct relay *relay = caa_container_of(timer, struct relay, stop_timer);
-	int busy = caller_side_nr_calls(relay->caller_side) +
-		   backend_side_nr_jobs(relay->backend_side);
+	int calls = caller_side_nr_calls(relay->caller_side);
 
-	if (now >= relay->stop_latest || (now >= relay->stop_least && !busy)) {
+	if (can_end(relay, now)) {
 		log_event(LOG_NOTICE, "stopped", "host=%s busy=%d",
-			  relay->context.host->name, busy);
+			  relay->context.host->name,
+			  calls + backend_side_nr_jobs(relay->backend_side));
 		caller_side_stop(relay->caller_side);
 		net_loop_stop(relay->context.loop);
 		return;
 	}
-	if (now >= relay->stop_backend)
-		backend_side_drain(relay->backend_side);
+	if (now >= relay->stop_backend || (now >= relay->stop_least && !calls))
+		stop_backend(relay, now);
 	if (now >= relay->stop_taking)
 		caller_side_stop(relay->caller_side);
 	timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
