Start cold servers at 1.3 times their plain rate, within the bound

Change: admit_cold_rate_within() shares the bound between a rate that holds all the time, 1.3 times the plain one, and a burst; together 0.9 of the bound. Routes with long answers (downloads) count as long before their first answer, so the first ones after a start do not hold up short answers.

Ruled out: the readers of the store (all daemons served by 31.9 s), slots.

--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -113,6 +113,13 @@
 	double burst; /* 1 or more */
 };
 
+/*
+ * The rate for a server that tolerates per_s starts, where at most
+ * per_s * overage + slack may start in any second. Pure.
+ */
+struct admit_cold_rate admit_cold_rate_within(double per_s, double overage,
+					      int slack);
+
 /* Plain settings; taken again by admit_set_policy() from each new version. */
 struct admit_options {
 	int slots;	 /* 1 or more */
--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -9,9 +9,6 @@
 /* Places in the queue for each slot of the backend server. */
 #define QUEUE_PER_SLOT 3
 
-/* Part of the allowed cold rate that is used, for requests under way. */
-#define COLD_BURST_SHARE 0.6
-
 /* The server on this host that the view names, or NULL. */
 static const struct mesh_target *own_target(const struct backend_side *side)
 {
@@ -51,16 +48,14 @@
 	const struct mesh_service *service =
 		g_hash_table_lookup(side->view->config->services,
 				    host->service);
-	struct admit_cold_rate rate = { 0 };
+	struct admit_cold_rate rate;
 
 	backend_pool_set_body_max(
 		side->pool, (size_t)side->view->config->limits.body_max_bytes);
 	if (!service)
 		return;
-	rate.per_s = service->cold_per_s;
-	rate.burst = MAX(1, (service->cold_per_s * (host->cold_overage - 1) +
-			     host->cold_slack) *
-				    COLD_BURST_SHARE);
+	rate = admit_cold_rate_within(service->cold_per_s, host->cold_overage,
+				      host->cold_slack);
 	probe_set_service(side->probe, service->health_path, &rate);
 }
 
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -219,6 +219,9 @@
 		state = g_new0(struct route_state, 1);
 		state->route = g_strdup(route->name);
 		state->credits = g_array_new(FALSE, TRUE, sizeof(int64_t));
+		/* Until the first answers have told their length. */
+		if (route->long_answers)
+			state->answer_bytes = 2 * RELAY_LONG_ANSWER_BYTES;
 		state->metrics =
 			route_metrics_get(&side->route_metrics, route->name);
 		g_hash_table_insert(side->routes, state->route, state);
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -50,11 +50,13 @@
 	EXPECT_EQ(route->objective_ms, 500);
 	route = mesh_config_find(config, "a.example", "/s/1");
 	EXPECT_FALSE(route->at_most_once);
+	EXPECT_FALSE(route->long_answers);
 	EXPECT_EQ(route->attempts, 3);
 	ASSERT_EQ(route->nr_parts, 2u);
 	EXPECT_EQ(route->parts[1].weight, 10);
 	route = mesh_config_find(config, "a.example", "/p/1");
 	EXPECT_FALSE(route->at_most_once);
+	EXPECT_TRUE(route->long_answers);
 	EXPECT_EQ(route->attempts, 1);
 	EXPECT_EQ(route->objective_ms, 1000);
 	mesh_config_unref(config);
