Spend most of a cold server's overage on the steady rate

A burst gains nothing while a whole service is cold and more comes than it bears; the bound of a second is the same. Test: AdmitLoad asks for 66 starts in 3 s (58 before, 49 with the plain rate), at most the bound in any second.

--- a/lib/admit/cold.c
+++ b/lib/admit/cold.c
@@ -9,7 +9,7 @@
 #define BOUND_SHARE 0.9
 
 /* Part of the overage that is used all the time; the rest is for bursts. */
-#define OVERAGE_SHARE 0.6
+#define OVERAGE_SHARE 0.85
 
 struct admit_cold_rate admit_cold_rate_within(double per_s, double overage,
 					      int slack)
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -27,7 +27,7 @@
 	char *prefix; /* begins and ends with a slash */
 	/* A request runs at most once; otherwise it may be repeated. */
 	bool at_most_once;
-	bool long_answers; /* they take the link of a host for long */
+	bool long_answers;    /* they take the link of a host for long */
 	int64_t deadline_ms;  /* longest time until the final answer */
 	int64_t objective_ms; /* time within which an answer is worth most */
 	int priority;	      /* 0 is the most urgent */
