Split the parser of the tree by what it parses

lib/tree/parse.c had 855 lines: the targets of a service are parsed in parse_targets.c, its routes in parse_routes.c, with parse_internal.h between them.

--- a/lib/tree/parse.c
+++ b/lib/tree/parse.c
@@ -1,34 +1,11 @@
-#include <arpa/inet.h>
 #include <string.h>
 
-#include "tree/check.h"
-#include "tree/model.h"
+#include "tree/parse_internal.h"
 #include "tree/parts.h"
 
-/* Paths below this one are answered by the daemon itself. */
-#define RESERVED_PREFIX "/.godwitspur"
-
 /* Levels of the document above the value of one service. */
 #define SERVICE_DEPTH 2
 
-/* The safe methods of HTTP (RFC 9110); they take no ticket. */
-#define SAFE_METHODS                         \
-	(HTTP_METHOD_BIT(HTTP_METHOD_GET) |  \
-	 HTTP_METHOD_BIT(HTTP_METHOD_HEAD) | \
-	 HTTP_METHOD_BIT(HTTP_METHOD_OPTIONS))
-
-/* The state of one validation. */
-struct parse {
-	struct checker checker;
-	struct tree *tree;
-	size_t nr_targets;
-	/* What must be unique in the whole tree. */
-	GHashTable *hosts;     /* host to struct tree_target */
-	GHashTable *addresses; /* canonical address to struct tree_target */
-	GHashTable *routes;    /* route name to struct tree_route */
-	GHashTable *prefixes;  /* prefix to a list by same_prefix */
-};
-
 static void parse_init(struct parse *parse, const char *file,
 		       struct findings *findings)
 {
@@ -59,7 +36,7 @@
 	return NULL;
 }
 
-static char *keep(struct parse *parse, const char *text)
+char *parse_keep(struct parse *parse, const char *text)
 {
 	return text ? string_store_add(parse->tree->strings, text) : NULL;
 }
@@ -149,9 +126,8 @@
 }
 
 /* Parses the POLICY object that is the member key of parent, if any. */
-static void parse_override(struct checker *checker, json_t *parent,
-			   const char *key, unsigned allowed,
-			   struct override *override)
+void parse_override(struct checker *checker, json_t *parent, const char *key,
+		    unsigned allowed, struct override *override)
 {
 	const char *known[POLICY_KEYS + 1] = { NULL };
 	json_t *object = check_member(checker, parent, key, JSON_OBJECT, false);
@@ -222,8 +198,8 @@
 	if (!check_type(checker, NULL, json, JSON_OBJECT))
 		return;
 	check_keys(checker, json, known);
-	zone->region =
-		keep(parse, check_name_member(checker, json, "region", true));
+	zone->region = parse_keep(parse, check_name_member(checker, json,
+							   "region", true));
 	zone->deployment = parse_deployment_name(parse, json);
 	zone->in_service = check_bool(checker, json, "in_service", true);
 	parse_override(checker, json, "override", POLICY_ALL_KEYS,
@@ -242,7 +218,8 @@
 
 	for (size_t i = 0; i < *nr_elements; i++) {
 		check_name(&parse->checker, keys[i], keys[i]);
-		*(char **)(void *)(elements + i * size) = keep(parse, keys[i]);
+		*(char **)(void *)(elements + i * size) =
+			parse_keep(parse, keys[i]);
 	}
 	return elements;
 }
@@ -305,340 +282,6 @@
 	parse_zones(parse, root);
 }
 
-/* A decimal port 1 to 65535 without leading zeros; 0 for anything else. */
-static unsigned parse_port(const char *text)
-{
-	unsigned port = 0;
-
-	if (*text < '1' || *text > '9')
-		return 0;
-	for (; *text; text++) {
-		if (!g_ascii_isdigit(*text))
-			return 0;
-		port = port * 10 + (unsigned)(*text - '0');
-		if (port > 65535)
-			return 0;
-	}
-	return port;
-}
-
-char *tree_canonical_address(const char *text)
-{
-	const char *colon = strrchr(text, ':');
-	bool bracketed = text[0] == '[';
-	int family = bracketed ? AF_INET6 : AF_INET;
-	char host[INET6_ADDRSTRLEN];
-	unsigned char address[sizeof(struct in6_addr)];
-	unsigned port;
-	size_t len;
-
-	if (!colon)
-		return NULL;
-	len = (size_t)(colon - text);
-	if (bracketed) {
-		if (len < 2 || text[len - 1] != ']')
-			return NULL;
-		text++;
-		len -= 2;
-	}
-	if (len >= sizeof(host))
-		return NULL;
-	memcpy(host, text, len);
-	host[len] = '\0';
-	port = parse_port(colon + 1);
-	if (!port || inet_pton(family, host, address) != 1)
-		return NULL;
-	inet_ntop(family, address, host, sizeof(host));
-	return g_strdup_printf("%s %u", host, port);
-}
-
-static void check_address(struct parse *parse, const char *text,
-			  struct tree_target *target)
-{
-	struct checker *checker = &parse->checker;
-	char *address = tree_canonical_address(text);
-	const struct tree_target *other;
-
-	if (!address) {
-		check_error(checker, "traffic",
-			    "\"%s\" is not IPv4:port or [IPv6]:port",
-			    check_shown(checker, text));
-		return;
-	}
-	other = g_hash_table_lookup(parse->addresses, address);
-	if (!other) {
-		g_hash_table_insert(parse->addresses, address, target);
-		return;
-	}
-	check_error(checker, "traffic",
-		    "duplicate address %s, also used in service \"%s\"",
-		    check_shown(checker, text),
-		    check_shown(checker, other->service->name));
-	g_free(address);
-}
-
-static void check_host(struct parse *parse, struct tree_target *target)
-{
-	const struct tree_target *other =
-		g_hash_table_lookup(parse->hosts, target->host);
-
-	if (!other)
-		g_hash_table_insert(parse->hosts, target->host, target);
-	else
-		check_error(&parse->checker, "host",
-			    "duplicate host \"%s\", also in service \"%s\"",
-			    target->host,
-			    check_shown(&parse->checker, other->service->name));
-}
-
-static void parse_target_zone(struct parse *parse, json_t *json,
-			      struct tree_target *target)
-{
-	const struct tree_deployment *wanted = target->service->deployment;
-	struct checker *checker = &parse->checker;
-	const char *name = check_name_member(checker, json, "zone", true);
-
-	if (!name)
-		return;
-	target->zone = tree_find_zone(parse->tree, name);
-	if (!target->zone)
-		check_error(checker, "zone", "unknown zone \"%s\"", name);
-	else if (wanted && target->zone->deployment &&
-		 wanted != target->zone->deployment)
-		check_error(checker, "zone",
-			    "zone \"%s\" belongs to deployment \"%s\", the "
-			    "service to \"%s\"",
-			    name,
-			    check_shown(checker,
-					target->zone->deployment->name),
-			    check_shown(checker, wanted->name));
-}
-
-static void parse_target(struct parse *parse, json_t *json,
-			 struct tree_target *target)
-{
-	static const char *const known[] = { "host", "zone", "traffic",
-					     "in_service", NULL };
-	struct checker *checker = &parse->checker;
-	const char *traffic;
-
-	if (!check_type(checker, NULL, json, JSON_OBJECT))
-		return;
-	check_keys(checker, json, known);
-	target->host =
-		keep(parse, check_name_member(checker, json, "host", true));
-	if (target->host)
-		check_host(parse, target);
-	parse_target_zone(parse, json, target);
-	traffic = check_string(checker, json, "traffic", true);
-	target->traffic = keep(parse, traffic);
-	if (traffic)
-		check_address(parse, traffic, target);
-	target->in_service = check_bool(checker, json, "in_service", true);
-}
-
-static void parse_targets(struct parse *parse, json_t *json,
-			  struct tree_service *service)
-{
-	struct checker *checker = &parse->checker;
-	json_t *array =
-		check_member(checker, json, "targets", JSON_ARRAY, false);
-	size_t outer, len;
-
-	if (!json_array_size(array)) {
-		if (array || !json_object_get(json, "targets"))
-			check_warning(checker, NULL, "service without target");
-		return;
-	}
-	service->nr_targets = json_array_size(array);
-	parse->nr_targets += service->nr_targets;
-	service->targets = g_new0(struct tree_target, service->nr_targets);
-	outer = checker_push(checker, "targets");
-	for (size_t i = 0; i < service->nr_targets; i++) {
-		service->targets[i].service = service;
-		len = checker_push_index(checker, i);
-		parse_target(parse, json_array_get(array, i),
-			     &service->targets[i]);
-		checker_pop(checker, len);
-	}
-	checker_pop(checker, outer);
-}
-
-/* What is wrong with a prefix, or NULL. */
-static const char *prefix_fault(const char *prefix)
-{
-	size_t len = strlen(prefix);
-
-	if (prefix[0] != '/')
-		return "does not start with \"/\"";
-	for (const char *p = prefix; *p; p++)
-		if ((unsigned char)*p <= 0x20 || *p == 0x7f || *p == '?' ||
-		    *p == '#')
-			return "holds a character that no path has";
-	if (strstr(prefix, "//"))
-		return "holds an empty path segment";
-	if (len > 1 && prefix[len - 1] == '/')
-		return "ends with \"/\"";
-	if (g_str_has_prefix(prefix, RESERVED_PREFIX) &&
-	    strchr("/", prefix[strlen(RESERVED_PREFIX)]))
-		return "is reserved for the daemon";
-	return NULL;
-}
-
-static void parse_prefix(struct parse *parse, json_t *json,
-			 struct tree_route *route)
-{
-	struct checker *checker = &parse->checker;
-	const char *prefix = check_string(checker, json, "prefix", true);
-	const char *fault;
-
-	if (!prefix)
-		return;
-	fault = prefix_fault(prefix);
-	if (fault)
-		check_error(checker, "prefix", "\"%s\" %s",
-			    check_shown(checker, prefix), fault);
-	else
-		route->prefix = keep(parse, prefix);
-}
-
-static void parse_methods(struct parse *parse, json_t *json,
-			  struct tree_route *route)
-{
-	struct checker *checker = &parse->checker;
-	json_t *array =
-		check_member(checker, json, "methods", JSON_ARRAY, true);
-	enum http_method method;
-	const char *name;
-	json_t *value;
-	size_t i, len;
-
-	if (!array)
-		return;
-	if (!json_array_size(array))
-		check_error(checker, "methods", "no methods");
-	len = checker_push(checker, "methods");
-	json_array_foreach (array, i, value) {
-		size_t inner = checker_push_index(checker, i);
-
-		if (check_type(checker, NULL, value, JSON_STRING)) {
-			name = json_string_value(value);
-			if (!http_method_parse(name, &method))
-				check_error(checker, NULL,
-					    "unknown method \"%s\"",
-					    check_shown(checker, name));
-			else if (route->methods & HTTP_METHOD_BIT(method))
-				check_error(checker, NULL,
-					    "duplicate method %s", name);
-			else
-				route->methods |= HTTP_METHOD_BIT(method);
-		}
-		checker_pop(checker, inner);
-	}
-	checker_pop(checker, len);
-}
-
-static void check_route_name(struct parse *parse, struct tree_route *route)
-{
-	const struct tree_route *other =
-		g_hash_table_lookup(parse->routes, route->name);
-
-	if (!other)
-		g_hash_table_insert(parse->routes, route->name, route);
-	else
-		check_error(&parse->checker, "name",
-			    "duplicate route name \"%s\", also in service "
-			    "\"%s\"",
-			    route->name,
-			    check_shown(&parse->checker, other->service->name));
-}
-
-/* Reports methods that another route with the same prefix has already. */
-static void check_route_key(struct parse *parse, struct tree_route *route)
-{
-	struct tree_route *first =
-		g_hash_table_lookup(parse->prefixes, route->prefix);
-	struct checker *checker = &parse->checker;
-	bool overlaps = false;
-
-	for (struct tree_route *other = first; other;
-	     other = other->same_prefix) {
-		unsigned both = other->methods & route->methods;
-
-		for (int i = 0; i < HTTP_METHOD_COUNT; i++) {
-			if (!(both & HTTP_METHOD_BIT(i)))
-				continue;
-			overlaps = true;
-			check_error(checker, "prefix",
-				    "duplicate prefix and method: %s \"%s\" "
-				    "is also a route of service \"%s\"",
-				    http_method_name((enum http_method)i),
-				    check_shown(checker, route->prefix),
-				    check_shown(checker, other->service->name));
-		}
-	}
-	/* Only disjoint routes are kept, so a list has at most one for each
-	 * method, however many duplicates a document holds. */
-	if (overlaps || !route->methods)
-		return;
-	route->same_prefix = first;
-	g_hash_table_insert(parse->prefixes, route->prefix, route);
-}
-
-static void parse_route(struct parse *parse, json_t *json,
-			struct tree_route *route)
-{
-	static const char *const known[] = { "name",	 "prefix",
-					     "methods",	 "at_most_once",
-					     "override", NULL };
-	struct checker *checker = &parse->checker;
-	struct override override = { 0 };
-
-	if (!check_type(checker, NULL, json, JSON_OBJECT))
-		return;
-	check_keys(checker, json, known);
-	route->name =
-		keep(parse, check_name_member(checker, json, "name", true));
-	if (route->name)
-		check_route_name(parse, route);
-	parse_prefix(parse, json, route);
-	parse_methods(parse, json, route);
-	if (route->prefix)
-		check_route_key(parse, route);
-	route->at_most_once = check_bool(checker, json, "at_most_once", false);
-	if (route->at_most_once && (route->methods & SAFE_METHODS))
-		check_error(checker, "methods",
-			    "GET, HEAD and OPTIONS are not allowed in a route "
-			    "with at_most_once");
-	parse_override(checker, json, "override",
-		       policy_side_keys(POLICY_CALLER_SIDE), &override);
-	if (override.set)
-		route->override = g_memdup2(&override, sizeof(override));
-}
-
-static void parse_routes(struct parse *parse, json_t *json,
-			 struct tree_service *service)
-{
-	struct checker *checker = &parse->checker;
-	json_t *array =
-		check_member(checker, json, "routes", JSON_ARRAY, false);
-	size_t outer, len;
-
-	if (!json_array_size(array))
-		return;
-	service->nr_routes = json_array_size(array);
-	service->routes = g_new0(struct tree_route, service->nr_routes);
-	outer = checker_push(checker, "routes");
-	for (size_t i = 0; i < service->nr_routes; i++) {
-		service->routes[i].service = service;
-		len = checker_push_index(checker, i);
-		parse_route(parse, json_array_get(array, i),
-			    &service->routes[i]);
-		checker_pop(checker, len);
-	}
-	checker_pop(checker, outer);
-}
-
 /* The range of cold_slots ends at the effective slots of each target. */
 static void check_cold_slots(struct parse *parse,
 			     const struct tree_service *service)
@@ -828,7 +471,8 @@
 		g_string_append_printf(parse->checker.path, "/%s", entry);
 		check_name(&parse->checker, NULL, name);
 		checker_pop(&parse->checker, 0);
-		tree->services[tree->nr_services++].name = keep(parse, name);
+		tree->services[tree->nr_services++].name =
+			parse_keep(parse, name);
 	}
 }
 
