--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -7,48 +7,14 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "retry/retry.h"
-#include "target.h"
-
-#define WORKERS_MAX 1000
-#define WORKER_STACK_BYTES (256 * 1024)
-
-/*
- * How long a backend server that said it is leaving gets nothing. Then one
- * request asks again, so a server that stays after all returns.
- */
-#define BACKEND_DRAIN_NS (5 * NS_PER_SEC)
+#include "target_internal.h"
 
 /* Used until the first configuration version brings settings. */
 #define TICKET_LIFE_MS_START 300000
 #define QUARANTINE_CRASHES_START 2
 #define QUARANTINE_NS_START (60 * NS_PER_SEC)
 
-struct target {
-	struct target_options options;
-	pthread_mutex_t lock; /* guards all below */
-	pthread_cond_t runnable_wake;
-	struct admit *admit;
-	struct once *once;
-	struct quarantine *quarantine;
-	struct cds_list_head runnable; /* jobs admitted to a slot */
-	struct cds_list_head waiting;  /* jobs that wait for a first copy */
-	int nr_workers;
-	int nr_jobs;
-	bool draining;
-	int64_t backend_drain_deadline; /* no new work before */
-	uint64_t next_request;
-	struct counter admitted;
-	struct counter refused;
-	struct counter crashes;
-	struct histogram service_time;
-};
-
-/* Jobs to answer once the lock is released. */
-struct replies {
-	struct cds_list_head jobs;
-};
-
-static void add_reply(struct replies *replies, struct target_job *job,
+void target_add_reply(struct replies *replies, struct target_job *job,
 		      enum failure_reason reason)
 {
 	job->reason = reason;
@@ -99,7 +65,7 @@
 	job->free(job);
 }
 
-static void send_replies(struct target *target, struct replies *replies)
+void target_send_replies(struct target *target, struct replies *replies)
 {
 	struct target_job *job, *next;
 	int nr = 0;
@@ -116,7 +82,7 @@
 }
 
 /* Stored answers travel as XDR, the form in which they are sent. */
-static void *encode_answer(struct traffic_answer *answer, size_t *len)
+void *target_encode_answer(struct traffic_answer *answer, size_t *len)
 {
 	char *bytes;
 	XDR xdr;
@@ -146,7 +112,7 @@
 }
 
 /* Answers the copies that waited for a first copy which has ended. */
-static void release_waiters(struct target *target, struct target_job *first,
+void target_release_waiters(struct target *target, struct target_job *first,
 			    struct cds_list_head *waiters,
 			    enum failure_reason reason, struct replies *replies)
 {
@@ -161,13 +127,13 @@
 		job->waiting = false;
 		if (first && first->answer && reason == FAILURE_NONE) {
 			g_autofree void *bytes =
-				encode_answer(first->answer, &len);
+				target_encode_answer(first->answer, &len);
 
 			job->answer = decode_answer(bytes, len);
 			if (job->answer)
 				job->answer->flags |= TRAFFIC_REPLAYED;
 		}
-		add_reply(replies, job, reason);
+		target_add_reply(replies, job, reason);
 	}
 	(void)target;
 }
@@ -185,9 +151,9 @@
 		if (!once_abort(target->once, job->record, now, &waiters))
 			reason = FAILURE_TICKET_RUNNING;
 		job->record = NULL;
-		release_waiters(target, job, &waiters, reason, replies);
+		target_release_waiters(target, job, &waiters, reason, replies);
 	}
-	add_reply(replies, job, reason);
+	target_add_reply(replies, job, reason);
 }
 
 static void refuse_list(struct target *target, struct cds_list_head *expired,
@@ -204,7 +170,7 @@
 }
 
 /* Moves the jobs that may take a slot to the workers. */
-static void start_next(struct target *target, int64_t now,
+void target_start_next(struct target *target, int64_t now,
 		       struct replies *replies)
 {
 	struct admit_request *request;
@@ -310,7 +276,7 @@
 	    !once_refuse(target->once, ticket, now))
 		reason = FAILURE_TICKET_RUNNING;
 	job->record = NULL;
-	add_reply(replies, job, reason);
+	target_add_reply(replies, job, reason);
 }
 
 /* Returns whether the job goes on to admission. */
@@ -321,7 +287,7 @@
 	struct ticket ticket;
 
 	if (!ticket_parse(&ticket, job->request.ticket)) {
-		add_reply(replies, job, FAILURE_BAD_REQUEST);
+		target_add_reply(replies, job, FAILURE_BAD_REQUEST);
 		return false;
 	}
 	verdict = once_begin(target->once, &ticket, job->request.fingerprint,
@@ -375,7 +341,7 @@
 		if (!ticket_parse(&ticket, job->request.ticket) ||
 		    !once_refuse(target->once, &ticket, now))
 			reason = FAILURE_TICKET_INCARNATION;
-		add_reply(replies, job, reason);
+		target_add_reply(replies, job, reason);
 		return;
 	}
 	if (reason == FAILURE_NONE && is_draining(target, now))
@@ -403,223 +369,7 @@
 	pthread_mutex_lock(&target->lock);
 	submit_locked(target, job, reason, now, &replies);
 	pthread_mutex_unlock(&target->lock);
-	send_replies(target, &replies);
-}
-
-/* Runs the request on the backend server. */
-static void run_job(struct target_job *job, struct backend_session *session)
-{
-	const struct traffic_request *request = &job->request;
-	struct backend_call call = {
-		.request = request,
-		.request_id = job->request_id,
-		.deadline = job->deadline,
-		.life = job->admit.life,
-		.body_max =
-			MIN(job->route->policy.body_max_bytes, PEER_BODY_MAX),
-	};
-	int64_t left = job->deadline - clock_monotonic_ns();
-
-	call.repeatable =
-		!*request->ticket && method_is_idempotent(request->method);
-	call.context.deadline_wall_ms = clock_wall_ms() + left / NS_PER_MS;
-	call.context.hops = request->hops;
-	call.context.retries = request->retries;
-	job->answer = g_new0(struct traffic_answer, 1);
-	job->reason = (int)backend_run(session, &call, job->answer,
-				       &job->backend_draining);
-	job->answer->service_us =
-		(clock_monotonic_ns() - job->admit.started) / NS_PER_US;
-	if (job->reason == FAILURE_TRUNCATED)
-		job->reason = FAILURE_BACKEND_LOST;
-	if (job->reason != FAILURE_NONE) {
-		xdr_free((xdrproc_t)xdr_traffic_answer, job->answer);
-		memset(job->answer, 0, sizeof(*job->answer));
-	}
-}
-
-static enum admit_outcome admission_outcome(int reason)
-{
-	switch (reason) {
-	case FAILURE_NONE:
-		return ADMIT_ANSWERED;
-	case FAILURE_BACKEND_SHED:
-		return ADMIT_SHED;
-	case FAILURE_BACKEND_REFUSED:
-	case FAILURE_BACKEND_LOST:
-		return ADMIT_LOST;
-	default:
-		return ADMIT_FAILED;
-	}
-}
-
-/* Ends the record of the job's ticket and answers the copies that waited. */
-static void finish_record(struct target *target, struct target_job *job,
-			  int64_t now, struct replies *replies)
-{
-	const struct failure *failure =
-		failure_get((enum failure_reason)job->reason);
-	struct cds_list_head waiters;
-	void *bytes = NULL;
-	size_t len = 0;
-
-	if (!job->record)
-		return;
-	if (failure->outcome == OUTCOME_NOT_RUN) {
-		if (!once_abort(target->once, job->record, now, &waiters))
-			job->reason = FAILURE_TICKET_RUNNING;
-	} else {
-		if (job->reason == FAILURE_NONE)
-			bytes = encode_answer(job->answer, &len);
-		once_finish(target->once, job->record,
-			    job->reason == FAILURE_NONE ? ONCE_OUTCOME_RAN
-							: ONCE_OUTCOME_UNKNOWN,
-			    bytes, len, now, &waiters);
-		g_free(bytes);
-	}
-	job->record = NULL;
-	release_waiters(target, job, &waiters, (enum failure_reason)job->reason,
-			replies);
-}
-
-static void note_lost(struct target *target, struct target_job *job,
-		      bool crashed, int64_t now)
-{
-	uint64_t life = job->admit.life;
-
-	if (admit_backend_lost(target->admit, life, now))
-		log_event(LOG_WARNING, "backend_lost", "host=%s reason=%s",
-			  target->options.host,
-			  failure_get((enum failure_reason)job->reason)->name);
-	if (!crashed)
-		return;
-	counter_add(&target->crashes, 1);
-	quarantine_crash(target->quarantine, job->request.fingerprint, life,
-			 now, &job->crash);
-}
-
-static void finish_job(struct target *target, struct target_job *job,
-		       bool crashed, struct replies *replies)
-{
-	int64_t now = clock_monotonic_ns();
-	enum admit_outcome outcome = admission_outcome(job->reason);
-
-	if (outcome == ADMIT_LOST)
-		note_lost(target, job, crashed, now);
-	else if (outcome == ADMIT_ANSWERED)
-		quarantine_success(target->quarantine, job->request.fingerprint,
-				   now);
-	if (job->backend_draining)
-		target->backend_drain_deadline = now + BACKEND_DRAIN_NS;
-	admit_done(target->admit, &job->admit, outcome, now);
-	finish_record(target, job, now, replies);
-	histogram_observe(&target->service_time,
-			  (uint64_t)((now - job->admit.started) / NS_PER_US));
-	add_reply(replies, job, (enum failure_reason)job->reason);
-	start_next(target, now, replies);
-}
-
-static struct target_job *next_job(struct target *target)
-{
-	struct target_job *job;
-
-	pthread_mutex_lock(&target->lock);
-	while (cds_list_empty(&target->runnable))
-		pthread_cond_wait(&target->runnable_wake, &target->lock);
-	job = cds_list_first_entry(&target->runnable, struct target_job, node);
-	cds_list_del(&job->node);
-	pthread_mutex_unlock(&target->lock);
-	return job;
-}
-
-static void *worker(void *arg)
-{
-	struct target *target = arg;
-	struct backend_session *session =
-		backend_session_new(&target->options.backend);
-
-	for (;;) {
-		struct target_job *job = next_job(target);
-		struct quarantine_entry crash;
-		struct replies replies;
-		bool crashed;
-
-		CDS_INIT_LIST_HEAD(&replies.jobs);
-		run_job(job, session);
-		crashed = job->reason == FAILURE_BACKEND_LOST &&
-			  backend_refuses(&target->options.backend);
-		pthread_mutex_lock(&target->lock);
-		finish_job(target, job, crashed, &replies);
-		crash = job->crash;
-		pthread_mutex_unlock(&target->lock);
-		send_replies(target, &replies);
-		if (crash.count)
-			target->options.crashed(target->options.ctx, &crash);
-	}
-	return NULL;
-}
-
-/*
- * Watches the backend server by an idle connection. Without it a restart
- * between two requests is not noticed, and a cold server gets full load.
- */
-static void *watch_backend(void *arg)
-{
-	const struct timespec ended_wait = { .tv_nsec = 100 * NS_PER_MS };
-	const struct timespec closed_wait = { .tv_sec = 1 };
-	struct target *target = arg;
-	bool was_ended = false;
-
-	for (;;) {
-		uint64_t life;
-		bool ended;
-
-		pthread_mutex_lock(&target->lock);
-		life = admit_life(target->admit);
-		pthread_mutex_unlock(&target->lock);
-		ended = backend_wait_end(&target->options.backend);
-		if (ended) {
-			pthread_mutex_lock(&target->lock);
-			admit_backend_lost(target->admit, life,
-					   clock_monotonic_ns());
-			pthread_mutex_unlock(&target->lock);
-		}
-		if (ended && !was_ended)
-			log_event(LOG_WARNING, "backend_ended", "host=%s",
-				  target->options.host);
-		was_ended = ended;
-		nanosleep(ended ? &ended_wait : &closed_wait, NULL);
-	}
-	return NULL;
-}
-
-static void start_watch(struct target *target)
-{
-	pthread_attr_t attr;
-	pthread_t thread;
-
-	pthread_attr_init(&attr);
-	pthread_attr_setstacksize(&attr, WORKER_STACK_BYTES);
-	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	if (pthread_create(&thread, &attr, watch_backend, target))
-		log_event(LOG_ERR, "backend_not_watched", "host=%s",
-			  target->options.host);
-	pthread_attr_destroy(&attr);
-}
-
-/* Starts workers up to the number of slots; never ends one. */
-static void start_workers(struct target *target, int wanted)
-{
-	pthread_attr_t attr;
-	pthread_t thread;
-
-	pthread_attr_init(&attr);
-	pthread_attr_setstacksize(&attr, WORKER_STACK_BYTES);
-	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	while (target->nr_workers < MIN(wanted, WORKERS_MAX) &&
-	       !pthread_create(&thread, &attr, worker, target))
-		target->nr_workers++;
-	pthread_attr_destroy(&attr);
+	target_send_replies(target, &replies);
 }
 
 static void add_metrics(struct target *target)
@@ -674,7 +424,7 @@
 	target->quarantine = quarantine_new(&quarantine);
 	add_metrics(target);
 	if (options->has_backend)
-		start_watch(target);
+		target_start_watch(target);
 	return target;
 }
 
@@ -730,10 +480,10 @@
 	once_set_ticket_life(target->once, longest_ticket_life(self->service));
 	quarantine_set_policy(target->quarantine, policy->quarantine_crashes,
 			      policy->quarantine_ms * NS_PER_MS);
-	start_workers(target, policy->slots);
-	start_next(target, now, &replies);
+	target_start_workers(target, policy->slots);
+	target_start_next(target, now, &replies);
 	pthread_mutex_unlock(&target->lock);
-	send_replies(target, &replies);
+	target_send_replies(target, &replies);
 }
 
 void target_drain(struct target *target)
@@ -788,7 +538,7 @@
 		once_wait_cancel(&job->waiter);
 		cds_list_del(&job->node);
 		job->waiting = false;
-		add_reply(replies, job, FAILURE_TICKET_RUNNING);
+		target_add_reply(replies, job, FAILURE_TICKET_RUNNING);
 	}
 }
 
@@ -803,11 +553,11 @@
 	end_late_waiters(target, now, &replies);
 	admit_expire(target->admit, now, &expired);
 	refuse_list(target, &expired, now, &replies);
-	start_next(target, now, &replies);
+	target_start_next(target, now, &replies);
 	once_expire(target->once, now);
 	quarantine_expire(target->quarantine, now);
 	pthread_mutex_unlock(&target->lock);
-	send_replies(target, &replies);
+	target_send_replies(target, &replies);
 }
 
 int64_t target_next_deadline(struct target *target)
