--- a/godwitspur/cmd_explain.c
+++ b/godwitspur/cmd_explain.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 
+#include "cmd_published.h"
 #include "cmd_tree.h"
 
 static void print_json(const struct explanation *explanation)
@@ -49,6 +50,10 @@
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_lit *published =
+		arg_lit0(NULL, "published",
+			 "FILE is a configuration of the users' platform, PATH "
+			 "a host and a path");
 	struct arg_str *method =
 		arg_str0(NULL, "method", "METHOD", "method of the URL path");
 	struct arg_str *zone = arg_str0(NULL, "zone", "ZONE",
@@ -61,9 +66,8 @@
 	struct arg_str *path = arg_str1(NULL, NULL, "PATH",
 					"SERVICE, SERVICE/ROUTE or a URL path");
 	struct arg_end *end = arg_end(10);
-	void *argtable[] = {
-		help, json, method, zone, target, file, path, end
-	};
+	void *argtable[] = { help,   json, published, method, zone,
+			     target, file, path,      end };
 	int status;
 
 	if (cmd_parse_args(argc, argv, argtable, help, end,
@@ -76,7 +80,12 @@
 					       .target_host =
 						       optional(target) };
 
-		status = explain(file->filename[0], &query, json->count > 0);
+		status = published->count
+				 ? cmd_explain_published(file->filename[0],
+							 path->sval[0],
+							 json->count > 0)
+				 : explain(file->filename[0], &query,
+					   json->count > 0);
 	}
 	arg_freetable(argtable, G_N_ELEMENTS(argtable));
 	return status;
--- a/godwitspur/treecmd.cmake
+++ b/godwitspur/treecmd.cmake
@@ -1,10 +1,12 @@
-# The subcommands that work on trees alone. Included by the program's
+# The subcommands that work on trees and published configurations alone. Included by the program's
 # CMakeLists.txt.
 add_library(gw_treecmd STATIC
 	${CMAKE_CURRENT_LIST_DIR}/cmd_check.c
 	${CMAKE_CURRENT_LIST_DIR}/cmd_diff.c
 	${CMAKE_CURRENT_LIST_DIR}/cmd_explain.c
+	${CMAKE_CURRENT_LIST_DIR}/cmd_published.c
 	${CMAKE_CURRENT_LIST_DIR}/cmd_render.c
 	${CMAKE_CURRENT_LIST_DIR}/cmd_tree.c)
 target_include_directories(gw_treecmd PUBLIC ${CMAKE_CURRENT_LIST_DIR})
-target_link_libraries(gw_treecmd PUBLIC gw_tree PkgConfig::ARGTABLE)
+target_link_libraries(gw_treecmd PUBLIC gw_mesh gw_platform gw_tree
+	PkgConfig::ARGTABLE)
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -21,6 +21,13 @@
 	int weight; /* 0 or more */
 };
 
+/* Values that a route of the configuration left out. */
+enum mesh_default {
+	MESH_DEFAULT_OBJECTIVE = 1 << 0,
+	MESH_DEFAULT_PRIORITY = 1 << 1,
+	MESH_DEFAULT_ATTEMPTS = 1 << 2
+};
+
 struct mesh_route {
 	char *name;
 	char *host;   /* of the Host field, in lower case */
@@ -33,7 +40,8 @@
 	int priority;	      /* 0 is the most urgent */
 	int attempts; /* backend servers that one request may be sent to */
 	struct mesh_part *parts;
-	size_t nr_parts; /* 1 or more */
+	size_t nr_parts;   /* 1 or more */
+	unsigned defaults; /* bits of enum mesh_default */
 };
 
 struct mesh_service {
--- a/relay/caller_side.h
+++ b/relay/caller_side.h
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "mesh/explain.h"
 #include "relay/backend_side.h"
 #include "relay/peer_links.h"
 #include "relay/relay.h"
@@ -31,6 +32,13 @@
 /* Requests that are being served. */
 int caller_side_nr_calls(const struct caller_side *side);
 
+/*
+ * What the view in force says of a query, as text freed with g_free(); NULL
+ * when it has no route for it.
+ */
+char *caller_side_explain(const struct caller_side *side,
+			  const struct mesh_explain_query *query);
+
 json_t *caller_side_dump(const struct caller_side *side);
 
 #endif
--- a/relay/caller_view.c
+++ b/relay/caller_view.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "mesh/explain.h"
 #include "relay/call.h"
 
 /* What is published, as the callers' side uses it. */
@@ -112,3 +113,17 @@
 	}
 	balance_update_end(side->balance, now);
 }
+
+char *caller_side_explain(const struct caller_side *side,
+			  const struct mesh_explain_query *query)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	json_t *explanation =
+		side->view ? mesh_explain(side->view, query) : NULL;
+
+	if (!explanation)
+		return NULL;
+	mesh_explain_print(explanation, text);
+	json_decref(explanation);
+	return g_strdup(text->str);
+}
--- a/relay/desk.c
+++ b/relay/desk.c
@@ -9,6 +9,9 @@
 #define HEAD_WAIT_NS (3 * NS_PER_SEC)
 #define IDLE_WAIT_NS (30 * NS_PER_SEC)
 
+/* Of operators; the query follows. */
+#define EXPLAIN_PATH "/explain?"
+
 struct desk {
 	const struct relay_context *context;
 	const struct desk_ops *ops;
@@ -44,6 +47,27 @@
 			   "text/plain", "");
 }
 
+/* Splits host=HOST&path=PATH; the path ends the query. */
+static void reply_explanation(struct desk *desk, struct http_server_conn *conn,
+			      const char *query)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *host = NULL;
+	const char *path = strstr(query, "&path=");
+
+	if (strncmp(query, "host=", 5) != 0 || !path) {
+		reply_text(conn, 400, "text/plain",
+			   "expected host=HOST&path=PATH\n");
+		return;
+	}
+	host = g_strndup(query + 5, (gsize)(path - query - 5));
+	text = desk->ops->explain(desk->ctx, host, path + strlen("&path="));
+	if (text)
+		reply_text(conn, 200, "text/plain", text);
+	else
+		reply_text(conn, 404, "text/plain", "no route\n");
+}
+
 static void on_operators_request(struct http_server_conn *conn,
 				 struct http_message *message, void *ctx)
 {
@@ -55,6 +79,9 @@
 		g_autofree char *dump = desk->ops->dump(desk->ctx);
 
 		reply_text(conn, 200, "application/json", dump);
+	} else if (g_str_has_prefix(message->target->str, EXPLAIN_PATH)) {
+		reply_explanation(desk, conn,
+				  message->target->str + strlen(EXPLAIN_PATH));
 	} else if (!strcmp(message->target->str, "/metrics")) {
 		metrics_render(desk->context->metrics, metrics);
 		reply_text(conn, 200, "text/plain; version=0.0.4",
--- a/relay/desk.h
+++ b/relay/desk.h
@@ -14,6 +14,11 @@
 	bool (*is_ready)(void *ctx);
 	/* State as JSON text, freed with g_free(). */
 	char *(*dump)(void *ctx);
+	/*
+	 * What the configuration in force says of a host and path, as text
+	 * freed with g_free(); NULL when there is no route.
+	 */
+	char *(*explain)(void *ctx, const char *host, const char *path);
 };
 
 struct desk *desk_new(const struct relay_context *context,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -184,9 +184,18 @@
 	return text;
 }
 
+static char *on_explain(void *ctx, const char *host, const char *path)
+{
+	const struct mesh_explain_query query = { .host = host, .path = path };
+	struct relay *relay = ctx;
+
+	return caller_side_explain(relay->caller_side, &query);
+}
+
 static const struct desk_ops desk_ops = {
 	.is_ready = on_is_ready,
 	.dump = on_dump,
+	.explain = on_explain,
 };
 
 /* Stopping. */
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -52,6 +52,7 @@
 	EXPECT_FALSE(route->at_most_once);
 	EXPECT_FALSE(route->long_answers);
 	EXPECT_EQ(route->attempts, 3);
+	EXPECT_EQ(route->defaults, 0u);
 	ASSERT_EQ(route->nr_parts, 2u);
 	EXPECT_EQ(route->parts[1].weight, 10);
 	route = mesh_config_find(config, "a.example", "/p/1");
@@ -59,6 +60,9 @@
 	EXPECT_TRUE(route->long_answers);
 	EXPECT_EQ(route->attempts, 1);
 	EXPECT_EQ(route->objective_ms, 1000);
+	EXPECT_EQ(route->defaults, MESH_DEFAULT_OBJECTIVE |
+					   MESH_DEFAULT_PRIORITY |
+					   MESH_DEFAULT_ATTEMPTS);
 	mesh_config_unref(config);
 }
 
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -230,6 +230,35 @@
 	EXPECT_LE(in.number(0, "most_cold_starts"), 29);
 }
 
+/* Guards against an explanation that differs from what the daemon serves by. */
+TEST(Relay, RunningDaemonExplainsARoute)
+{
+	Platform in = make(2);
+	const std::string query = "/explain?host=mesh.example&path=/orders/1";
+	std::string text;
+
+	in.start_all();
+	text = call(in.hosts[0].operators, "GET", query).body;
+	EXPECT_NE(text.find("route orders (host mesh.example"),
+		  std::string::npos)
+		<< text;
+	EXPECT_NE(text.find("at_most_once     true       route orders\n"),
+		  std::string::npos);
+	EXPECT_NE(text.find("2 servers registered, 2 in service\n"),
+		  std::string::npos);
+	in.publish_entry(1, "draining");
+	EXPECT_TRUE(eventually([&] {
+		return call(in.hosts[0].operators, "GET", query)
+			       .body.find("1 in service") != std::string::npos;
+	}));
+	EXPECT_EQ(call(in.hosts[0].operators, "GET",
+		       "/explain?host=mesh.example&path=/none/")
+			  .status,
+		  404);
+	EXPECT_EQ(call(in.hosts[0].operators, "GET", "/explain?path=/").status,
+		  400);
+}
+
 /* Guards against metrics that do not tell which route failed, and why. */
 TEST(Relay, MetricsTellRoutesAndReasons)
 {
