Know the region of each zone, and keep requests in the regions of their route

Cause: every server counted as one of the own region, as the settings' map of zones to regions was not read. Routes that name the regions which may serve them (rule HOME) would have been served anywhere.

Change: the map is decoded in the adapter; servers of other regions come last, as lib/balance does in the product's own mode, and balance_pick() passes over targets outside a request's regions. Without a target there the request is refused as not run.

Tests: Regions.AreLeftLastAndOnlyIfAllowed, PlatformConfig.RegionsOfARouteAreDecoded, PlatformSettings.AreDecodedIntoTypes; each needs what was missing.

--- a/lib/balance/balance.c
+++ b/lib/balance/balance.c
@@ -16,6 +16,7 @@
 {
 	g_free(target->host);
 	g_free(target->zone);
+	g_free(target->region);
 	g_free(target->traffic);
 	g_free(target);
 }
--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -130,6 +130,8 @@
 	 * are worth some waiting near by.
 	 */
 	int overflow_percent;
+	/* The regions whose targets may get it, ended by NULL; NULL: all. */
+	char *const *regions;
 };
 
 /* How a request ended at a target. */
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -15,6 +15,20 @@
 	return false;
 }
 
+static bool in_regions(const struct balance_request *request,
+		       const struct target *target)
+{
+	return !request->regions ||
+	       g_strv_contains((const char *const *)request->regions,
+			       target->region);
+}
+
+static bool may_get(const struct balance_request *request,
+		    const struct target *target)
+{
+	return !is_excluded(request, target) && in_regions(request, target);
+}
+
 /* The target whose trial is due and may be made by the request. */
 static struct target *due_trial(const struct service *service,
 				const struct balance_request *request,
@@ -26,7 +40,7 @@
 		struct target *target = service->subset[i];
 
 		if (target_is_held(target) && target->trial_at <= due_before &&
-		    !is_excluded(request, target))
+		    may_get(request, target))
 			return target;
 	}
 	return NULL;
@@ -75,7 +89,7 @@
 		   const struct balance_request *request, enum pass pass,
 		   int64_t now)
 {
-	if (is_excluded(request, target))
+	if (!may_get(request, target))
 		return false;
 	if (pass < PASS_ALL && target_is_held(target))
 		return false;
--- a/lib/balance/state.h
+++ b/lib/balance/state.h
@@ -20,6 +20,7 @@
 	struct service *service; /* NULL when the last update lacks it */
 	char *host;
 	char *zone;
+	char *region;
 	char *traffic;
 	uint64_t weight; /* rendezvous hash with the host of the ingress */
 	bool named;	 /* by the update under way */
--- a/lib/balance/update.c
+++ b/lib/balance/update.c
@@ -69,6 +69,10 @@
 		g_free(target->zone);
 		target->zone = g_strdup(given->zone);
 	}
+	if (g_strcmp0(target->region, given->region) != 0) {
+		g_free(target->region);
+		target->region = g_strdup(given->region);
+	}
 	if (!strcmp(given->zone, balance->zone))
 		target->tier = TIER_ZONE;
 	else if (!strcmp(given->region, balance->region))
--- a/lib/mesh/explain.c
+++ b/lib/mesh/explain.c
@@ -38,6 +38,8 @@
 		  from_route(route, MESH_DEFAULT_PRIORITY, source));
 	add_value(values, "attempts", json_integer(route->attempts),
 		  from_route(route, MESH_DEFAULT_ATTEMPTS, source));
+	for (char **region = route->regions; region && *region; region++)
+		add_value(values, "region", json_string(*region), source);
 	add_value(values, "head_max_bytes",
 		  json_integer(limits->head_max_bytes), FROM_LIMITS);
 	add_value(values, "body_max_bytes",
--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -12,6 +12,7 @@
 	char *name;
 	char *zone;
 	char *region;
+	GHashTable *regions; /* availability zone -> region, of all zones */
 	char *ip;
 	char *service;		      /* of the backend server on this host */
 	struct net_address backend;   /* the backend server */
@@ -33,6 +34,11 @@
 	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
 };
 
+struct mesh_host *mesh_host_new(void);
+
+/* The region of a zone; the own one when the settings do not tell it. */
+const char *mesh_host_region(const struct mesh_host *host, const char *zone);
+
 void mesh_host_free(struct mesh_host *host);
 DEFINE_CLEANUP(struct mesh_host, mesh_host_free)
 
--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -11,6 +11,7 @@
 	g_free(route->name);
 	g_free(route->host);
 	g_free(route->prefix);
+	g_strfreev(route->regions);
 	for (size_t i = 0; i < route->nr_parts; i++)
 		g_free(route->parts[i].service);
 	g_free(route->parts);
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -39,6 +39,8 @@
 	int64_t objective_ms; /* time within which an answer is worth most */
 	int priority;	      /* 0 is the most urgent */
 	int attempts; /* backend servers that one request may be sent to */
+	/* Whose servers may get a request, ended by NULL; NULL: all. */
+	char **regions;
 	struct mesh_part *parts;
 	size_t nr_parts;   /* 1 or more */
 	unsigned defaults; /* bits of enum mesh_default */
--- a/relay/call.c
+++ b/relay/call.c
@@ -439,6 +439,7 @@
 		.service = call->service_index,
 		.excluded = call->excluded,
 		.nr_excluded = call->nr_excluded,
+		.regions = call->route->regions,
 		.retryable = !call->route->at_most_once,
 	};
 	struct balance_choice choice;
--- a/relay/caller_view.c
+++ b/relay/caller_view.c
@@ -38,7 +38,8 @@
 		g_ptr_array_add(addresses, address);
 		targets[nr].host = target->id;
 		targets[nr].zone = target->zone;
-		targets[nr].region = side->context->host->region;
+		targets[nr].region =
+			mesh_host_region(side->context->host, target->zone);
 		targets[nr].traffic = address;
 		targets[nr].slots = (uint32_t)target->slots;
 		targets[nr].cold_slots = (uint32_t)MAX(1, target->slots / 3);
--- a/tests/balance/test_balance.cc
+++ b/tests/balance/test_balance.cc
@@ -66,8 +66,9 @@
 	/* Picks and starts; an empty host when there is no target. */
 	struct balance_choice send(bool retryable = true)
 	{
-		struct balance_request request = { 0, nullptr, 0, retryable,
-						   0 };
+		struct balance_request request = {
+			0, nullptr, 0, retryable, 0, nullptr
+		};
 		struct balance_choice choice = {};
 
 		if (balance_pick(balance, &request, now, &choice)) {
@@ -264,7 +265,8 @@
 	in.update();
 	for (int i = 0; i < 4; i++) {
 		struct balance_choice first = in.send(), second;
-		struct balance_request retry = { 0, &first.target, 1, true, 0 };
+		struct balance_request retry = { 0, &first.target, 1, true,
+						 0, nullptr };
 
 		ASSERT_TRUE(first.own_zone);
 		in.end(first, i % 2 ? FAILURE_LINK_LOST : FAILURE_QUEUE_FULL);
@@ -689,4 +691,37 @@
 	}
 }
 
+/*
+ * Own zone, own region, then the others; a request that is bound to regions
+ * never leaves them. Guards against requests that cross regions while the own
+ * one has room, and against data that leaves the regions allowed for it.
+ */
+TEST(Regions, AreLeftLastAndOnlyIfAllowed)
+{
+	char r1[] = "r1", r9[] = "r9";
+	char *const only_r1[] = { r1, nullptr }, *const only_r9[] = { r9,
+								      nullptr };
+	struct balance_request request = {};
+	struct balance_choice choice;
+	Ingress in;
+
+	in.add("far", "z8", "r1");
+	in.add("near", "z1", "r0");
+	in.update();
+	for (int i = 0; i < 20; i++) {
+		ASSERT_TRUE(
+			balance_pick(in.balance, &request, in.now, &choice));
+		EXPECT_STREQ(choice.host, "near");
+	}
+	request.regions = only_r1;
+	ASSERT_TRUE(balance_pick(in.balance, &request, in.now, &choice));
+	EXPECT_STREQ(choice.host, "far");
+	request.excluded = &choice.target;
+	request.nr_excluded = 1;
+	EXPECT_FALSE(balance_pick(in.balance, &request, in.now, &choice));
+	request.nr_excluded = 0;
+	request.regions = only_r9;
+	EXPECT_FALSE(balance_pick(in.balance, &request, in.now, &choice));
+}
+
 } // namespace
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -29,6 +29,29 @@
 "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
 "header_timeout":"3000ms","idle_timeout":"15s"}})";
 
+/* Guards against a route whose regions are lost or taken for all. */
+TEST(PlatformConfig, RegionsOfARouteAreDecoded)
+{
+	std::string text = GOOD_CONFIG;
+	g_autofree char *reason = NULL;
+	struct mesh_config *config;
+	const struct mesh_route *route;
+
+	text.replace(text.find("\"traffic_split\"]"), 16,
+		     "\"traffic_split\",\"allowed_regions\"]");
+	text.replace(text.find("2,null],"), 8, "2,null,[\"r1\",\"r2\"]],");
+	g_autoptr(GBytes) value = bytes(text);
+	config = platform_decode_config(value, &reason);
+	ASSERT_NE(config, nullptr) << reason;
+	route = mesh_config_find(config, "a.example", "/o/1");
+	ASSERT_NE(route->regions, nullptr);
+	EXPECT_STREQ(route->regions[1], "r2");
+	EXPECT_EQ(route->regions[2], nullptr);
+	route = mesh_config_find(config, "a.example", "/s/1");
+	EXPECT_EQ(route->regions, nullptr);
+	mesh_config_unref(config);
+}
+
 TEST(PlatformConfig, IsDecodedIntoTypes)
 {
 	g_autoptr(GBytes) value = bytes(GOOD_CONFIG);
@@ -235,6 +258,7 @@
 			     "listen.readiness=10.1.0.35:8140\n"
 			     "provider.address=10.200.1.7:8142\n"
 			     "port_range=7660,7675\nseed_nodes=\nnew.field=1\n"
+			     "zones.z1=r1\nzones.z2=r2\n"
 			     "bounds.grace=6s\nbounds.retry_budget_ratio=0.2\n";
 
 TEST(PlatformSettings, AreDecodedIntoTypes)
@@ -247,6 +271,8 @@
 	host = platform_settings_read(path.c_str(), &findings);
 	ASSERT_NE(host, nullptr);
 	EXPECT_EQ(host->callers.port, 8141u);
+	EXPECT_STREQ(mesh_host_region(host, "z2"), "r2");
+	EXPECT_STREQ(mesh_host_region(host, "unknown"), "r1");
 	EXPECT_EQ(host->peers.port, 8145u);
 	EXPECT_EQ(host->control.port, 7660u);
 	EXPECT_EQ(host->operators.port, 7661u);
