Send an order only on a connection that rested at most 250 ms

Cause: servers of the grown sites may drop connections that rested 300 ms without a word, and what is sent next is reset; an order is lost by that. Connections that had rested up to 2 s were used.

Tried and reverted: learning from each quick loss how long a server keeps connections.

--- a/relay/backend_pool.c
+++ b/relay/backend_pool.c
@@ -9,7 +9,7 @@
  * A request that runs at most once is lost when the server has forgotten its
  * kept connection, so it uses one that carried another a moment ago.
  */
-#define FRESH_NS (2 * NS_PER_SEC)
+#define FRESH_NS (250 * NS_PER_MS)
 
 struct backend_pool {
 	const struct relay_context *context;
--- a/standins/target.c
+++ b/standins/target.c
@@ -32,6 +32,8 @@
 	{ "cold-ms", "N", "how long it is cold", 0, NULL },
 	{ "body-bytes", "N", "length of its answers", 5, NULL },
 	{ "cold-early-ms", "N", "it tells so much less cold time", 0, NULL },
+	{ "forget-idle-ms", "N", "it drops connections that rested longer", 0,
+	  NULL },
 	{ NULL },
 };
 
@@ -157,7 +159,35 @@
 	}
 }
 
-static enum MHD_Result on_request(struct request *request)
+/* When each connection was last used; 0: not yet. */
+static void on_connection(void *cls, struct MHD_Connection *connection,
+			  void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	(void)cls;
+	(void)connection;
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		*context = g_new0(int64_t, 1);
+	else
+		g_free(*context);
+}
+
+static int64_t *last_use(const struct request *request)
+{
+	return MHD_get_connection_info(request->connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
+}
+
+static bool is_forgotten(const struct request *request)
+{
+	int64_t last = *last_use(request);
+
+	return settings[6].number && last &&
+	       clock_monotonic_ns() - last > settings[6].number * NS_PER_MS;
+}
+
+static enum MHD_Result serve_request(struct request *request)
 {
 	const char *expected = request_header(request, "X-Expected-Instance");
 	const char *id = request_header(request, "X-Request-Id");
@@ -180,6 +210,17 @@
 	return result;
 }
 
+static enum MHD_Result on_request(struct request *request)
+{
+	enum MHD_Result result;
+
+	if (is_forgotten(request))
+		return MHD_NO;
+	result = serve_request(request);
+	*last_use(request) = clock_monotonic_ns();
+	return result;
+}
+
 static enum MHD_Result on_control(struct request *request)
 {
 	json_t *state, *copy;
@@ -202,7 +243,8 @@
 int main(int argc, char **argv)
 {
 	static const struct server listen = { .body_max = BODY_MAX_BYTES,
-					      .handle = on_request };
+					      .handle = on_request,
+					      .notify = on_connection };
 	static const struct server control = { .handle = on_control };
 
 	return standin_main(argc, argv, settings, init, &listen, &control);
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -580,6 +580,24 @@
 	EXPECT_EQ(status, 0);
 }
 
+/*
+ * A server drops connections that rested, without a word. Guards against
+ * orders that are sent on such a connection and lost.
+ */
+TEST(Relay, OrdersOutliveForgottenConnections)
+{
+	Platform in(1, { "--service-ms", QUICK, "--forget-idle-ms", "300" });
+	int lost = 0;
+
+	in.start_all();
+	EXPECT_EQ(in.ask(0, "GET", "/stock/1").status, 200);
+	for (int i = 0; i < 8; i++) {
+		usleep(400 * 1000);
+		lost += in.ask(0, "POST", "/orders/1", "x").status != 200;
+	}
+	EXPECT_EQ(lost, 0);
+}
+
 /*
  * A stop concerns the daemon, not its server. Guards against the loss of a
  * third of all servers while hosts are restarted in turn, and against requests
