--- a/standins/backend.c
+++ b/standins/backend.c
@@ -15,11 +15,11 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "base/rng.h"
+#include "content.h"
 #include "standin.h"
 
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
 #define PATTERN_MAX_BYTES (1024 * 1024 * 1024)
-#define PATTERN_PERIOD 251 /* prime, so that swapped chunks are seen */
 #define BLOCK_BYTES (64 * 1024)
 #define TICK_NS (5 * NS_PER_MS)
 #define OVERLOAD_NS (100 * NS_PER_MS) /* a cold server bears this long */
@@ -57,13 +57,6 @@
 	int load;
 };
 
-/* An answer that is made while it is sent: a text or a pattern of bytes. */
-struct content {
-	char *text; /* NULL for the pattern */
-	uint64_t seed;
-	uint64_t stop; /* position at which the connection is broken off */
-};
-
 enum {
 	NAME,
 	SLOTS,
@@ -290,33 +283,6 @@
 	return run->deadline < until ? "deadline" : "done";
 }
 
-static ssize_t read_content(void *cls, uint64_t position, char *buffer,
-			    size_t max)
-{
-	const struct content *content = cls;
-	uint64_t left = content->stop - position;
-	size_t len = (size_t)MIN(left, max);
-
-	if (!left)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (content->text) {
-		memcpy(buffer, content->text + position, len);
-		return (ssize_t)len;
-	}
-	for (size_t i = 0; i < len; i++)
-		buffer[i] =
-			(char)((position + i + content->seed) % PATTERN_PERIOD);
-	return (ssize_t)len;
-}
-
-static void free_content(void *cls)
-{
-	struct content *content = cls;
-
-	free(content->text);
-	g_free(content);
-}
-
 /* The echo of a request, by which a test sees whose answer it is. */
 static char *echo(const struct request *request, const char *id)
 {
@@ -339,15 +305,15 @@
 	struct MHD_Response *response;
 	uint64_t len = (uint64_t)bytes;
 
-	content->seed = hash_string(id) % PATTERN_PERIOD;
+	content->seed = hash_string(id) % CONTENT_PERIOD;
 	if (bytes < 0) {
 		content->text = echo(request, id);
 		len = strlen(content->text);
 	}
 	content->stop = truncate ? len / 2 : len;
 	response = MHD_create_response_from_callback(len, BLOCK_BYTES,
-						     read_content, content,
-						     free_content);
+						     content_read, content,
+						     content_free);
 	MHD_add_response_header(response, "Backend-Request-Id", id);
 	MHD_add_response_header(response, "Content-Type",
 				bytes < 0 ? "application/json"
