Watch the store every 2 s at the first start until the own server has registered

For the 4 s before its server registers a daemon is known to nobody, gets no news and reads the store itself every 700 ms: six calls of each of 80 daemons.

Change: while the settings say that the whole system starts for the first time and the own server has not registered, watches follow each other by 2 s; an event still ends one at once. Restarted daemons and those whose server has left watch as before.

Test: Relay.FleetThatStartsReadsTheStoreSeldom, red with the old interval.

--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -2,6 +2,7 @@
 #define MESH_HOST_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/cleanup.h"
@@ -32,6 +33,7 @@
 	int cold_slack;
 	double link_bytes_per_s; /* of the host's own link; 0: not known */
 	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
+	bool first_start;	 /* of the whole fleet */
 };
 
 struct mesh_host *mesh_host_new(void);
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -36,6 +36,7 @@
 	struct feed_peers *peers;
 	struct mesh_config *config;
 	GHashTable *targets; /* key -> struct mesh_target */
+	bool own_registered; /* the server on this host, at any time */
 	struct timer build_timer;
 	struct timer expiry_timer;
 	int64_t built_at;
@@ -181,6 +182,8 @@
 				  log_quote(key));
 		return g_hash_table_remove(control->targets, key);
 	}
+	if (!strcmp(target->address, control->host->backend_text))
+		control->own_registered = true;
 	if (same_target(old, target)) {
 		mesh_target_unref(target);
 		return false;
@@ -298,11 +301,19 @@
 		control->lapse_deadline = now + LAPSE_HOLD_NS;
 }
 
+static bool on_is_early(void *ctx)
+{
+	const struct mesh_control *control = ctx;
+
+	return control->host->first_start && !control->own_registered;
+}
+
 static const struct store_reader_ops reader_ops = {
 	.changes = on_changes,
 	.complete = on_complete,
 	.lost = on_lost,
 	.regained = on_regained,
+	.is_early = on_is_early,
 };
 
 /* Other daemons. */
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -9,6 +9,14 @@
 /* How long the store may hold a watch when nothing changes. */
 #define WATCH_WAIT_MS 400
 
+/*
+ * Both at the first start of a fleet, until the own server has registered: all
+ * daemons read then, since only those with a server are known to others, and
+ * there are no callers yet.
+ */
+#define EARLY_INTERVAL_NS (2 * NS_PER_SEC)
+#define EARLY_WAIT_MS 2000
+
 /*
  * A call that is not answered so long beyond its own wait has failed. After
  * failures it is waited for longer by the pause between them, since the store
@@ -78,6 +86,18 @@
 		set_timer(reader, now + reader->retry_wait);
 }
 
+static bool is_early(const struct store_reader *reader)
+{
+	return reader->options.ops->is_early(reader->options.ctx);
+}
+
+/* When the next watch may begin. */
+static int64_t next_watch(const struct store_reader *reader)
+{
+	return reader->started +
+	       (is_early(reader) ? EARLY_INTERVAL_NS : WATCH_INTERVAL_NS);
+}
+
 static void begin_range(struct store_reader *reader)
 {
 	reader->state = READER_RANGE;
@@ -129,20 +149,22 @@
 	}
 	reader->state = READER_WATCH;
 	reader->revision = reader->range_revision;
-	set_timer(reader, reader->started + WATCH_INTERVAL_NS);
 	ops->complete(reader->options.ctx, reader->keys, reader->range_revision,
 		      reader->range_started);
+	if (reader->state == READER_WATCH && !reader->calling)
+		set_timer(reader, next_watch(reader));
 }
 
 static void take_watch(struct store_reader *reader,
 		       const struct platform_page *page)
 {
 	reader->revision = MAX(reader->revision, page->revision);
-	set_timer(reader, MAX(reader->started + WATCH_INTERVAL_NS,
-			      clock_monotonic_ns()));
 	/* The store answers by what it knows then. */
 	reader->options.ops->changes(reader->options.ctx, page,
 				     clock_monotonic_ns());
+	if (reader->state == READER_WATCH && !reader->calling)
+		set_timer(reader,
+			  MAX(next_watch(reader), clock_monotonic_ns()));
 }
 
 static void take_response(struct store_reader *reader,
@@ -218,6 +240,7 @@
 static void make_call(struct store_reader *reader, int64_t now)
 {
 	int64_t wait = CALL_WAIT_NS + reader->retry_wait;
+	int64_t watch_ms = is_early(reader) ? EARLY_WAIT_MS : WATCH_WAIT_MS;
 	GString *head;
 
 	reader->started = now;
@@ -229,8 +252,8 @@
 		head = platform_range_call(platform_prefixes[reader->prefix],
 					   reader->after_key);
 	} else {
-		head = platform_watch_call("", reader->revision, WATCH_WAIT_MS);
-		wait += WATCH_WAIT_MS * NS_PER_MS;
+		head = platform_watch_call("", reader->revision, watch_ms);
+		wait += watch_ms * NS_PER_MS;
 	}
 	reader->nr_calls++;
 	reader->calling = true;
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -32,6 +32,8 @@
 	void (*lost)(void *ctx);
 	/* A call was answered after others that failed. */
 	void (*regained)(void *ctx);
+	/* Whether the fleet starts for the first time and has no callers. */
+	bool (*is_early)(void *ctx);
 };
 
 struct store_reader_options {
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -258,7 +258,7 @@
 			     "listen.readiness=10.1.0.35:8140\n"
 			     "provider.address=10.200.1.7:8142\n"
 			     "port_range=7660,7675\nseed_nodes=\nnew.field=1\n"
-			     "zones.z1=r1\nzones.z2=r2\n"
+			     "zones.z1=r1\nzones.z2=r2\nbootstrap=true\n"
 			     "bounds.grace=6s\nbounds.retry_budget_ratio=0.2\n";
 
 TEST(PlatformSettings, AreDecodedIntoTypes)
@@ -272,6 +272,7 @@
 	ASSERT_NE(host, nullptr);
 	EXPECT_EQ(host->callers.port, 8141u);
 	EXPECT_STREQ(mesh_host_region(host, "z2"), "r2");
+	EXPECT_TRUE(host->first_start);
 	EXPECT_STREQ(mesh_host_region(host, "unknown"), "r1");
 	EXPECT_EQ(host->peers.port, 8145u);
 	EXPECT_EQ(host->control.port, 7660u);
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -1,6 +1,7 @@
 #include "platform.h"
 
 #include <arpa/inet.h>
+#include <fstream>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -626,6 +627,34 @@
 	EXPECT_EQ(status, 0);
 }
 
+/*
+ * At the first start of a fleet all daemons read the store until their servers
+ * have registered. Guards against calls of the whole fleet several times a
+ * second, and against a first server that is then noticed late.
+ */
+TEST(Relay, FleetThatStartsReadsTheStoreSeldom)
+{
+	Platform in = make(4);
+	int64_t published;
+
+	in.publish_config(1);
+	for (int i = 0; i < 4; i++) {
+		std::ofstream(in.hosts[(size_t)i].settings, std::ios::app)
+			<< "bootstrap=true\n";
+		in.start_daemon(i);
+	}
+	usleep(3000000);
+	/* A reading of two prefixes and two watches for each. */
+	EXPECT_GT(in.store_calls(), 4);
+	EXPECT_LE(in.store_calls(), 4 * 4);
+	for (int i = 0; i < 4; i++)
+		in.publish_entry(i);
+	published = clock_monotonic_ns();
+	EXPECT_TRUE(eventually(
+		[&] { return in.ask(0, "GET", "/stock/1").status == 200; }));
+	EXPECT_LT(clock_monotonic_ns() - published, NS_PER_SEC);
+}
+
 /* The store's calls must not grow with the daemons and their heartbeats. */
 TEST(Relay, FewDaemonsReadTheStore)
 {
