Tell the calls of a closed connection one by one

Cause, found by reading: when a connection ended, all its calls were moved to a list of their own and told one after the other. A callee that then withdrew another of them was refused by rpc_forget(), and the call was told although its memory may have gone; a ping that was used again for the next connection was in two lists. Since links ask for a sign of life as soon as they connect, the second may happen while the first connection is still being ended.

Change: each call is taken out of the table just before it is told.

--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -308,23 +308,35 @@
 	xdr_destroy(&xdr);
 }
 
+/* Takes the first call out of the table, or returns NULL. */
+static struct rpc_call *take_first(struct rpc_conn *rpc)
+{
+	struct rpc_call *first = NULL;
+
+	pthread_mutex_lock(&rpc->lock);
+	for (int i = 0; i < CALL_BUCKETS && !first; i++) {
+		if (cds_list_empty(&rpc->calls[i]))
+			continue;
+		first = cds_list_first_entry(&rpc->calls[i], struct rpc_call,
+					     node);
+		cds_list_del(&first->node);
+	}
+	pthread_mutex_unlock(&rpc->lock);
+	return first;
+}
+
 static void on_closed(struct net_conn *conn, const char *reason)
 {
 	struct rpc_conn *rpc = net_conn_ctx(conn);
 	enum rpc_status status =
 		net_conn_established(conn) ? RPC_LOST : RPC_NOT_SENT;
-	struct rpc_call *call, *next;
-	struct cds_list_head calls;
+	struct rpc_call *call;
 
-	CDS_INIT_LIST_HEAD(&calls);
 	pthread_mutex_lock(&rpc->lock);
 	rpc->closed = true;
-	for (int i = 0; i < CALL_BUCKETS; i++) {
-		cds_list_splice(&rpc->calls[i], &calls);
-		CDS_INIT_LIST_HEAD(&rpc->calls[i]);
-	}
 	pthread_mutex_unlock(&rpc->lock);
-	cds_list_for_each_entry_safe (call, next, &calls, node)
+	/* One by one, as a callee may forget others, and use them again. */
+	while ((call = take_first(rpc)))
 		call->done(call, status, NULL);
 	if (rpc->service && rpc->service->closed)
 		rpc->service->closed(rpc, rpc->service->ctx, reason);
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -206,7 +206,6 @@
 		struct peer_call *call =
 			cds_list_first_entry(&link->held, struct peer_call,
 					     node);
-
 		struct relay_request *request = call->request;
 
 		cds_list_del(&call->node);
--- a/tests/net/test_rpc.cc
+++ b/tests/net/test_rpc.cc
@@ -130,6 +130,10 @@
 	std::atomic<int> done{ 0 };
 	enum rpc_status status = RPC_TIMED_OUT;
 	u_quad_t result = 0;
+	/* Withdrawn when this one is done. */
+	Call *forgets = nullptr;
+	struct rpc_conn *conn = nullptr;
+	bool forgot = false;
 
 	static void on_done(struct rpc_call *rpc, enum rpc_status status,
 			    XDR *xdr)
@@ -140,6 +144,9 @@
 		if (xdr && !xdr_u_quad_t(xdr, &call->result))
 			call->result = 0;
 		call->done++;
+		if (call->forgets)
+			call->forgot =
+				rpc_forget(call->conn, &call->forgets->call);
 	}
 
 	void start(Client &client, uint32_t procedure, u_quad_t value)
@@ -270,6 +277,32 @@
 	EXPECT_EQ(refused.status, RPC_NOT_SENT);
 }
 
+/*
+ * The connection ends with two calls out, and the first that is told of it
+ * withdraws the other. Guards against a call that is told although it was
+ * withdrawn, when its memory may be gone or in use for another call.
+ */
+TEST(Rpc, CallThatIsWithdrawnAtTheEndIsNotTold)
+{
+	Server server;
+	Client client(&server.address);
+	Call first, one, other;
+
+	first.start(client, ECHO, 1);
+	first.wait();
+	one.conn = other.conn = client.conn;
+	one.forgets = &other;
+	other.forgets = &one;
+	one.start(client, SILENCE, 1);
+	other.start(client, SILENCE, 1);
+	rpc_conn_close(client.conn);
+	for (int i = 0; one.done + other.done < 1 && i < 5000; i++)
+		usleep(1000);
+	usleep(20000);
+	EXPECT_EQ(one.done + other.done, 1);
+	EXPECT_TRUE(one.forgot || other.forgot);
+}
+
 /* Guards against unknown procedures being taken for lost calls. */
 TEST(Rpc, ReportsRefusedCalls)
 {
