--- a/tests/net/test_rpc.cc
+++ b/tests/net/test_rpc.cc
@@ -133,7 +133,7 @@
 	/* Withdrawn when this one is done. */
 	Call *forgets = nullptr;
 	struct rpc_conn *conn = nullptr;
-	bool forgot = false;
+	std::atomic<bool> forgot{ false };
 
 	static void on_done(struct rpc_call *rpc, enum rpc_status status,
 			    XDR *xdr)
@@ -143,10 +143,10 @@
 		call->status = status;
 		if (xdr && !xdr_u_quad_t(xdr, &call->result))
 			call->result = 0;
-		call->done++;
 		if (call->forgets)
 			call->forgot =
 				rpc_forget(call->conn, &call->forgets->call);
+		call->done++;
 	}
 
 	void start(Client &client, uint32_t procedure, u_quad_t value)
