Let others use the server of a stopping daemon for half of the grace time at most

Cause, found by reading: requests of other daemons were taken for 3 s after SIGTERM whatever the grace time was. All sites have 6 s; with 3 s an order that came at 1.8 s and ran for 1 s was cut and answered 502.

With a grace time of 6 s nothing changes.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -241,6 +241,7 @@
 
 static void start_stop(struct relay *relay)
 {
+	int64_t grace_ns = relay->context.host->stop_grace_ms * NS_PER_MS;
 	int64_t now = clock_monotonic_ns();
 
 	if (relay->stopping)
@@ -248,11 +249,10 @@
 	log_event(LOG_NOTICE, "stopping", "host=%s", relay->context.host->name);
 	relay->stopping = true;
 	relay->stop_least = now + STOP_LEAST_NS;
-	relay->stop_backend = now + STOP_BACKEND_NS;
+	/* What the server runs then has half of the grace time to end. */
+	relay->stop_backend = now + MIN(STOP_BACKEND_NS, grace_ns / 2);
 	relay->stop_taking = now + STOP_TAKING_NS;
-	relay->stop_latest = now +
-			     relay->context.host->stop_grace_ms * NS_PER_MS -
-			     STOP_MARGIN_NS;
+	relay->stop_latest = now + grace_ns - STOP_MARGIN_NS;
 	caller_side_drain(relay->caller_side);
 	timers_set(&relay->timers, &relay->stop_timer, now + STOP_CHECK_NS);
 }
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -627,6 +627,32 @@
 	EXPECT_EQ(status, 0);
 }
 
+/*
+ * The grace time is as short as a run is long. Guards against an order that a
+ * stopping daemon takes from another one and cannot bring to its end.
+ */
+TEST(Relay, ShortGraceTimeCutsNoOrder)
+{
+	Platform in(2, { "--service-ms", "1000", "--slots", "1" });
+	std::vector<std::thread> callers;
+
+	for (PlatformHost &host : in.hosts)
+		std::ofstream(host.settings, std::ios::app)
+			<< "bounds.grace=3s\n";
+	in.start_all();
+	process_signal(&in.hosts[0].daemon, SIGTERM);
+	usleep(1800000);
+	for (int i = 0; i < 2; i++)
+		callers.emplace_back([&in] {
+			int status = in.ask(1, "POST", "/orders/1", "x").status;
+
+			EXPECT_TRUE(status == 200 || status == 503) << status;
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_TRUE(process_wait(&in.hosts[0].daemon, 10000, nullptr));
+}
+
 /*
  * At the first start of a fleet all daemons read the store until their servers
  * have registered. Guards against calls of the whole fleet several times a
