Check all ports of the range, and bound answers by the memory

Cause: port_range was read up to its first number, and an ip that is no number was reported as a wrong range. The length of an answer was limited by what callers may send, 64 MB on the users' sites, so two answers without end filled a small host. Change: port_range must be FIRST,LAST with room for both ports, ip has its own error, and answers in all slots fit into a quarter of limits.memory_mb.

--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -9,6 +9,12 @@
 /* Requests that may be queued for each slot of the backend server. */
 #define QUEUE_PER_SLOT 3
 
+/*
+ * Part of the daemon's memory that the answers being read from the backend
+ * server may fill, 1 / this. The server may send bytes without end.
+ */
+#define ANSWERS_MEMORY_PART 4
+
 /* The entry of this host's server in the view, or NULL. */
 static const struct mesh_target *own_target(const struct backend_side *side)
 {
@@ -42,6 +48,21 @@
 	probe_restart(side->probe, side->admit, now);
 }
 
+/*
+ * Limits the length of an answer such that answers of that length in all slots
+ * fit into the memory for them.
+ */
+static void apply_answer_limit(struct backend_side *side)
+{
+	int64_t memory = side->context->host->memory_bytes;
+	int64_t limit = side->view->config->limits.body_max_bytes;
+
+	if (memory)
+		limit = MIN(limit,
+			    memory / ANSWERS_MEMORY_PART / MAX(side->slots, 1));
+	backend_pool_set_body_max(side->pool, (size_t)limit);
+}
+
 static void apply_service(struct backend_side *side)
 {
 	const struct mesh_host *host = side->context->host;
@@ -50,8 +71,6 @@
 				    host->service);
 	struct admit_cold_rate rate;
 
-	backend_pool_set_body_max(
-		side->pool, (size_t)side->view->config->limits.body_max_bytes);
 	if (!service)
 		return;
 	rate = admit_cold_rate_within(service->cold_per_s, host->cold_overage,
@@ -73,6 +92,8 @@
 		apply_target(side, target, now);
 	else
 		g_clear_pointer(&side->backend_id, g_free);
+	if (view->config)
+		apply_answer_limit(side);
 	if (target && !side->in_service && mesh_view_in_service(view, target))
 		/* It may have become cold while it got no requests. */
 		probe_restart(side->probe, side->admit, now);
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -312,4 +312,45 @@
 	unlink(path.c_str());
 }
 
+/* The errors of settings in which one line is replaced, as "KEY: MESSAGE". */
+std::string settings_errors(const std::string &line,
+			    const std::string &replacement)
+{
+	std::string text = GOOD_SETTINGS, errors, path;
+	struct findings findings;
+	struct finding *finding;
+
+	text.replace(text.find(line), line.size(), replacement);
+	path = write_settings(text);
+	findings_init(&findings);
+	EXPECT_EQ(platform_settings_read(path.c_str(), &findings), nullptr)
+		<< replacement;
+	cds_list_for_each_entry (finding, &findings.list, node)
+		errors += std::string(finding->path) + ": " + finding->message +
+			  "\n";
+	findings_release(&findings);
+	unlink(path.c_str());
+	return errors;
+}
+
+/*
+ * Guards against a range of ports of which only the first is checked, and
+ * against a wrong address that is reported as a wrong range.
+ */
+TEST(PlatformSettings, ChecksPortsAndAddressEachUnderItsKey)
+{
+	const std::string range = "port_range=7660,7675";
+
+	for (const char *wrong :
+	     { "7660", "7660,", "x,7675", "7660,70000", "0,9", "7660,7675x" })
+		EXPECT_EQ(settings_errors(range,
+					  std::string("port_range=") + wrong),
+			  "port_range: not FIRST,LAST\n")
+			<< wrong;
+	EXPECT_EQ(settings_errors(range, "port_range=7660,7660"),
+		  "port_range: has too few ports\n");
+	EXPECT_EQ(settings_errors("ip=10.1.0.35\n", "ip=host\n"),
+		  "ip: not an IP number\n");
+}
+
 } // namespace
