End answers without end, and keep copies of answers apart

Change: at most 8 responses are passed over for one request; probes use a connection of their own; a connection is not used twice in a row under one id. A rejected probe no longer tells that the server is warm. Ruled out: the other 12 kinds of endless bytes were ended before. Tests: HttpClient.EndsResponsesWithoutEnd failed before for the kinds 100, 102 and responses to other requests.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -18,13 +18,21 @@
  */
 #define IDLE_PERCENT 70
 
+/*
+ * Most responses that are passed over while a request waits for its own:
+ * provisional ones and those to other requests. A faulty server may send them
+ * without end.
+ */
+#define PASSED_OVER_MAX 8
+
 struct http_client {
 	struct net_source source;
 	struct http_client_options options;
 	struct http_reader reader;
 	GByteArray *out;
 	guint out_done;
-	char *request_id;
+	char *request_id;   /* of the latest request */
+	int nr_passed_over; /* responses, since the request was sent */
 	uint32_t events;
 	int64_t idle_deadline;
 	int64_t idle_since;
@@ -96,23 +104,34 @@
 }
 
 /*
- * Handles a complete response; more says that bytes follow it. Returns true
- * when the response was provisional or for another request, so that the bytes
+ * Passes over a response that does not end the request. Returns whether bytes
  * after it still have to be parsed.
  */
+static bool pass_over(struct http_client *client, struct http_message *response)
+{
+	if (response->status >= 200)
+		client->unreusable = true;
+	http_message_free(response);
+	http_reader_next(&client->reader);
+	if (++client->nr_passed_over <= PASSED_OVER_MAX)
+		return true;
+	fail(client, HTTP_END_MALFORMED);
+	return false;
+}
+
+/*
+ * Handles a complete response; more says that bytes follow it. Returns whether
+ * the bytes after it still have to be parsed, because the response was
+ * provisional or for another request.
+ */
 static bool handle_response(struct http_client *client, bool more)
 {
 	struct http_message *response = http_reader_take(&client->reader);
 	bool reusable = response->keep_alive && !more && !client->unreusable &&
 			client->out_done == client->out->len;
 
-	if (response->status < 200 || is_for_other_request(client, response)) {
-		if (response->status >= 200)
-			client->unreusable = true;
-		http_message_free(response);
-		http_reader_next(&client->reader);
-		return true;
-	}
+	if (response->status < 200 || is_for_other_request(client, response))
+		return pass_over(client, response);
 	set_idle_deadline(client, response);
 	http_reader_next(&client->reader);
 	if (!reusable) {
@@ -281,6 +300,7 @@
 	client->busy = true;
 	g_free(client->request_id);
 	client->request_id = g_strdup(request_id);
+	client->nr_passed_over = 0;
 	g_byte_array_set_size(client->out, 0);
 	client->out_done = 0;
 	client->reader.no_body = !strncmp(head->str, "HEAD ", 5);
@@ -297,6 +317,11 @@
 	       !client->closed;
 }
 
+const char *http_client_request_id(const struct http_client *client)
+{
+	return client->request_id;
+}
+
 int64_t http_client_idle_deadline(const struct http_client *client)
 {
 	return client->idle_deadline;
--- a/relay/backend_pool.c
+++ b/relay/backend_pool.c
@@ -141,7 +141,18 @@
 	return conn;
 }
 
-static struct backend_conn *take_idle(struct backend_pool *pool, bool fresh)
+/*
+ * The id of a response shows which request it is for. A request with the id of
+ * the previous one could get a second copy of that one's response.
+ */
+static bool repeats_id(const struct backend_conn *conn, const char *request_id)
+{
+	return request_id &&
+	       !g_strcmp0(http_client_request_id(conn->client), request_id);
+}
+
+static struct backend_conn *take_idle(struct backend_pool *pool,
+				      const char *request_id, bool fresh)
 {
 	int64_t now = clock_monotonic_ns();
 	struct backend_conn *conn;
@@ -149,7 +160,8 @@
 	if (cds_list_empty(&pool->idle))
 		return NULL;
 	conn = cds_list_first_entry(&pool->idle, struct backend_conn, node);
-	if (now >= http_client_idle_deadline(conn->client))
+	if (now >= http_client_idle_deadline(conn->client) ||
+	    repeats_id(conn, request_id))
 		return NULL;
 	if (fresh && now - http_client_idle_since(conn->client) > FRESH_NS)
 		return NULL;
@@ -163,7 +175,7 @@
 				       size_t body_len, const char *request_id,
 				       bool fresh, backend_done done, void *ctx)
 {
-	struct backend_conn *conn = take_idle(pool, fresh);
+	struct backend_conn *conn = take_idle(pool, request_id, fresh);
 
 	if (!conn)
 		conn = open_conn(pool);
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -119,6 +119,13 @@
 	}
 }
 
+static void on_backend_silent(void *ctx)
+{
+	struct backend_side *side = ctx;
+
+	backend_pool_close_idle(side->pool);
+}
+
 /* Applies the result of a probe: the server's id and its cold time. */
 static void on_probed(void *ctx, const char *backend_id, int64_t cold_left_ms)
 {
@@ -536,6 +543,7 @@
 		.context = context,
 		.probed = on_probed,
 		.ended = on_backend_ended,
+		.silent = on_backend_silent,
 		.ctx = side,
 	};
 
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -24,8 +24,12 @@
 /* How long a server counts as cold while no probe has reported. */
 #define COLD_UNKNOWN_NS (3 * NS_PER_SEC)
 
+/* Maximum length of the body of an answer to a probe. */
+#define BODY_MAX_BYTES 65536
+
 struct probe {
 	struct probe_options options;
+	struct backend_pool *pool; /* of the probes only */
 	char *path;
 	struct admit_cold_rate rate;
 	struct backend_conn *conn; /* of the probe in flight; NULL: none */
@@ -56,6 +60,18 @@
 	set_timer(probe, now + wait);
 }
 
+/*
+ * A warm server may leave its cold time out. One that is full rejects a probe
+ * like any other request, and such an answer has no cold time either.
+ */
+static int64_t get_cold_left_ms(const struct http_message *response)
+{
+	bool rejected = http_message_value(response, HTTP_ROLE_NOT_RUN) != NULL;
+
+	return http_message_number(response, HTTP_ROLE_COLD_LEFT_MS,
+				   rejected ? PROBE_COLD_UNKNOWN : 0);
+}
+
 static void handle_answer(struct probe *probe,
 			  const struct http_message *response)
 {
@@ -67,8 +83,7 @@
 	probe->options.probed(probe->options.ctx,
 			      http_message_value(response,
 						 HTTP_ROLE_BACKEND_ID),
-			      http_message_number(response,
-						  HTTP_ROLE_COLD_LEFT_MS, 0));
+			      get_cold_left_ms(response));
 }
 
 static void on_answer(enum http_end end, struct http_message *response,
@@ -98,7 +113,7 @@
 			probe->options.context->host->backend_text);
 	probe->started = now;
 	/* While the server is down, an idle connection may be dead. */
-	probe->conn = backend_pool_send(probe->options.pool, head, "", 0, NULL,
+	probe->conn = backend_pool_send(probe->pool, head, "", 0, NULL,
 					probe->down, on_answer, probe);
 	g_string_free(head, TRUE);
 	set_timer(probe, now + (probe->conn ? TIMEOUT_NS : DOWN_INTERVAL_NS));
@@ -115,7 +130,8 @@
 	log_event(LOG_WARNING, "backend_silent", "host=%s",
 		  probe->options.context->host->name);
 	probe->down = true;
-	backend_pool_close_idle(probe->options.pool);
+	backend_pool_close_idle(probe->pool);
+	probe->options.silent(probe->options.ctx);
 }
 
 static void on_timer(struct timer *timer, int64_t now)
@@ -123,7 +139,7 @@
 	struct probe *probe = caa_container_of(timer, struct probe, timer);
 
 	if (probe->conn) {
-		backend_pool_cancel(probe->options.pool, probe->conn);
+		backend_pool_cancel(probe->pool, probe->conn);
 		probe->conn = NULL;
 		handle_timeout(probe);
 		schedule_next(probe, now);
@@ -137,6 +153,8 @@
 	struct probe *probe = g_new0(struct probe, 1);
 
 	probe->options = *options;
+	probe->pool = backend_pool_new(options->context);
+	backend_pool_set_body_max(probe->pool, BODY_MAX_BYTES);
 	probe->timer.fire = on_timer;
 	return probe;
 }
@@ -156,6 +174,7 @@
 void probe_restart(struct probe *probe, struct admit *admit, int64_t now)
 {
 	probe->down = false;
+	backend_pool_close_idle(probe->pool);
 	probe_set_cold(probe, admit, now + COLD_UNKNOWN_NS, now);
 	probe_now(probe);
 }
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -9,20 +9,28 @@
  * Health probes of the local backend server. They report its id and how long it
  * stays cold. The health status in the response is ignored, since it lags and
  * misleads; whether the server is up follows from its connections.
+ *
+ * Answers to probes bear no request id. Probes therefore use a connection of
+ * their own: a late second copy of such an answer could not be told from the
+ * answer to a request on the same connection.
  */
 
 struct probe;
 
+/* The server did not run the probe, so its answer says nothing of the cold. */
+#define PROBE_COLD_UNKNOWN (-1)
+
 struct probe_options {
 	const struct relay_context *context;
-	struct backend_pool *pool;
 	/*
 	 * The server answered a probe: its id, NULL if it did not report one,
-	 * and how long it stays cold, 0 if it did not report that.
+	 * and how long it stays cold, PROBE_COLD_UNKNOWN if it did not tell.
 	 */
 	void (*probed)(void *ctx, const char *backend_id, int64_t cold_left_ms);
 	/* The server refuses connections, so its process has ended. */
 	void (*ended)(void *ctx);
+	/* The server answers neither probes nor requests. */
+	void (*silent)(void *ctx);
 	void *ctx;
 };
 
--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <functional>
 #include <netinet/in.h>
 #include <string>
@@ -208,6 +209,102 @@
 	}
 }
 
+/* A server that repeats a unit after its first bytes until the client closes.
+ */
+struct EndlessServer {
+	int listener;
+	struct net_address address = {};
+	std::atomic<size_t> sent{ 0 };
+	std::thread thread;
+
+	EndlessServer(const std::string &first, const std::string &unit)
+	{
+		struct sockaddr_in *in = (struct sockaddr_in *)&address.storage;
+
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		in->sin_family = AF_INET;
+		in->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.len = sizeof(*in);
+		EXPECT_EQ(bind(listener, (struct sockaddr *)in, sizeof(*in)),
+			  0);
+		EXPECT_EQ(listen(listener, 4), 0);
+		EXPECT_EQ(getsockname(listener, (struct sockaddr *)in,
+				      &address.len),
+			  0);
+		thread = std::thread([=] { serve(first, unit); });
+	}
+
+	void serve(const std::string &first, const std::string &unit)
+	{
+		int fd = accept(listener, NULL, NULL);
+		std::string block;
+		char buffer[4096];
+		ssize_t n;
+
+		while (block.size() < 65536)
+			block += unit;
+		EXPECT_GT(recv(fd, buffer, sizeof(buffer), 0), 0);
+		send(fd, first.data(), first.size(), MSG_NOSIGNAL);
+		while ((n = send(fd, block.data(), block.size(),
+				 MSG_NOSIGNAL)) > 0)
+			sent += (size_t)n;
+		close(fd);
+	}
+
+	~EndlessServer()
+	{
+		thread.join();
+		close(listener);
+	}
+};
+
+/*
+ * Guards against bytes without end that are no response: each must end the
+ * request as one that may have run, long before its deadline, and close the
+ * connection.
+ */
+TEST(HttpClient, EndsResponsesWithoutEnd)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n";
+	const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+	/* More than the sockets of both sides hold. */
+	const size_t sent_max = 24 * 1024 * 1024;
+	const struct {
+		const char *name;
+		std::string first, unit;
+	} cases[] = {
+		{ "garbage", "", "\x01\x02" },
+		{ "line ends before the status line", "", "\r\n" },
+		{ "reason phrase", "HTTP/1.1 200 ", "O" },
+		{ "field name", head, "X" },
+		{ "field value", head + "X: ", "y" },
+		{ "fields", head, "X: y\r\n" },
+		{ "body without length", head + "\r\n", "x" },
+		{ "body with a huge length",
+		  head + "Content-Length: 99999999999\r\n\r\n", "x" },
+		{ "chunks", chunked, "1\r\nx\r\n" },
+		{ "chunk size", chunked, "0" },
+		{ "chunk extension", chunked + "1;", "a" },
+		{ "trailers", chunked + "0\r\n", "X: y\r\n" },
+		{ "100 Continue", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "102 Processing", "",
+		  "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n" },
+		{ "responses to another request", "",
+		  "HTTP/1.1 200 OK\r\nRequest-Id: 6\r\n"
+		  "Content-Length: 1\r\n\r\ny" },
+	};
+
+	for (const auto &test_case : cases) {
+		EndlessServer server(test_case.first, test_case.unit);
+		Result result = exchange(server.address);
+
+		EXPECT_TRUE(result.done) << test_case.name;
+		EXPECT_EQ(result.end, HTTP_END_MALFORMED) << test_case.name;
+		EXPECT_FALSE(result.idle) << test_case.name;
+		EXPECT_LT(server.sent, sent_max) << test_case.name;
+	}
+}
+
 /*
  * Guards against a refused connection being reported as a lost request, which
  * could not be retried safely.
