Answer all requests before a stopping daemon exits

Cause: a daemon that stops took requests for 2.5 s whatever their length and then exited at the end of the grace time, so that those that ran longer were cut without an answer; closing the listening socket reset connections that were not accepted yet, and kept ones whose next request had arrived. Change: a stop sets a deadline for all requests. What cannot end by then, by the mean service time, is refused as not run with Retry-After; what still runs is answered as unknown; sockets are emptied before they are closed; a request that has arrived in part is waited for. http_server_conn.ended, never set, is gone.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -385,6 +385,16 @@
 	return true;
 }
 
+void admit_cancel_all(struct admit *admit, struct cds_list_head *cancelled)
+{
+	struct admit_request *request;
+
+	while ((request = queue_pop(&admit->queue))) {
+		request->state = ADMIT_IDLE;
+		cds_list_add_tail(&request->node, cancelled);
+	}
+}
+
 /* Earliest time at which a queued request of the class may expire. */
 static int64_t class_timer(const struct admit *admit, int priority)
 {
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -224,6 +224,9 @@
 /* Removes a request from the queue; false when it is not queued. */
 bool admit_cancel(struct admit *admit, struct admit_request *request);
 
+/* Removes all requests from the queue and adds them to cancelled. */
+void admit_cancel_all(struct admit *admit, struct cds_list_head *cancelled);
+
 /* Adds all queued requests that cannot meet their deadline to expired. */
 void admit_expire(struct admit *admit, int64_t now,
 		  struct cds_list_head *expired);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -47,7 +47,6 @@
 	GByteArray *pipelined;
 	bool close_after; /* close the connection after the response */
 	bool is_head;	  /* the request is HEAD */
-	bool ended;	  /* the caller sent its last byte */
 	void *data;
 	char peer_ip[INET6_ADDRSTRLEN];
 };
@@ -112,7 +111,7 @@
 	}
 	g_byte_array_set_size(conn->out, 0);
 	conn->out_done = 0;
-	if (conn->close_after || conn->ended) {
+	if (conn->close_after) {
 		/* Lets the caller read the whole response before a reset. */
 		shutdown(conn->source.fd, SHUT_WR);
 		conn_close(conn);
@@ -402,21 +401,43 @@
 	return server;
 }
 
+/* Whether a connection waits for the first byte of a request. */
+static bool is_idle(const struct http_server_conn *conn)
+{
+	return conn->state == CONN_READING && !conn->reader.started;
+}
+
 void http_server_stop(struct http_server *server)
 {
 	struct http_server_conn *conn, *next;
 
 	if (server->listener.fd >= 0) {
+		/* Closing resets the connections that were not accepted. */
+		on_listener_ready(&server->listener, EPOLLIN);
 		net_loop_remove(server->options.loop, &server->listener);
 		close(server->listener.fd);
 		server->listener.fd = -1;
 	}
 	cds_list_for_each_entry_safe (conn, next, &server->conns, node) {
-		if (conn->state == CONN_READING)
+		/* Its next request may have arrived already. */
+		if (is_idle(conn))
+			read_some(conn);
+		if (is_idle(conn))
 			conn_close(conn);
 	}
 }
 
+bool http_server_is_reading(const struct http_server *server)
+{
+	const struct http_server_conn *conn;
+
+	cds_list_for_each_entry (conn, &server->conns, node) {
+		if (conn->state == CONN_READING && conn->reader.started)
+			return true;
+	}
+	return false;
+}
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_server_limits *limits)
 {
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -56,9 +56,15 @@
 struct http_server *http_server_new(const struct http_server_options *options,
 				    GError **error);
 
-/* Closes the listening socket and all connections without a request. */
+/*
+ * Closes the listening socket and all connections without a request, after
+ * accepting and reading what has already arrived.
+ */
 void http_server_stop(struct http_server *server);
 
+/* Returns whether a request has arrived in part. */
+bool http_server_is_reading(const struct http_server *server);
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_server_limits *limits);
 
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -362,6 +362,10 @@
 		return FAILURE_QUARANTINED;
 	if (job->deadline <= now)
 		return FAILURE_TARGET_DEADLINE;
+	/* A stopping daemon takes only what it can complete. */
+	if (now + admit_service_ns(side->admit, job->admit.priority) >
+	    side->context->stop_deadline)
+		return FAILURE_TARGET_DRAINING;
 	/* The sender still has other servers to send it to. */
 	if (request->unless_unsound && !sound_check(&side->sound, now))
 		return FAILURE_TARGET_UNSOUND;
@@ -394,7 +398,8 @@
 
 	track_job(side, job);
 	job->conn = NULL;
-	job->deadline = now + job->request.time_left_ms * NS_PER_MS;
+	job->deadline = MIN(now + job->request.time_left_ms * NS_PER_MS,
+			    side->context->stop_deadline);
 	memset(&job->admit, 0, sizeof(job->admit));
 	job->side = side;
 	job->admit.priority =
@@ -488,6 +493,16 @@
 	}
 }
 
+void backend_side_end_jobs(struct backend_side *side)
+{
+	struct cds_list_head waiting;
+
+	CDS_INIT_LIST_HEAD(&waiting);
+	admit_cancel_all(side->admit, &waiting);
+	refuse_list(side, &waiting, FAILURE_TARGET_DRAINING);
+	end_expired_runs(side, DEADLINE_NEVER);
+}
+
 void backend_side_run_timers(struct backend_side *side, int64_t now)
 {
 	struct cds_list_head expired;
@@ -553,7 +568,6 @@
 	CDS_INIT_LIST_HEAD(&side->running);
 	side->admit = admit_new(&admit, clock_monotonic_ns());
 	side->pool = backend_pool_new(context);
-	probe.pool = side->pool;
 	side->probe = probe_new(&probe);
 	add_metrics(side);
 	return side;
--- a/relay/backend_side.h
+++ b/relay/backend_side.h
@@ -38,6 +38,12 @@
 void backend_side_drain(struct backend_side *side);
 bool backend_side_is_draining(const struct backend_side *side);
 
+/*
+ * Ends all jobs, because the process exits: those that wait are refused, and
+ * the outcome of those that run is unknown.
+ */
+void backend_side_end_jobs(struct backend_side *side);
+
 /* The number of jobs that wait or run. */
 int backend_side_nr_jobs(const struct backend_side *side);
 
--- a/relay/call.c
+++ b/relay/call.c
@@ -500,6 +500,26 @@
 	end_failed(call, FAILURE_DEADLINE);
 }
 
+/* Whether an attempt in progress may have reached a server. */
+static bool has_sent_attempt(const struct call *call)
+{
+	const struct attempt *attempt;
+
+	cds_list_for_each_entry (attempt, &call->attempts, node) {
+		if (!attempt->is_local ||
+		    attempt->job.admit.state != ADMIT_WAITING)
+			return true;
+	}
+	return false;
+}
+
+void call_end_for_stop(struct call *call)
+{
+	call->may_have_run |= has_sent_attempt(call);
+	end_failed(call, call->may_have_run ? FAILURE_DEADLINE
+					    : FAILURE_TARGET_DRAINING);
+}
+
 void call_start(struct call *call)
 {
 	enum failure_reason reason;
--- a/relay/call.h
+++ b/relay/call.h
@@ -53,6 +53,7 @@
 	GArray *services; /* struct service_state by service index */
 	struct rng rng;
 	GHashTable *routes; /* route name -> struct route_state */
+	struct cds_list_head calls;
 	int nr_calls;
 	int nr_daemons;	   /* hosts with a registered server; at least 1 */
 	char *own_traffic; /* address for other daemons' requests */
@@ -66,6 +67,7 @@
 };
 
 struct call {
+	struct cds_list_head node; /* in caller_side.calls */
 	struct caller_side *side;
 	struct http_server_conn *conn;
 	struct http_message *message;
@@ -113,6 +115,9 @@
 /* Cancels all attempts, because the caller has left or gets its answer. */
 void call_cancel(struct call *call);
 
+/* Answers a request in progress as failed, because the process exits. */
+void call_end_for_stop(struct call *call);
+
 /*
  * Answers the caller and frees the call. The answer is NULL unless the reason
  * is FAILURE_NONE.
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -82,6 +82,7 @@
 static void free_call(struct call *call)
 {
 	call->side->nr_calls--;
+	cds_list_del(&call->node);
 	if (call->failed_answer) {
 		xdr_free((xdrproc_t)xdr_relay_answer,
 			 (char *)call->failed_answer);
@@ -316,7 +317,9 @@
 		waited_before_ms(call->state, timeout_ms, call->arrival);
 
 	call->deadline =
-		call->arrival + MIN(route->deadline_ms, timeout_ms) * NS_PER_MS;
+		MIN(call->arrival +
+			    MIN(route->deadline_ms, timeout_ms) * NS_PER_MS,
+		    call->side->context->stop_deadline);
 	call->due =
 		call->arrival + (route->objective_ms - waited_ms) * NS_PER_MS;
 	call->objective = call->due;
@@ -342,6 +345,7 @@
 	struct call *call = g_new0(struct call, 1);
 
 	side->nr_calls++;
+	cds_list_add_tail(&call->node, &side->calls);
 	call->side = side;
 	call->conn = conn;
 	call->message = message;
@@ -513,6 +517,7 @@
 	};
 
 	side->context = context;
+	CDS_INIT_LIST_HEAD(&side->calls);
 	side->route_metrics.metrics = context->metrics;
 	side->backend_side = backend_side;
 	side->links = links;
@@ -538,6 +543,19 @@
 	http_server_stop(side->http);
 }
 
+void caller_side_end_calls(struct caller_side *side)
+{
+	/* The end of one may end others that wait for its slot. */
+	while (!cds_list_empty(&side->calls))
+		call_end_for_stop(
+			cds_list_first_entry(&side->calls, struct call, node));
+}
+
+bool caller_side_is_reading(const struct caller_side *side)
+{
+	return http_server_is_reading(side->http);
+}
+
 int caller_side_nr_calls(const struct caller_side *side)
 {
 	return side->nr_calls;
--- a/relay/caller_side.h
+++ b/relay/caller_side.h
@@ -26,9 +26,18 @@
 /* Closes each connection after its next answer. */
 void caller_side_drain(struct caller_side *side);
 
-/* Closes the listening socket and idle connections. */
+/*
+ * Closes the listening socket and idle connections, after reading what has
+ * already arrived. A request of which a part was read is still served.
+ */
 void caller_side_stop(struct caller_side *side);
 
+/* Answers all requests in progress as failed, because the process exits. */
+void caller_side_end_calls(struct caller_side *side);
+
+/* Whether a part of a request has arrived that is not read completely. */
+bool caller_side_is_reading(const struct caller_side *side);
+
 /* Number of requests in progress. */
 int caller_side_nr_calls(const struct caller_side *side);
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -45,8 +45,13 @@
  */
 #define STOP_ACCEPTING_NS (2500 * NS_PER_MS)
 
-/* The process exits this long before the platform would kill it. */
-#define STOP_MARGIN_NS (400 * NS_PER_MS)
+/*
+ * All requests are answered this long before the platform would kill the
+ * process, and it exits as soon as the answers are written, or else after the
+ * second time.
+ */
+#define STOP_MARGIN_NS (500 * NS_PER_MS)
+#define STOP_FLUSH_NS (200 * NS_PER_MS)
 
 /* How often the settings file is checked for changes. */
 #define SETTINGS_INTERVAL_NS (1 * NS_PER_SEC)
@@ -79,7 +84,6 @@
 	int64_t stop_backend;
 	int64_t backend_stopped; /* refuses daemons since then; 0: not */
 	int64_t stop_accepting;
-	int64_t stop_latest;
 };
 
 /* Callbacks of the control thread. */
@@ -216,19 +220,25 @@
 
 static bool can_exit(const struct relay *relay, int64_t now)
 {
-	if (now >= relay->stop_latest)
+	if (now >= relay->context.stop_deadline + STOP_FLUSH_NS)
 		return true;
 	return relay->backend_stopped &&
 	       now - relay->backend_stopped >= STOP_REFUSE_NS &&
 	       !backend_side_nr_jobs(relay->backend_side) &&
-	       !caller_side_nr_calls(relay->caller_side);
+	       !caller_side_nr_calls(relay->caller_side) &&
+	       !caller_side_is_reading(relay->caller_side);
 }
 
 static void on_stop_timer(struct timer *timer, int64_t now)
 {
 	struct relay *relay = caa_container_of(timer, struct relay, stop_timer);
-	int calls = caller_side_nr_calls(relay->caller_side);
+	int calls;
 
+	if (now >= relay->context.stop_deadline) {
+		caller_side_end_calls(relay->caller_side);
+		backend_side_end_jobs(relay->backend_side);
+	}
+	calls = caller_side_nr_calls(relay->caller_side);
 	if (can_exit(relay, now)) {
 		log_event(LOG_NOTICE, "stopped", "host=%s busy=%d",
 			  relay->context.host->name,
@@ -258,7 +268,7 @@
 	/* What the server runs then has half of the grace time to end. */
 	relay->stop_backend = now + MIN(STOP_BACKEND_NS, grace_ns / 2);
 	relay->stop_accepting = now + STOP_ACCEPTING_NS;
-	relay->stop_latest = now + grace_ns - STOP_MARGIN_NS;
+	relay->context.stop_deadline = now + grace_ns - STOP_MARGIN_NS;
 	caller_side_drain(relay->caller_side);
 	timers_set(&relay->timers, &relay->stop_timer, now + STOP_CHECK_NS);
 }
@@ -433,6 +443,7 @@
 			net_pacer_new(&pacer, clock_monotonic_ns());
 	}
 	relay->context.metrics = &relay->metrics;
+	relay->context.stop_deadline = DEADLINE_NEVER;
 	relay->context.report_crash = on_crashed;
 	relay->context.ctx = relay;
 	relay->stop_timer.fire = on_stop_timer;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,11 @@
 	struct net_pacer *pacer; /* NULL: the link's rate is not known */
 	struct metrics *metrics;
 	struct quarantine *quarantine;
+	/*
+	 * When the process has to have answered all requests (monotonic ns);
+	 * DEADLINE_NEVER until it is asked to stop.
+	 */
+	int64_t stop_deadline;
 	/* Reports a crash of the local backend server to the other daemons. */
 	void (*report_crash)(void *ctx, const struct quarantine_entry *entry);
 	void *ctx;
