Call the store less while it is down and when the fleet starts

Change: while the readers are heard, ranks after the eighth join 600 ms apart; one read covers all items; reads of the first start may be stale, which the store prices at a tenth; a restarted daemon leaves the store to the readers once it has read all; one without a registered server introduces itself to the readers, which push to it. store_call_failed tells the status. Ruled out: longer watches, which change nothing while events come. Tests: Readers.FewDaemonsCallAStoreThatIsDown and Relay.DaemonWithoutAServerDoesNotKeepReadingTheStore, which failed before.

--- a/lib/mesh/readers.c
+++ b/lib/mesh/readers.c
@@ -6,6 +6,14 @@
 #define RANK_STEP_NS (120 * NS_PER_MS)
 #define RANK_STEPS_MAX 16
 
+/*
+ * While the readers are heard but cannot read the store, it is down or turns
+ * daemons away. After these ranks further ones are added slowly: in an outage
+ * they would not help, and the store gets their calls when it returns.
+ */
+#define EAGER_RANKS 8
+#define LATE_RANK_STEP_NS (600 * NS_PER_MS)
+
 /* A daemon that received nothing for this long publishes its items. */
 #define SILENCE_NS (1800 * NS_PER_MS)
 
@@ -19,14 +27,22 @@
 	return MIN(state->rank, RANK_STEPS_MAX) * RANK_STEP_NS;
 }
 
+static int64_t silent_from(const struct readers_state *state)
+{
+	return state->received_at + SILENCE_NS;
+}
+
 static int64_t reads_from(const struct readers_state *state)
 {
-	return state->covered_at + READERS_STALE_NS + rank_wait(state);
+	int64_t from = state->covered_at + READERS_STALE_NS + rank_wait(state);
+	int64_t late = MAX(state->rank - EAGER_RANKS, 0) * LATE_RANK_STEP_NS;
+
+	return MIN(from + late, MAX(from, silent_from(state)));
 }
 
 static int64_t publishes_from(const struct readers_state *state)
 {
-	return state->received_at + SILENCE_NS + rank_wait(state);
+	return silent_from(state) + rank_wait(state);
 }
 
 bool readers_should_read(const struct readers_state *state, int64_t now)
--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -50,8 +50,9 @@
 	int64_t next_push;
 	/* When it was last announced as reading the store; 0: never. */
 	int64_t reader_seen_at;
-	int64_t listed_at; /* when the last view with it was applied */
-	bool listed;	   /* in the present view: counts in the ranking */
+	/* When the last view with it was applied, or it introduced itself. */
+	int64_t listed_at;
+	bool listed; /* in the present view: counts in the ranking */
 };
 
 struct feed_peers {
@@ -61,8 +62,10 @@
 	GHashTable *peers; /* ip -> struct peer */
 	struct root roots[FEED_ROOTS_MAX];
 	struct readers_state state;
-	int64_t next_announce; /* when this daemon is next announced */
-	bool own_listed;       /* this daemon, in the present view */
+	int64_t first_read_at; /* when all items were read first; 0: never */
+	int64_t next_introduction; /* not before, if own_listed is false */
+	int64_t next_announce;	   /* when this daemon is next announced */
+	bool own_listed;	   /* this daemon, in the present view */
 	struct timer timer;
 	bool is_reader; /* this daemon reads the store */
 	/* Revision that a daemon is assumed to have before it confirms one. */
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -11,6 +11,9 @@
  */
 #define UNLISTED_PUSH_NS (20 * NS_PER_SEC)
 
+/* How often a daemon without a registered server introduces itself. */
+#define INTRODUCTION_INTERVAL_NS (2 * NS_PER_SEC)
+
 /* Roles. */
 
 static int64_t next_update(struct feed_peers *peers, int64_t now,
@@ -61,10 +64,55 @@
 	feed_update(caa_container_of(timer, struct feed_peers, timer), now);
 }
 
+/* Finds the listed daemons that rank first. */
+static void find_first_ranks(struct feed_peers *peers,
+			     struct peer *first[READERS_TARGET])
+{
+	struct peer *peer;
+	GHashTableIter iter;
+
+	for (int i = 0; i < READERS_TARGET; i++)
+		first[i] = NULL;
+	g_hash_table_iter_init(&iter, peers->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		struct peer *next = peer->listed ? peer : NULL;
+
+		for (int i = 0; next && i < READERS_TARGET; i++) {
+			struct peer *other = first[i];
+
+			if (other &&
+			    readers_hash(other->ip) < readers_hash(next->ip))
+				continue;
+			first[i] = next;
+			next = other;
+		}
+	}
+}
+
+/*
+ * A daemon is known to the others by its server's entry. Without one it sends a
+ * push to the first readers, which push to it from then on; otherwise it would
+ * have to read the store all the time.
+ */
+static void introduce(struct feed_peers *peers, int64_t now)
+{
+	struct peer *first[READERS_TARGET];
+
+	if (peers->own_listed || now < peers->next_introduction)
+		return;
+	peers->next_introduction = now + INTRODUCTION_INTERVAL_NS;
+	find_first_ranks(peers, first);
+	for (int i = 0; i < READERS_TARGET; i++)
+		if (first[i])
+			feed_push_to(first[i], NULL, 0, now);
+}
+
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed)
 {
 	int64_t now = clock_monotonic_ns();
 
+	introduce(peers, now);
+
 	peers->state.read_at = MAX(peers->state.read_at, confirmed);
 	peers->next_announce = now;
 	feed_update(peers, now);
@@ -91,6 +139,46 @@
 		feed_push_to(peer, entries, nr, now);
 }
 
+static struct peer *get_peer(struct feed_peers *peers, const char *ip)
+{
+	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
+	g_autofree char *text = NULL;
+
+	if (peer)
+		return peer;
+	peer = g_new0(struct peer, 1);
+	peer->peers = peers;
+	peer->ip = g_strdup(ip);
+	peer->next_push = DEADLINE_NEVER;
+	peer->acked = FEED_ACKED_UNKNOWN;
+	text = g_strdup_printf("%s:%u", ip, peers->options.host->control.port);
+	net_address_parse(&peer->address, text, NULL);
+	g_hash_table_insert(peers->peers, peer->ip, peer);
+	return peer;
+}
+
+static void list_peer(struct feed_peers *peers, const char *ip,
+		      const char *zone, int64_t now)
+{
+	struct peer *peer = get_peer(peers, ip);
+
+	g_free(peer->zone);
+	peer->zone = g_strdup(zone);
+	peer->listed = true;
+	peer->listed_at = now;
+}
+
+/* The sender of a push; one that is not listed gets pushes for some time. */
+static struct peer *get_sender(struct feed_peers *peers, const char *ip,
+			       int64_t now)
+{
+	struct peer *peer = get_peer(peers, ip);
+
+	if (!peer->listed)
+		peer->listed_at = now;
+	return peer;
+}
+
 /* Pushes of other daemons. */
 
 static void receive_crashes(struct feed_peers *peers,
@@ -113,13 +201,23 @@
 		peers->options.ops->crashes(peers->options.ctx, entries, nr);
 }
 
+/*
+ * The place of this daemon in the ranking. The others rank only listed daemons,
+ * so one that is not listed comes after all of them.
+ */
+static uint64_t own_hash(const struct feed_peers *peers)
+{
+	return peers->own_listed ? readers_hash(peers->options.host->ip)
+				 : UINT64_MAX;
+}
+
 /*
  * When READERS_TARGET daemons before this one in the ranking were last all
- * announced as reading the store.
+ * announced as reading the store, or when this daemon first read all of it.
  */
 static int64_t covered_at(struct feed_peers *peers)
 {
-	uint64_t own = readers_hash(peers->options.host->ip);
+	uint64_t own = own_hash(peers);
 	int64_t newest[READERS_TARGET] = { 0 };
 	struct peer *peer;
 	GHashTableIter iter;
@@ -137,7 +235,14 @@
 			at = MIN(other, at);
 		}
 	}
-	return newest[READERS_TARGET - 1];
+	return MAX(newest[READERS_TARGET - 1], peers->first_read_at);
+}
+
+void feed_peers_read_all(struct feed_peers *peers)
+{
+	if (!peers->state.covered_at)
+		peers->first_read_at = clock_monotonic_ns();
+	peers->state.covered_at = covered_at(peers);
 }
 
 /* Records the announcement of a root; returns whether to forward it. */
@@ -196,7 +301,7 @@
 {
 	struct feed *feed = peers->options.feed;
 	int64_t now = clock_monotonic_ns();
-	struct peer *peer = g_hash_table_lookup(peers->peers, push->ip);
+	struct peer *peer = get_sender(peers, push->ip, now);
 	bool is_new = push->to > feed_revision(feed);
 
 	/* A push from a revision that is not reached yet would leave a gap. */
@@ -212,7 +317,7 @@
 		peers->state.received_at = now;
 	receive_roots(peers, push, is_new, now);
 	/* The sender restarted or missed pushes: it gets the items it lacks. */
-	if (peer && push->to < feed_revision(feed)) {
+	if (push->to < feed_revision(feed)) {
 		if (peer->acked == FEED_ACKED_UNKNOWN || peer->acked > push->to)
 			peer->acked = push->to;
 		feed_push_to(peer, NULL, 0, now);
@@ -283,29 +388,6 @@
 	g_free(peer);
 }
 
-static void list_peer(struct feed_peers *peers, const char *ip,
-		      const char *zone, int64_t now)
-{
-	struct peer *peer = g_hash_table_lookup(peers->peers, ip);
-	g_autofree char *text = NULL;
-
-	if (!peer) {
-		peer = g_new0(struct peer, 1);
-		peer->peers = peers;
-		peer->ip = g_strdup(ip);
-		peer->next_push = DEADLINE_NEVER;
-		peer->acked = FEED_ACKED_UNKNOWN;
-		text = g_strdup_printf("%s:%u", ip,
-				       peers->options.host->control.port);
-		net_address_parse(&peer->address, text, NULL);
-		g_hash_table_insert(peers->peers, peer->ip, peer);
-	}
-	g_free(peer->zone);
-	peer->zone = g_strdup(zone);
-	peer->listed = true;
-	peer->listed_at = now;
-}
-
 static gboolean has_left(gpointer key, gpointer value, gpointer ctx)
 {
 	const struct peer *peer = value;
@@ -327,7 +409,7 @@
 
 static int get_rank(struct feed_peers *peers)
 {
-	uint64_t own = readers_hash(peers->options.host->ip);
+	uint64_t own = own_hash(peers);
 	struct peer *peer;
 	GHashTableIter iter;
 	int rank = 0;
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -48,6 +48,12 @@
 void feed_peers_set_view(struct feed_peers *peers,
 			 const struct mesh_view *view);
 
+/*
+ * This daemon has read all items of the store. If it has just started, it reads
+ * no more until the readers have had the time to announce themselves.
+ */
+void feed_peers_read_all(struct feed_peers *peers);
+
 /*
  * The store has confirmed that this daemon has all that was published up to a
  * time (monotonic ns). Announces it to the other daemons.
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -25,6 +25,12 @@
 /* Minimum time between two views; limits the cost of bursts of changes. */
 #define BUILD_INTERVAL_NS (50 * NS_PER_MS)
 
+/*
+ * The first start of a fleet ends after this time also for a daemon whose
+ * server has not registered. It may have callers by then.
+ */
+#define BOOTSTRAP_MAX_NS (7 * NS_PER_SEC)
+
 struct mesh_control {
 	const struct mesh_host *host;
 	const struct mesh_control_ops *ops;
@@ -37,6 +43,7 @@
 	struct mesh_config *config;
 	GHashTable *targets; /* key -> struct mesh_target */
 	bool own_registered; /* the local server has, at least once */
+	int64_t bootstrap_deadline;
 	struct timer build_timer;
 	struct timer expiry_timer;
 	int64_t built_at;
@@ -283,7 +290,11 @@
 			   feed_next_expiry(control->feed));
 	feed_advance(control->feed, revision);
 	schedule_build(control);
-	feed_peers_confirmed(control->peers, confirmed);
+	/* Other daemons push changes to hosts with a registered server only. */
+	if (control->own_registered)
+		feed_peers_read_all(control->peers);
+	if (confirmed)
+		feed_peers_confirmed(control->peers, confirmed);
 }
 
 static void on_lost(void *ctx)
@@ -311,7 +322,8 @@
 {
 	const struct mesh_control *control = ctx;
 
-	return control->host->first_start && !control->own_registered;
+	return control->host->first_start && !control->own_registered &&
+	       clock_monotonic_ns() < control->bootstrap_deadline;
 }
 
 static const struct store_reader_ops reader_ops = {
@@ -485,6 +497,7 @@
 	control->ctx = ctx;
 	control->loop = net_loop_new(&loop);
 	timers_init(&control->timers);
+	control->bootstrap_deadline = clock_monotonic_ns() + BOOTSTRAP_MAX_NS;
 	control->feed = feed_new();
 	control->targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -10,13 +10,12 @@
 #define WATCH_WAIT_MS 400
 
 /*
- * Replace the two above during the first start of a fleet, until the local
+ * Time between full reads during the first start of a fleet, until the local
  * server has registered. All daemons read the store until then, since a daemon
- * is known to the others by its server's entry only, and there are no callers
- * yet.
+ * is known to the others by its server's entry only. There are no callers yet,
+ * so the items may be stale, which makes a read cheap.
  */
-#define BOOTSTRAP_INTERVAL_NS (2 * NS_PER_SEC)
-#define BOOTSTRAP_WAIT_MS 2000
+#define BOOTSTRAP_INTERVAL_NS (900 * NS_PER_MS)
 
 /*
  * A call fails when it is not answered within this time, in addition to the
@@ -35,7 +34,7 @@
 
 enum reader_state {
 	READER_STOPPED,
-	READER_FULL_READ, /* reads all items, one prefix after the other */
+	READER_FULL_READ, /* reads all items */
 	READER_WATCH
 };
 
@@ -49,8 +48,8 @@
 	int64_t full_read_started;
 	int64_t retry_delay;
 	int64_t lost_since;
-	int64_t revision;    /* the watch continues after it */
-	size_t prefix_index; /* of the full read, in platform_prefixes */
+	int64_t revision;   /* the watch continues after it */
+	bool accepts_stale; /* the full read may be stale */
 	char *after_key;
 	GHashTable *keys;	    /* found by the full read */
 	int64_t full_read_revision; /* of its first page */
@@ -71,11 +70,14 @@
 	reader->client = NULL;
 }
 
-static void fail_call(struct store_reader *reader, const char *reason)
+/* The status is that of the response, 0 if there was none. */
+static void fail_call(struct store_reader *reader, const char *reason,
+		      int status)
 {
 	int64_t now = clock_monotonic_ns();
 
-	log_event(LOG_WARNING, "store_call_failed", "reason=%s", reason);
+	log_event(LOG_WARNING, "store_call_failed", "reason=%s status=%d",
+		  reason, status);
 	reader->calling = false;
 	drop_client(reader);
 	if (!reader->lost_since) {
@@ -96,15 +98,13 @@
 /* When the next watch may begin. */
 static int64_t next_watch(const struct store_reader *reader)
 {
-	return reader->started + (is_bootstrapping(reader)
-					  ? BOOTSTRAP_INTERVAL_NS
-					  : WATCH_INTERVAL_NS);
+	return MAX(reader->started + WATCH_INTERVAL_NS, clock_monotonic_ns());
 }
 
 static void start_full_read(struct store_reader *reader)
 {
 	reader->state = READER_FULL_READ;
-	reader->prefix_index = 0;
+	reader->accepts_stale = is_bootstrapping(reader);
 	reader->full_read_revision = 0;
 	g_clear_pointer(&reader->after_key, g_free);
 	g_hash_table_remove_all(reader->keys);
@@ -119,6 +119,27 @@
 	reader->lost_since = 0;
 }
 
+static void finish_full_read(struct store_reader *reader)
+{
+	int64_t revision = reader->full_read_revision;
+
+	reader->state = READER_WATCH;
+	reader->revision = revision;
+	reader->options.ops->complete(reader->options.ctx, reader->keys,
+				      revision,
+				      reader->accepts_stale
+					      ? 0
+					      : reader->full_read_started);
+	if (reader->state != READER_WATCH || reader->calling)
+		return;
+	if (is_bootstrapping(reader)) {
+		start_full_read(reader);
+		set_timer(reader, reader->started + BOOTSTRAP_INTERVAL_NS);
+	} else {
+		set_timer(reader, next_watch(reader));
+	}
+}
+
 static void handle_range_page(struct store_reader *reader,
 			      const struct platform_page *page)
 {
@@ -145,17 +166,7 @@
 		send_call(reader, clock_monotonic_ns());
 		return;
 	}
-	g_clear_pointer(&reader->after_key, g_free);
-	if (platform_prefixes[++reader->prefix_index]) {
-		send_call(reader, clock_monotonic_ns());
-		return;
-	}
-	reader->state = READER_WATCH;
-	reader->revision = reader->full_read_revision;
-	ops->complete(reader->options.ctx, reader->keys,
-		      reader->full_read_revision, reader->full_read_started);
-	if (reader->state == READER_WATCH && !reader->calling)
-		set_timer(reader, next_watch(reader));
+	finish_full_read(reader);
 }
 
 static void handle_watch_page(struct store_reader *reader,
@@ -166,8 +177,7 @@
 	reader->options.ops->changes(reader->options.ctx, page,
 				     clock_monotonic_ns());
 	if (reader->state == READER_WATCH && !reader->calling)
-		set_timer(reader,
-			  MAX(next_watch(reader), clock_monotonic_ns()));
+		set_timer(reader, next_watch(reader));
 }
 
 static void handle_response(struct store_reader *reader,
@@ -189,7 +199,8 @@
 		page = platform_parse_page(response->body);
 	if (!page) {
 		fail_call(reader,
-			  response->status == 200 ? "unreadable" : "status");
+			  response->status == 200 ? "unreadable" : "status",
+			  response->status);
 		return;
 	}
 	mark_reachable(reader);
@@ -210,7 +221,7 @@
 	if (end == HTTP_END_ANSWERED)
 		handle_response(reader, response);
 	else
-		fail_call(reader, "connection");
+		fail_call(reader, "connection", 0);
 }
 
 static void on_closed(struct http_client *client, void *ctx)
@@ -244,22 +255,20 @@
 static void send_call(struct store_reader *reader, int64_t now)
 {
 	int64_t wait = CALL_TIMEOUT_NS + reader->retry_delay;
-	int64_t watch_ms =
-		is_bootstrapping(reader) ? BOOTSTRAP_WAIT_MS : WATCH_WAIT_MS;
 	GString *head;
 
 	reader->started = now;
 	if (!connect_store(reader)) {
-		fail_call(reader, "connect");
+		fail_call(reader, "connect", 0);
 		return;
 	}
 	if (reader->state == READER_FULL_READ) {
-		head = platform_range_request(
-			platform_prefixes[reader->prefix_index],
-			reader->after_key);
+		head = platform_range_request("", reader->after_key,
+					      reader->accepts_stale);
 	} else {
-		head = platform_watch_request("", reader->revision, watch_ms);
-		wait += watch_ms * NS_PER_MS;
+		head = platform_watch_request("", reader->revision,
+					      WATCH_WAIT_MS);
+		wait += WATCH_WAIT_MS * NS_PER_MS;
 	}
 	reader->nr_calls++;
 	reader->calling = true;
@@ -274,7 +283,7 @@
 		caa_container_of(timer, struct store_reader, timer);
 
 	if (reader->calling)
-		fail_call(reader, "no answer");
+		fail_call(reader, "no-answer", 0);
 	else if (reader->state != READER_STOPPED)
 		send_call(reader, now);
 }
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -24,7 +24,8 @@
 			int64_t confirmed);
 	/*
 	 * A full read has ended. keys are those of all items that it found;
-	 * any other item was deleted at the revision or before.
+	 * any other item was deleted at the revision or before. confirmed is 0
+	 * if the items may be stale.
 	 */
 	void (*complete)(void *ctx, GHashTable *keys, int64_t revision,
 			 int64_t confirmed);
@@ -34,7 +35,7 @@
 	void (*recovered)(void *ctx);
 	/*
 	 * Whether the fleet starts for the first time and the local server has
-	 * not registered yet.
+	 * not registered yet. Full reads are then repeated and may be stale.
 	 */
 	bool (*is_bootstrapping)(void *ctx);
 };
--- a/tests/mesh/test_readers.cc
+++ b/tests/mesh/test_readers.cc
@@ -64,6 +64,35 @@
 	EXPECT_LT(readers_next_deadline(&first, NOW), NOW + 1800 * NS_PER_MS);
 }
 
+/*
+ * The store is down for all daemons of a large fleet, which hear each other.
+ * Guards against calls of the whole fleet all through an outage and at its end.
+ */
+TEST(Readers, FewDaemonsCallAStoreThatIsDown)
+{
+	auto count_readers = [](int64_t seconds, bool heard) {
+		int64_t now = NOW + seconds * NS_PER_SEC;
+		int nr = 0;
+
+		for (int rank = 0; rank < 870; rank++) {
+			struct readers_state state = at_rank(rank, 0);
+
+			if (heard)
+				state.received_at = now - 600 * NS_PER_MS;
+			nr += readers_should_read(&state, now);
+		}
+		return nr;
+	};
+
+	EXPECT_LE(count_readers(4, true), 12);
+	EXPECT_LE(count_readers(8, true), 20);
+	EXPECT_LE(count_readers(60, true), 110);
+	/* More are added, since the store may serve some daemons only. */
+	EXPECT_GT(count_readers(8, true), count_readers(4, true));
+	/* A daemon that hears nobody cannot leave it to others. */
+	EXPECT_EQ(count_readers(4, false), 870);
+}
+
 /*
  * After many restarts at once, and while the store is unreachable, the
  * first-ranking readers may not know of any other daemon. Guards against items
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -726,6 +726,40 @@
 	EXPECT_LT(clock_monotonic_ns() - published, NS_PER_SEC);
 }
 
+/*
+ * A daemon whose server has left restarts, and no entry makes it known to the
+ * others. Guards against one that reads the store all the time, and against one
+ * that misses changes.
+ */
+TEST(Relay, DaemonWithoutAServerDoesNotKeepReadingTheStore)
+{
+	Platform in = make(4);
+	auto left_to_others = [&] {
+		json_t *state = in.dump(3);
+		bool left = json_is_false(
+			json_object_get(json_object_get(state, "control"),
+					"reads_store"));
+
+		json_decref(state);
+		return left;
+	};
+
+	in.start_all();
+	in.delete_item("servers/" + in.hosts[3].id);
+	process_kill(&in.hosts[3].daemon);
+	in.start_daemon(3);
+	EXPECT_TRUE(eventually([&] {
+		return in.send_request(3, "GET", "/stock/1").status == 200;
+	}));
+	EXPECT_TRUE(eventually(left_to_others));
+	in.publish_config(2, R"(,["new","mesh.example","/new/","idempotent",
+"3s","1s",2,"shop",2])");
+	EXPECT_TRUE(eventually([&] {
+		EXPECT_TRUE(left_to_others());
+		return in.send_request(3, "GET", "/new/1").status == 200;
+	}));
+}
+
 /* Guards against store calls that grow with the daemons and heartbeats. */
 TEST(Relay, FewDaemonsReadTheStore)
 {
