Wait for the view in three tests of reports

Cause, seen once in a run of 28 tests at a time: BrokenAnswerNeverLooksWhole took two servers out of service and did not wait until the daemons knew, so requests went to them. The test now waits for each daemon's explanation of the route.

--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -41,6 +41,23 @@
 	});
 }
 
+/*
+ * Takes the servers of the hosts 1 and 2 out of service, so that host 0 has the
+ * only one in use, and waits until all daemons know.
+ */
+void keep_server_0_only(Platform &in)
+{
+	in.publish_entry(1, "draining");
+	in.publish_entry(2, "draining");
+	for (const PlatformHost &host : in.hosts)
+		EXPECT_TRUE(eventually([&] {
+			return call(host.operators, "GET",
+				    "/explain?host=mesh.example&path=/stock/1")
+				       .body.find(" 1 in service") !=
+			       std::string::npos;
+		}));
+}
+
 /* Publishes the route of long orders and waits until a daemon serves by it. */
 void publish_long_orders(Platform &in, int host)
 {
@@ -226,9 +243,7 @@
 	Platform in(4);
 
 	in.start_all();
-	/* Only the replaced server stays in use. */
-	in.publish_entry(1, "draining");
-	in.publish_entry(2, "draining");
+	keep_server_0_only(in);
 	auto server = replace_server(
 		in, 0,
 		[&](RawBackend &self, int fd, const RawBackend::Request &next) {
@@ -284,8 +299,7 @@
 	CallerAnswer answer;
 
 	in.start_all();
-	in.publish_entry(1, "draining");
-	in.publish_entry(2, "draining");
+	keep_server_0_only(in);
 	auto server = replace_server(
 		in, 0,
 		[](RawBackend &self, int fd, const RawBackend::Request &next) {
@@ -415,8 +429,7 @@
 	std::vector<int> statuses(2);
 
 	in.start_all();
-	in.publish_entry(1, "draining");
-	in.publish_entry(2, "draining");
+	keep_server_0_only(in);
 	publish_long_orders(in, 0);
 	publish_long_orders(in, 3);
 	size_t before = in.runs(0);
