Notice lost answers by the age of their runs

Cause: a run whose answer never came was counted against its server only if the connection broke. Callers' deadlines cancelled the others, so the server got orders on and on, each until its deadline. Change: a run that takes more than four times the mean of its priority counts as failed, so that requests that other servers may take go there.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -18,6 +18,9 @@
 /* Number of samples that the mean stands for when ages are averaged with it. */
 #define MEAN_SAMPLES 2
 
+/* A run that takes this many times the mean is overdue. */
+#define OVERDUE_FACTOR 4
+
 /* Longest time to the next timer while requests run. */
 #define RUNNING_TIMER_NS (250 * NS_PER_MS)
 
@@ -344,6 +347,15 @@
 	return NULL;
 }
 
+bool admit_is_overdue(const struct admit *admit,
+		      const struct admit_request *request, int64_t now)
+{
+	int64_t mean_ns = admit->service_times[request->priority].mean_ns;
+
+	return mean_ns &&
+	       now - effective_start(admit, request) > OVERDUE_FACTOR * mean_ns;
+}
+
 static void mean_add(int64_t *mean_ns, int64_t service_ns)
 {
 	if (*mean_ns)
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -217,6 +217,13 @@
 /* Until when starts are limited by the cold rate. */
 int64_t admit_cold_deadline(const struct admit *admit);
 
+/*
+ * Whether a running request has taken much longer than requests of its priority
+ * do on average; false while the average is not known. Its answer may be lost.
+ */
+bool admit_is_overdue(const struct admit *admit,
+		      const struct admit_request *request, int64_t now);
+
 /* Ends a running request and frees its slot. */
 void admit_done(struct admit *admit, struct admit_request *request,
 		enum admit_outcome outcome, int64_t now);
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -398,6 +398,7 @@
 
 	track_job(side, job);
 	job->conn = NULL;
+	job->overdue = false;
 	job->deadline = MIN(now + job->request.time_left_ms * NS_PER_MS,
 			    side->context->stop_deadline);
 	memset(&job->admit, 0, sizeof(job->admit));
@@ -474,6 +475,23 @@
 	return side->nr_jobs;
 }
 
+/*
+ * Counts runs that are overdue as failed. A server that runs requests and loses
+ * their answers is noticed so before the first of them reaches its deadline.
+ */
+static void record_overdue_runs(struct backend_side *side, int64_t now)
+{
+	struct relay_job *job;
+
+	cds_list_for_each_entry (job, &side->running, node) {
+		if (job->overdue ||
+		    !admit_is_overdue(side->admit, &job->admit, now))
+			continue;
+		job->overdue = true;
+		sound_record(&side->sound, true, now);
+	}
+}
+
 /* Deadlines. */
 
 static void end_expired_runs(struct backend_side *side, int64_t now)
@@ -510,6 +528,7 @@
 	if (backend_side_next_deadline(side) > now)
 		return;
 	CDS_INIT_LIST_HEAD(&expired);
+	record_overdue_runs(side, now);
 	end_expired_runs(side, now);
 	admit_expire(side->admit, now, &expired);
 	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
--- a/relay/job.h
+++ b/relay/job.h
@@ -48,6 +48,7 @@
 	struct cds_list_head node; /* in the running jobs */
 	struct backend_conn *conn;
 	int64_t deadline;
+	bool overdue; /* counted as failed, as its answer may be lost */
 };
 
 #endif
--- a/tests/admit/test_load.cc
+++ b/tests/admit/test_load.cc
@@ -379,4 +379,43 @@
 	}
 }
 
+/*
+ * One answer of a server is lost while the others take 100 ms. Guards against a
+ * run that is noticed only at its deadline, and against runs that count as
+ * overdue because this process was suspended.
+ */
+TEST(AdmitLoad, RunWhoseAnswerIsLostIsOverdueSoon)
+{
+	struct admit_options options = {};
+	struct admit_request usual = {}, lost = {}, *displaced;
+	const int64_t run_ns = 100 * NS_PER_MS;
+	int64_t now = NS_PER_SEC;
+	struct admit *admit;
+
+	options.slots = options.cold_slots = 4;
+	options.limit_policy = &admit_limit_fixed;
+	admit = admit_new(&options, now);
+	usual.deadline = lost.deadline = INT64_MAX;
+	ASSERT_EQ(admit_arrive(admit, &lost, now, &displaced), ADMIT_RUN);
+	/* Nothing is known of the server yet. */
+	EXPECT_FALSE(admit_is_overdue(admit, &lost, now + 60 * NS_PER_SEC));
+	for (int i = 0; i < 10; i++) {
+		ASSERT_EQ(admit_arrive(admit, &usual, now, &displaced),
+			  ADMIT_RUN);
+		now += run_ns;
+		admit_done(admit, &usual, ADMIT_ANSWERED, now);
+	}
+	EXPECT_TRUE(admit_is_overdue(admit, &lost, now));
+	admit_done(admit, &lost, ADMIT_FAILED, now);
+	ASSERT_EQ(admit_arrive(admit, &lost, now, &displaced), ADMIT_RUN);
+	EXPECT_FALSE(admit_is_overdue(admit, &lost, now + 2 * run_ns));
+	/* A suspended process cannot tell how long the run took. */
+	now += 10 * NS_PER_SEC;
+	ASSERT_EQ(admit_arrive(admit, &usual, now, &displaced), ADMIT_RUN);
+	EXPECT_FALSE(admit_is_overdue(admit, &lost, now + run_ns));
+	admit_done(admit, &usual, ADMIT_ANSWERED, now);
+	admit_done(admit, &lost, ADMIT_ANSWERED, now);
+	admit_free(admit);
+}
+
 } // namespace
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -326,6 +326,49 @@
 	EXPECT_NE(answer.status, 200);
 }
 
+/*
+ * A server runs requests and never sends the answers of one in two. Guards
+ * against orders that are sent to it on and on, each until its deadline.
+ */
+TEST(Reports, ServerThatKeepsAnswersGetsFewOrders)
+{
+	std::atomic<bool> keeps{ false };
+	std::atomic<int> kept{ 0 };
+	Platform in(4, { "--service-ms", "10" });
+	std::vector<std::thread> callers;
+
+	in.start_all();
+	auto server = replace_server(
+		in, 0,
+		[&](RawBackend &self, int fd, const RawBackend::Request &next) {
+			if (!RawBackend::read_body(fd, next.body_bytes))
+				return false;
+			usleep(10000);
+			if (keeps && next.run % 2) {
+				kept++;
+				return true;
+			}
+			return self.send(fd, RawBackend::answer(next.id, "x"));
+		});
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(3, "POST", "/orders/1", "x");
+		return server->nr_runs > 10;
+	}));
+	keeps = true;
+	for (int i = 0; i < 4; i++)
+		callers.emplace_back([&in, i] {
+			for (int n = 0; n < 60; n++)
+				in.send_with_id("keep-" + std::to_string(i) +
+							"-" + std::to_string(n),
+						3, "POST", "/orders/1", "x",
+						1000);
+		});
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_GT(kept, 0);
+	EXPECT_LE(kept, 8);
+}
+
 /*
  * A host stands still while its server runs an order. Guards against the order
  * being run elsewhere as well, and against it being given up though its
