Let a daemon without a server introduce itself to four ranks at once

Cause: the introduction waited for the second read of the store, and the first ranks may be hosts whose entry is not expired yet. Change: it is sent with the first view, to four ranks.

--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -14,6 +14,12 @@
 /* How often a daemon without a registered server introduces itself. */
 #define INTRODUCTION_INTERVAL_NS (2 * NS_PER_SEC)
 
+/*
+ * To how many of the first ranks. The entry of a host that is lost stays for
+ * some seconds, so the first of them may not be there.
+ */
+#define INTRODUCTION_RANKS (READERS_TARGET + 2)
+
 /* Roles. */
 
 static int64_t next_update(struct feed_peers *peers, int64_t now,
@@ -66,18 +72,18 @@
 
 /* Finds the listed daemons that rank first. */
 static void find_first_ranks(struct feed_peers *peers,
-			     struct peer *first[READERS_TARGET])
+			     struct peer *first[INTRODUCTION_RANKS])
 {
 	struct peer *peer;
 	GHashTableIter iter;
 
-	for (int i = 0; i < READERS_TARGET; i++)
+	for (int i = 0; i < INTRODUCTION_RANKS; i++)
 		first[i] = NULL;
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		struct peer *next = peer->listed ? peer : NULL;
 
-		for (int i = 0; next && i < READERS_TARGET; i++) {
+		for (int i = 0; next && i < INTRODUCTION_RANKS; i++) {
 			struct peer *other = first[i];
 
 			if (other &&
@@ -91,18 +97,19 @@
 
 /*
  * A daemon is known to the others by its server's entry. Without one it sends a
- * push to the first readers, which push to it from then on; otherwise it would
- * have to read the store all the time.
+ * push to the first ranks, of which the readers push to it from then on;
+ * otherwise it would have to read the store all the time.
  */
 static void introduce(struct feed_peers *peers, int64_t now)
 {
-	struct peer *first[READERS_TARGET];
+	struct peer *first[INTRODUCTION_RANKS];
 
 	if (peers->own_listed || now < peers->next_introduction)
 		return;
-	peers->next_introduction = now + INTRODUCTION_INTERVAL_NS;
 	find_first_ranks(peers, first);
-	for (int i = 0; i < READERS_TARGET; i++)
+	if (first[0])
+		peers->next_introduction = now + INTRODUCTION_INTERVAL_NS;
+	for (int i = 0; i < INTRODUCTION_RANKS; i++)
 		if (first[i])
 			feed_push_to(first[i], NULL, 0, now);
 }
@@ -439,6 +446,8 @@
 	g_hash_table_foreach_remove(peers->peers, has_left, &now);
 	peers->state.rank = get_rank(peers);
 	peers->state.covered_at = covered_at(peers);
+	if (peers->is_reader)
+		introduce(peers, now);
 	feed_update(peers, now);
 }
 
