End the calls of a closed connection where they were ended before

Found by reading: since orders stay on a silent connection, a connection that had closed by itself was treated alike. Its lookups were failed while their callbacks sent new ones on the same link, which were then failed too. Change: only an open connection is given up; stale reads are decided when a full read begins, so that none is made after the first start.

--- a/relay/call.h
+++ b/relay/call.h
@@ -52,8 +52,8 @@
 	struct balance *balance;
 	GArray *services; /* struct service_state by service index */
 	struct rng rng;
-	GHashTable *routes; /* route name -> struct route_state */
-	struct cds_list_head calls;
+	GHashTable *routes;	    /* route name -> struct route_state */
+	struct cds_list_head calls; /* requests in progress */
 	int nr_calls;
 	int nr_daemons;	   /* hosts with a registered server; at least 1 */
 	char *own_traffic; /* address for other daemons' requests */
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -119,7 +119,6 @@
 	int64_t now = clock_monotonic_ns();
 
 	introduce(peers, now);
-
 	peers->state.read_at = MAX(peers->state.read_at, confirmed);
 	peers->next_announce = now;
 	feed_update(peers, now);
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -106,7 +106,8 @@
 	int nr = 0;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
-		cds_list_for_each(node, lists[i]) nr++;
+		cds_list_for_each (node, lists[i])
+			nr++;
 	return nr;
 }
 
@@ -324,6 +325,19 @@
 	}
 }
 
+/*
+ * Ends the calls on an open connection that the link gives up. It stays open
+ * while calls wait on it that run at most once.
+ */
+static void give_up_sent(struct peer_link *link, struct rpc_conn *conn)
+{
+	detach_calls(link);
+	if (has_detached(link, conn))
+		fail_sent(link);
+	else
+		rpc_conn_close(conn);
+}
+
 static void drop_conn(struct peer_link *link)
 {
 	struct rpc_conn *conn = link->conn;
@@ -334,11 +348,9 @@
 		rpc_abandon(conn, &link->ping);
 	link->liveness = (struct liveness){ 0 };
 	link->conn = NULL;
-	detach_calls(link);
-	if (has_detached(link, conn))
-		fail_sent(link);
-	else
-		rpc_conn_close(conn);
+	/* The calls of a closed connection end by themselves. */
+	if (!rpc_conn_closed(conn))
+		give_up_sent(link, conn);
 	rpc_conn_unref(conn);
 	fail_held(link);
 }
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -17,7 +17,7 @@
 
 struct probe;
 
-/* The server did not run the probe, so its answer says nothing of the cold. */
+/* The server rejected the probe, and its answer has no cold time. */
 #define PROBE_COLD_UNKNOWN (-1)
 
 struct probe_options {
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -104,7 +104,6 @@
 static void start_full_read(struct store_reader *reader)
 {
 	reader->state = READER_FULL_READ;
-	reader->accepts_stale = is_bootstrapping(reader);
 	reader->full_read_revision = 0;
 	g_clear_pointer(&reader->after_key, g_free);
 	g_hash_table_remove_all(reader->keys);
@@ -263,6 +262,9 @@
 		return;
 	}
 	if (reader->state == READER_FULL_READ) {
+		/* All pages of one read are read alike. */
+		if (!reader->after_key)
+			reader->accepts_stale = is_bootstrapping(reader);
 		head = platform_range_request("", reader->after_key,
 					      reader->accepts_stale);
 	} else {
