tests: Share the listening socket and the parser of addresses

RawServer and EndlessServer of test_client opened the same socket, and raw_backend parsed addresses as the proxy does.

--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -18,54 +18,62 @@
 namespace
 {
 
-/* A server that responds to the first request with the given bytes. */
-struct RawServer {
-	int listener;
+/* A socket that listens at a free port of the loopback address. */
+struct Listener {
+	int fd;
 	struct net_address address = {};
-	std::thread thread;
 
-	RawServer(const std::string &bytes, bool reset, bool close_after)
+	Listener()
 	{
 		struct sockaddr_in *in = (struct sockaddr_in *)&address.storage;
-		int on = 1;
 
-		listener = socket(AF_INET, SOCK_STREAM, 0);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
 		in->sin_family = AF_INET;
 		in->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		address.len = sizeof(*in);
-		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-		EXPECT_EQ(bind(listener, (struct sockaddr *)in, sizeof(*in)),
-			  0);
-		EXPECT_EQ(listen(listener, 4), 0);
-		EXPECT_EQ(getsockname(listener, (struct sockaddr *)in,
-				      &address.len),
+		EXPECT_EQ(bind(fd, (struct sockaddr *)in, sizeof(*in)), 0);
+		EXPECT_EQ(listen(fd, 4), 0);
+		EXPECT_EQ(getsockname(fd, (struct sockaddr *)in, &address.len),
 			  0);
-		thread = std::thread([=] { serve(bytes, reset, close_after); });
+	}
+
+	~Listener()
+	{
+		close(fd);
+	}
+};
+
+/* A server that responds to the first request with the given bytes. */
+struct RawServer : Listener {
+	std::thread thread;
+
+	RawServer(const std::string &bytes, bool reset, bool close_after)
+	    : thread([=] { serve(bytes, reset, close_after); })
+	{
 	}
 
 	void serve(const std::string &bytes, bool reset, bool close_after)
 	{
-		int fd = accept(listener, NULL, NULL);
+		int conn = accept(fd, NULL, NULL);
 		struct linger linger = { 1, 0 };
 		char buffer[4096];
 
-		EXPECT_GT(recv(fd, buffer, sizeof(buffer), 0), 0);
-		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+		EXPECT_GT(recv(conn, buffer, sizeof(buffer), 0), 0);
+		EXPECT_EQ(send(conn, bytes.data(), bytes.size(), MSG_NOSIGNAL),
 			  (ssize_t)bytes.size());
 		if (reset)
-			setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+			setsockopt(conn, SOL_SOCKET, SO_LINGER, &linger,
 				   sizeof(linger));
 		if (!close_after)
 			/* The client closes first. */
-			while (recv(fd, buffer, sizeof(buffer), 0) > 0)
+			while (recv(conn, buffer, sizeof(buffer), 0) > 0)
 				;
-		close(fd);
+		close(conn);
 	}
 
 	~RawServer()
 	{
 		thread.join();
-		close(listener);
 	}
 };
 
@@ -211,50 +219,35 @@
 
 /* A server that repeats a unit after its first bytes until the client closes.
  */
-struct EndlessServer {
-	int listener;
-	struct net_address address = {};
+struct EndlessServer : Listener {
 	std::atomic<size_t> sent{ 0 };
 	std::thread thread;
 
 	EndlessServer(const std::string &first, const std::string &unit)
+	    : thread([=] { serve(first, unit); })
 	{
-		struct sockaddr_in *in = (struct sockaddr_in *)&address.storage;
-
-		listener = socket(AF_INET, SOCK_STREAM, 0);
-		in->sin_family = AF_INET;
-		in->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		address.len = sizeof(*in);
-		EXPECT_EQ(bind(listener, (struct sockaddr *)in, sizeof(*in)),
-			  0);
-		EXPECT_EQ(listen(listener, 4), 0);
-		EXPECT_EQ(getsockname(listener, (struct sockaddr *)in,
-				      &address.len),
-			  0);
-		thread = std::thread([=] { serve(first, unit); });
 	}
 
 	void serve(const std::string &first, const std::string &unit)
 	{
-		int fd = accept(listener, NULL, NULL);
+		int conn = accept(fd, NULL, NULL);
 		std::string block;
 		char buffer[4096];
 		ssize_t n;
 
 		while (block.size() < 65536)
 			block += unit;
-		EXPECT_GT(recv(fd, buffer, sizeof(buffer), 0), 0);
-		send(fd, first.data(), first.size(), MSG_NOSIGNAL);
-		while ((n = send(fd, block.data(), block.size(),
+		EXPECT_GT(recv(conn, buffer, sizeof(buffer), 0), 0);
+		send(conn, first.data(), first.size(), MSG_NOSIGNAL);
+		while ((n = send(conn, block.data(), block.size(),
 				 MSG_NOSIGNAL)) > 0)
 			sent += (size_t)n;
-		close(fd);
+		close(conn);
 	}
 
 	~EndlessServer()
 	{
 		thread.join();
-		close(listener);
 	}
 };
 
--- a/tests/relay/raw_backend.cc
+++ b/tests/relay/raw_backend.cc
@@ -1,32 +1,26 @@
 #include "raw_backend.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-static struct sockaddr_in parse(const std::string &address)
-{
-	size_t colon = address.find(':');
-	struct sockaddr_in in = {};
-
-	in.sin_family = AF_INET;
-	in.sin_port = htons((uint16_t)std::stoi(address.substr(colon + 1)));
-	inet_pton(AF_INET, address.substr(0, colon).c_str(), &in.sin_addr);
-	return in;
+extern "C" {
+#include "net/address.h"
 }
 
 RawBackend::RawBackend(const std::string &address, Serve serve_request)
     : serve(std::move(serve_request))
 {
-	struct sockaddr_in in = parse(address);
+	struct net_address parsed;
 	int on = 1;
 
 	listener = socket(AF_INET, SOCK_STREAM, 0);
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	EXPECT_EQ(bind(listener, (struct sockaddr *)&in, sizeof(in)), 0);
+	EXPECT_TRUE(net_address_parse(&parsed, address.c_str(), nullptr));
+	EXPECT_EQ(bind(listener, (struct sockaddr *)&parsed.storage,
+		       parsed.len),
+		  0);
 	EXPECT_EQ(listen(listener, 64), 0);
 	acceptor = std::thread([this] { accept_all(); });
 }
