--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -445,8 +445,6 @@
 	g_hash_table_foreach_remove(peers->peers, has_left, &now);
 	peers->state.rank = get_rank(peers);
 	peers->state.covered_at = covered_at(peers);
-	if (peers->is_reader)
-		introduce(peers, now);
 	feed_update(peers, now);
 }
 
