--- a/godwitspur/target_internal.h
+++ b/godwitspur/target_internal.h
@@ -4,7 +4,7 @@
 #include "retry/retry.h"
 #include "target.h"
 
-/* Shared by target.c and target_worker.c. */
+/* Shared by target.c, target_policy.c and target_worker.c. */
 
 struct target {
 	struct target_options options;
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -200,45 +200,6 @@
 		  admit_running(side->admit), admit_queued(side->admit));
 }
 
-/*
- * Whether a status shows that the server itself failed the request. A request
- * that may be retried does not count against the server if it timed out, or if
- * one of the server's own calls failed while it ran. One that runs at most once
- * always counts, as such requests should not fail at all.
- */
-static bool is_server_failure(const struct backend_side *side,
-			      const struct relay_job *job, int status)
-{
-	if (status < HTTP_STATUS_FAILED)
-		return false;
-	return job->request.at_most_once ||
-	       (status != HTTP_STATUS_TIMEOUT &&
-		side->call_failed < job->admit.started);
-}
-
-/*
- * Whether fewer than half of the slots are in use, so that load is no reason
- * for the server to refuse a request.
- */
-static bool has_free_slots(const struct backend_side *side)
-{
-	return admit_running(side->admit) < side->slots / 2;
-}
-
-static void record_outcome(struct backend_side *side,
-			   const struct relay_job *job,
-			   enum failure_reason reason, int status)
-{
-	int64_t now = clock_monotonic_ns();
-
-	if (reason == FAILURE_BACKEND_LOST ||
-	    (reason == FAILURE_BACKEND_SHED && has_free_slots(side)) ||
-	    (reason == FAILURE_NONE && is_server_failure(side, job, status)))
-		sound_record(&side->sound, true, now);
-	else if (reason == FAILURE_NONE && status < HTTP_STATUS_FAILED)
-		sound_record(&side->sound, false, now);
-}
-
 static void on_response(enum http_end end, struct http_message *response,
 			void *ctx)
 {
@@ -250,7 +211,7 @@
 	struct relay_answer answer = { .reason = (int)reason };
 
 	end_run(side, job, reason);
-	record_outcome(side, job, reason, status);
+	backend_side_record_outcome(side, job, reason, status);
 	log_run(side, job, reason, status);
 	probe_note_answer(side->probe);
 	answer.sent = reason != FAILURE_BACKEND_REFUSED;
@@ -475,23 +436,6 @@
 	return side->nr_jobs;
 }
 
-/*
- * Counts runs that are overdue as failed. A server that runs requests and loses
- * their answers is noticed so before the first of them reaches its deadline.
- */
-static void record_overdue_runs(struct backend_side *side, int64_t now)
-{
-	struct relay_job *job;
-
-	cds_list_for_each_entry (job, &side->running, node) {
-		if (job->overdue ||
-		    !admit_is_overdue(side->admit, &job->admit, now))
-			continue;
-		job->overdue = true;
-		sound_record(&side->sound, true, now);
-	}
-}
-
 /* Deadlines. */
 
 static void end_expired_runs(struct backend_side *side, int64_t now)
@@ -528,7 +472,7 @@
 	if (backend_side_next_deadline(side) > now)
 		return;
 	CDS_INIT_LIST_HEAD(&expired);
-	record_overdue_runs(side, now);
+	backend_side_record_overdue(side, now);
 	end_expired_runs(side, now);
 	admit_expire(side->admit, now, &expired);
 	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
--- a/relay/backend_side_internal.h
+++ b/relay/backend_side_internal.h
@@ -5,11 +5,12 @@
 #include "relay/backend_side.h"
 #include "relay/losses.h"
 #include "relay/probe.h"
+#include "retry/retry.h"
 
 /*
  * Shared by the files of the backend side: backend_side.c admits, runs and
- * answers requests, backend_view.c applies the published configuration and the
- * server's entry.
+ * answers requests, backend_outcome.c judges the server by their results,
+ * backend_view.c applies the published configuration and the server's entry.
  */
 
 struct backend_side {
@@ -39,4 +40,15 @@
 /* Starts queued jobs as far as slots and the cold rate allow. */
 void backend_side_start_next(struct backend_side *side);
 
+/* Counts the result of a run; the status is 0 if there was no response. */
+void backend_side_record_outcome(struct backend_side *side,
+				 const struct relay_job *job,
+				 enum failure_reason reason, int status);
+
+/*
+ * Counts runs that are overdue as failed. A server that runs requests and loses
+ * their answers is noticed so before the first of them reaches its deadline.
+ */
+void backend_side_record_overdue(struct backend_side *side, int64_t now);
+
 #endif
