--- a/review/common.sh
+++ b/review/common.sh
@@ -29,10 +29,14 @@
 {
 	status=$?
 	trap - EXIT
-	# shellcheck disable=SC2086
-	test -z "$pids" || kill -9 $pids 2>/dev/null || :
-	# shellcheck disable=SC2086
-	test -z "$pids" || wait $pids 2>/dev/null || :
+	for pid in $pids
+	do
+		# Not a process that has the number of one that ended.
+		parent=$(awk '{ print $4 }' "/proc/$pid/stat" 2>/dev/null) || :
+		test "$parent" = "$$" || continue
+		kill -9 "$pid" 2>/dev/null || :
+		wait "$pid" 2>/dev/null || :
+	done
 	cp "$run"/daemon-*.log "${KEEP_LOGS:-/nonexistent}" 2>/dev/null || :
 	rm -rf "$run"
 	exit "$status"
