review: Exit with 2 when a script could not run

Cause: under set -e a command that failed ended a script with status 1, which says that the rule was broken. Change: a script that ends early, or finds a program not built, exits with 2.

--- a/review/common.sh
+++ b/review/common.sh
@@ -11,6 +11,7 @@
 trouble=${TROUBLE:-1}
 pids=
 request_number=0
+finished=
 
 note()
 {
@@ -22,6 +23,7 @@
 {
 	note "result: $2 (exit $1)"
 	echo "$2"
+	finished=1
 	exit "$1"
 }
 
@@ -39,11 +41,22 @@
 	done
 	cp "$run"/daemon-*.log "${KEEP_LOGS:-/nonexistent}" 2>/dev/null || :
 	rm -rf "$run"
+	# A script that ended early has shown nothing.
+	test -n "$finished" || {
+		note "result: the script ended early, status $status (exit 2)"
+		exit 2
+	}
 	exit "$status"
 }
 trap cleanup EXIT
 trap 'exit 2' INT TERM
 
+for program in "$daemon_program" "$tools/client" "$tools/target" \
+	"$tools/standin-store" "$tools/standin-target"
+do
+	test -x "$program" || finish 2 "not built: ${program#"$PWD"/}"
+done
+
 # Picks ports that are free on the addresses of all hosts.
 pick_network()
 {
