Bound the levels of JSON texts that others wrote

Cause: jansson parses and frees nested values by recursion, up to 2,048 levels, which takes more than the 256 KiB of stack of the control thread. A text from outside chose how deep the daemon recursed. A larger stack would only have moved the limit.

--- a/lib/dist/version.c
+++ b/lib/dist/version.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "dist/dist_internal.h"
 
 struct blob *blob_new(const void *bytes, size_t len)
@@ -180,7 +181,7 @@
 			     "the manifest has %zu bytes, more than %d",
 			     manifest->len, DIST_VALUE_MAX);
 	else
-		root = json_loadb(manifest->bytes, manifest->len,
+		root = json_parse(manifest->bytes, manifest->len,
 				  JSON_REJECT_DUPLICATES, &error);
 	if (root)
 		parse_root(version, root, findings, number);
--- a/lib/member/host_list.c
+++ b/lib/member/host_list.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "member/member.h"
 
 /* More hosts than any fleet has; a longer list is taken for corrupt. */
@@ -128,7 +129,7 @@
 				  struct findings *findings)
 {
 	json_error_t error;
-	json_t *root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	json_t *root = json_parse(text, len, JSON_REJECT_DUPLICATES, &error);
 	json_t *revision = json_object_get(root, "revision");
 	json_t *hosts = json_object_get(root, "hosts");
 	size_t nr = json_array_size(hosts);
--- a/lib/tree/check.c
+++ b/lib/tree/check.c
@@ -1,6 +1,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "tree/check.h"
 
 #define NAME_CHARS_MAX 63
@@ -151,14 +152,14 @@
 json_t *check_load(struct checker *checker, const char *text, size_t len)
 {
 	json_error_t error;
-	json_t *json = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	json_t *json = json_parse(text, len, JSON_REJECT_DUPLICATES, &error);
 
 	if (json)
 		return json;
 	report_load_error(checker, &error);
 	if (json_error_code(&error) != json_error_duplicate_key)
 		return NULL;
-	json = json_loadb(text, len, 0, &error);
+	json = json_parse(text, len, 0, &error);
 	if (!json)
 		report_load_error(checker, &error);
 	return json;
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <pthread.h>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -199,6 +200,38 @@
 	}
 }
 
+/* Decodes a text as a registration and as a configuration. */
+void *decode_value(void *arg)
+{
+	g_autofree char *reason = NULL;
+	GBytes *value = (GBytes *)arg;
+
+	EXPECT_EQ(platform_decode_target("i-1", value), nullptr);
+	EXPECT_EQ(platform_decode_config(value, &reason), nullptr);
+	return nullptr;
+}
+
+/*
+ * Guards against an entry of another writer whose nesting ends the daemons of
+ * all hosts: they parse it on a thread with a stack of 256 KiB.
+ */
+TEST(PlatformTarget, DeeplyNestedEntryNamesNoServer)
+{
+	std::string text = "{\"service\":";
+	pthread_attr_t attr;
+	pthread_t thread;
+
+	for (int i = 0; i < 2040; i++)
+		text += "{\"a\":";
+	text += "1" + std::string(2041, '}');
+	g_autoptr(GBytes) value = bytes(text);
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, 256 * 1024);
+	ASSERT_EQ(pthread_create(&thread, &attr, decode_value, value), 0);
+	pthread_join(thread, nullptr);
+	pthread_attr_destroy(&attr);
+}
+
 /* Guards against an item being decoded as one of another kind. */
 TEST(PlatformItem, KindFollowsFromKey)
 {
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -571,6 +571,15 @@
 	EXPECT_TRUE(process_wait(&in.hosts[0].daemon, 10000, nullptr));
 }
 
+bool is_running(const struct process &process)
+{
+	siginfo_t info = {};
+
+	return !waitid(P_PID, (id_t)process.pid, &info,
+		       WEXITED | WNOHANG | WNOWAIT) &&
+	       !info.si_pid;
+}
+
 /* Memory of a process in kB. */
 long resident_kb(pid_t pid)
 {
@@ -676,6 +685,65 @@
 		  growth_max_kb);
 }
 
+/* A text that opens a bracket so often, with the inner value, and closes it. */
+std::string nested(const std::string &open, const std::string &inner,
+		   const std::string &close, int levels)
+{
+	std::string text;
+
+	for (int i = 0; i < levels; i++)
+		text += open;
+	text += inner;
+	for (int i = 0; i < levels; i++)
+		text += close;
+	return text;
+}
+
+/*
+ * Another writer leaves an odd entry among those of the servers. Guards against
+ * daemons that end, also after a restart while the entry is there, and against
+ * daemons that no longer take up what is published.
+ */
+TEST(Reports, OddEntryOfAnotherWriterEndsNoDaemon)
+{
+	const struct {
+		const char *name;
+		std::string value;
+	} cases[] = {
+		{ "nested object",
+		  "{\"service\":" + nested("{\"a\":", "1", "}", 2040) + "}" },
+		{ "nested array", nested("[", "", "]", 2040) },
+		{ "unclosed arrays", nested("[", "", "", 500000) },
+	};
+	Platform in(2);
+	int version = 1;
+
+	in.start_all();
+	for (const auto &one : cases) {
+		std::string route = "/new" + std::to_string(version) + "/";
+
+		in.put_item("servers/x-1", one.value);
+		usleep(300000);
+		for (int i = 0; i < 2; i++)
+			EXPECT_TRUE(is_running(in.hosts[(size_t)i].daemon))
+				<< one.name;
+		process_kill(&in.hosts[0].daemon);
+		in.start_daemon(0);
+		in.publish_config(++version, ",[\"new\",\"mesh.example\",\"" +
+						     route +
+						     "\",\"idempotent\",\"3s\","
+						     "\"1s\",2,\"shop\",2]");
+		for (int i = 0; i < 2; i++) {
+			EXPECT_TRUE(eventually([&] {
+				return in.send_request(i, "GET", route + "1")
+					       .status == 200;
+			})) << one.name;
+			EXPECT_TRUE(is_running(in.hosts[(size_t)i].daemon))
+				<< one.name;
+		}
+	}
+}
+
 /*
  * Daemons restart while the store is down, one alone and then all at once.
  * Guards against a server that has left, or a route that a newer version took
