Let only the present boot of a server count at its address

Cause: of two entries at an address the view preferred one that is not draining, so that of the boot that had crashed hid that its successor left; the daemon then took the successor's id from a probe, so the expected id did not stop the requests. Senders counted both as servers. Evidence: on the code before, the log of the server's daemon has the view with the draining entry, backend_registered with the old id and backend_changed to the new one in the same millisecond. Relay.CrashedBootDoesNotHideThatItsSuccessorLeaves failed there (11 runs where none is allowed, and in service after the deletion), Reports.RestartedDaemonUsesNoServerThatHasLeft too. An id that is not registered is taken from a probe only if its status is 200. View.LastStartedServerOfAnAddressIsCurrent asserted the fault (a former boot is current where the present one drains); View.LastRegisteredServerOfAnAddressIsCurrent takes its place, checks the same and that the draining one is current. Why it works: a server that has crashed writes nothing more, so the last one accepted is the present boot; no clock is needed.

--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -207,14 +207,6 @@
 	       !g_hash_table_contains(view->evacuated_zones, target->zone);
 }
 
-/* Whether a is preferred over b as the current server of an address. */
-static bool is_newer(const struct mesh_target *a, const struct mesh_target *b)
-{
-	if (a->draining != b->draining)
-		return b->draining;
-	return a->started_ms > b->started_ms;
-}
-
 const struct mesh_target *mesh_view_find_target(const struct mesh_view *view,
 						const char *address,
 						const char *service)
@@ -228,7 +220,7 @@
 		if (strcmp(target->address, address) != 0 ||
 		    strcmp(target->service, service) != 0)
 			continue;
-		if (!newest || is_newer(target, newest))
+		if (!newest || target->revision > newest->revision)
 			newest = target;
 	}
 	return newest;
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -82,6 +82,8 @@
 	bool draining;	      /* it announced that it is stopping */
 	int64_t cold_left_ms; /* warm-up left at registration; 0: warm */
 	int64_t started_ms;   /* wall time of its start; 0: unknown */
+	/* Of the store, when it accepted this registration; 0: unknown. */
+	int64_t revision;
 };
 
 struct mesh_view {
@@ -132,8 +134,8 @@
 			  const struct mesh_target *target);
 
 /*
- * The target of the service at an address, or NULL. Among several, one that is
- * not draining is preferred, then the one that started last.
+ * The target of the service at an address, or NULL. Among several, it is the
+ * one whose registration the store accepted last.
  */
 const struct mesh_target *mesh_view_find_target(const struct mesh_view *view,
 						const char *address,
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/pack.h"
 #include "base/timer.h"
+#include "mesh/boots.h"
 #include "mesh/feed.h"
 #include "mesh/readers.h"
 #include "net/rpc.h"
@@ -42,6 +43,7 @@
 	struct feed_peers *peers;
 	struct mesh_config *config;
 	GHashTable *targets; /* key -> struct mesh_target */
+	struct boots *boots;
 	bool own_registered; /* the local server has, at least once */
 	int64_t bootstrap_deadline;
 	struct timer build_timer;
@@ -93,16 +95,18 @@
 static void build_view(struct mesh_control *control, int64_t now)
 {
 	struct build build = { .control = control };
+	guint nr_former;
 
 	build.view = mesh_view_new(control->config);
 	feed_each_after(control->feed, 0, add_item, &build);
+	nr_former = boots_remove_former(control->boots, build.view);
 	control->built_at = now;
 	log_event(LOG_INFO, "view",
 		  "version=%" PRId64 " revision=%" PRId64
-		  " targets=%u zones_out=%u",
+		  " targets=%u zones_out=%u former=%u",
 		  control->config ? control->config->version : 0,
 		  feed_revision(control->feed), build.view->targets->len,
-		  g_hash_table_size(build.view->evacuated_zones));
+		  g_hash_table_size(build.view->evacuated_zones), nr_former);
 	feed_peers_set_view(control->peers, build.view);
 	control->ops->apply(control->ctx, build.view);
 }
@@ -175,9 +179,12 @@
 	       a->started_ms == b->started_ms;
 }
 
-/* Applies a server's entry; returns whether more than a heartbeat came. */
+/*
+ * Applies a server's entry; returns whether more than a heartbeat came. A
+ * server that still writes its entry is no former boot of its address.
+ */
 static bool apply_target(struct mesh_control *control, const char *key,
-			 const char *id, GBytes *value)
+			 const char *id, GBytes *value, int64_t revision)
 {
 	struct mesh_target *old = g_hash_table_lookup(control->targets, key);
 	struct mesh_target *target = platform_decode_target(id, value);
@@ -194,7 +201,8 @@
 	}
 	if (!strcmp(target->address, control->host->backend_text))
 		control->own_registered = true;
-	if (same_target(old, target)) {
+	target->revision = revision;
+	if (same_target(old, target) && !boots_is_former(control->boots, old)) {
 		mesh_target_unref(target);
 		return false;
 	}
@@ -212,7 +220,7 @@
 		return;
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
-		changed = apply_target(control, key, name, value) ||
+		changed = apply_target(control, key, name, value, revision) ||
 			  !feed_has_value(control->feed, key);
 		break;
 	case PLATFORM_ITEM_CONFIG:
@@ -502,6 +510,7 @@
 	control->targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)mesh_target_unref);
+	control->boots = boots_new();
 	control->build_timer.fire = on_build_timer;
 	control->expiry_timer.fire = on_expiry_timer;
 	control->crashes =
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -7,8 +7,9 @@
 
 /*
  * Health probes of the local backend server. They report its id and how long it
- * stays cold. The health status in the response is ignored, since it lags and
- * misleads; whether the server is up follows from its connections.
+ * stays cold. The health status in the response is not relied on, since it lags
+ * and misleads; whether the server is up follows from its connections. Only an
+ * id that is not registered yet counts with a status of 200 alone.
  *
  * Answers to probes bear no request id. Probes therefore use a connection of
  * their own: a late second copy of such an answer could not be told from the
@@ -23,8 +24,9 @@
 struct probe_options {
 	const struct relay_context *context;
 	/*
-	 * The server answered a probe: its id, NULL if it did not report one,
-	 * and how long it stays cold, PROBE_COLD_UNKNOWN if it did not tell.
+	 * The server answered a probe: its id, NULL if it did not report one or
+	 * is not healthy, and how long it stays cold, PROBE_COLD_UNKNOWN if it
+	 * did not tell.
 	 */
 	void (*probed)(void *ctx, const char *backend_id, int64_t cold_left_ms);
 	/* The server refuses connections, so its process has ended. */
--- a/tests/mesh/test_view.cc
+++ b/tests/mesh/test_view.cc
@@ -87,7 +87,7 @@
 }
 
 struct mesh_target *make_target(const char *id, const char *address,
-				int64_t started_ms, bool draining)
+				int64_t revision, bool draining)
 {
 	struct mesh_target *target = g_new0(struct mesh_target, 1);
 
@@ -97,23 +97,25 @@
 	target->address = g_strdup(address);
 	target->ip = g_strdup("10.0.0.1");
 	target->zone = g_strdup("z1");
-	target->started_ms = started_ms;
+	target->revision = revision;
 	target->draining = draining;
 	return target;
 }
 
 /*
  * Guards against a former server that is taken for the current one of a reused
- * address: the last started server that isn't draining is current.
+ * address, also where the current one is draining and the former one is not.
  */
-TEST(View, LastStartedServerOfAnAddressIsCurrent)
+TEST(View, LastRegisteredServerOfAnAddressIsCurrent)
 {
 	struct mesh_view *view = mesh_view_new(NULL);
 
 	g_ptr_array_add(view->targets, make_target("old", "x:1", 5, false));
 	g_ptr_array_add(view->targets, make_target("new", "x:1", 9, false));
-	g_ptr_array_add(view->targets, make_target("left", "x:1", 10, true));
+	g_ptr_array_add(view->targets, make_target("older", "x:1", 4, true));
 	EXPECT_STREQ(mesh_view_find_target(view, "x:1", "shop")->id, "new");
+	g_ptr_array_add(view->targets, make_target("leaves", "x:1", 10, true));
+	EXPECT_STREQ(mesh_view_find_target(view, "x:1", "shop")->id, "leaves");
 	EXPECT_EQ(mesh_view_find_target(view, "x:1", "other"), nullptr);
 	EXPECT_EQ(mesh_view_find_target(view, "x:2", "shop"), nullptr);
 	mesh_view_unref(view);
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -41,6 +41,7 @@
 
 Platform::Platform(int count, const std::vector<std::string> &backend,
 		   bool links)
+    : backend_options(backend)
 {
 	char pattern[] = "/tmp/test-relay-XXXXXX";
 
@@ -51,7 +52,7 @@
 		port = common_port(count);
 	hosts.resize((size_t)count);
 	for (int i = 0; i < count; i++)
-		add_host(i, backend, links);
+		add_host(i, links);
 }
 
 Platform::~Platform()
@@ -65,12 +66,38 @@
 	rmdir(directory.c_str());
 }
 
-void Platform::add_host(int index, const std::vector<std::string> &backend,
-			bool links)
+void Platform::start_server(PlatformHost &host)
+{
+	std::vector<const char *> argv = { STANDIN_TARGET,
+					   "--listen",
+					   host.backend.c_str(),
+					   "--control",
+					   host.backend_control.c_str(),
+					   "--id",
+					   host.id.c_str() };
+
+	for (const std::string &option : backend_options)
+		argv.push_back(option.c_str());
+	argv.push_back(nullptr);
+	ASSERT_TRUE(process_start(&host.server, argv.data(), nullptr));
+	ASSERT_TRUE(process_wait_listening(&host.server,
+					   host.backend_control.c_str(),
+					   30000));
+}
+
+void Platform::restart_server(int index, const std::string &id)
+{
+	PlatformHost &host = hosts[(size_t)index];
+
+	process_kill(&host.server);
+	host.id = id;
+	start_server(host);
+}
+
+void Platform::add_host(int index, bool links)
 {
 	PlatformHost &host = hosts[(size_t)index];
 	char address[ADDRESS_CHARS], control[ADDRESS_CHARS];
-	std::vector<const char *> argv;
 	std::string text, listen_peers, store_address = store->address;
 
 	free_address(address);
@@ -102,13 +129,7 @@
 		host.store_proxy =
 			std::make_unique<Proxy>(link, store->address);
 	}
-	argv = { STANDIN_TARGET, "--listen", address,	     "--control",
-		 control,	 "--id",     host.id.c_str() };
-	for (const std::string &option : backend)
-		argv.push_back(option.c_str());
-	argv.push_back(nullptr);
-	ASSERT_TRUE(process_start(&host.server, argv.data(), nullptr));
-	ASSERT_TRUE(process_wait_listening(&host.server, control, 30000));
+	start_server(host);
 	text = "node=h" + std::to_string(index) + "\nzone=" + host.zone +
 	       "\nregion=r\nip=" + host.ip + "\nservice=" + host.service +
 	       "\napp_addr=" + host.backend +
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -55,6 +55,8 @@
 
 	void start_daemon(int host);
 	void stop_server(int host);
+	/* Starts the server of a host, which has ended, as its next boot. */
+	void restart_server(int host, const std::string &id);
 	/*
 	 * Publishes the configuration and all entries, starts all daemons and
 	 * waits until each is ready, its server in service, and it has the
@@ -90,9 +92,10 @@
 	CallerAnswer send(const std::string &id, int host, const char *method,
 			  const std::string &path, const std::string &body,
 			  int time_left_ms, const char *source);
-	void add_host(int index, const std::vector<std::string> &backend,
-		      bool links);
+	void add_host(int index, bool links);
+	void start_server(PlatformHost &host);
 	std::string directory;
+	std::vector<std::string> backend_options;
 	std::string ports[5];
 	int next_id = 0;
 };
--- a/tests/relay/raw_backend.cc
+++ b/tests/relay/raw_backend.cc
@@ -137,6 +137,7 @@
 		return serve_probe(fd);
 	}
 	request.id = field(head, "X-Request-Id");
+	request.expected = field(head, "X-Expected-Instance");
 	length = field(head, "Content-Length");
 	request.body_bytes = length.empty() ? 0 : std::stoul(length);
 	/* The part of the body that came with the head is read already. */
--- a/tests/relay/raw_backend.h
+++ b/tests/relay/raw_backend.h
@@ -17,6 +17,7 @@
       public:
 	struct Request {
 		std::string method, target, id;
+		std::string expected;	 /* id of the server that may run it */
 		size_t body_bytes;	 /* announced; the body is not read */
 		std::string previous_id; /* on the same connection */
 		bool after_probe;	 /* the connection carried a probe */
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -186,6 +186,63 @@
 	}));
 }
 
+/* Whether a daemon counts its server as in service. */
+bool is_in_service(Platform &in, int host)
+{
+	json_t *state = in.dump(host);
+	bool in_service =
+		json_is_true(json_object_get(json_object_get(state, "backend"),
+					     "in_service"));
+
+	json_decref(state);
+	return in_service;
+}
+
+/*
+ * A server crashes, starts again under a new id and soon leaves, while the
+ * entry of the boot that crashed is still there. Guards against requests to a
+ * server that has announced its leaving, also after its own entry is deleted,
+ * as that of the former boot is not the server's.
+ */
+TEST(Relay, CrashedBootDoesNotHideThatItsSuccessorLeaves)
+{
+	Platform in = make(3);
+	std::string crashed;
+	size_t before;
+
+	in.start_all();
+	crashed = in.hosts[0].id;
+	in.restart_server(0, "i-next");
+	in.publish_entry(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+	in.publish_entry(0, "draining");
+	/* The rules allow 2 s from the acceptance of the entry. */
+	usleep(2000000);
+	before = in.runs(0);
+	for (int i = 0; i < 30; i++)
+		EXPECT_EQ(in.send_request(i % 3, "GET", "/stock/1").status,
+			  200);
+	EXPECT_EQ(in.runs(0), before);
+	in.delete_item("servers/i-next");
+	usleep(2000000);
+	EXPECT_FALSE(is_in_service(in, 0));
+	for (int i = 0; i < 30; i++)
+		EXPECT_EQ(in.send_request(i % 3, "GET", "/stock/1").status,
+			  200);
+	EXPECT_EQ(in.runs(0), before);
+	/* The next boot is used. */
+	in.restart_server(0, "i-last");
+	in.publish_entry(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+	in.delete_item("servers/" + crashed);
+}
+
 /*
  * Guards against a status for a server's fault that does not show whether the
  * request may have run.
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -685,6 +685,47 @@
 		  growth_max_kb);
 }
 
+/*
+ * A server leaves after a crash: its own entry is deleted, that of the boot
+ * that crashed is not yet. Guards against a daemon that restarts then, takes
+ * the server's id from a probe, and sends requests to it.
+ */
+TEST(Reports, RestartedDaemonUsesNoServerThatHasLeft)
+{
+	std::atomic<int> nr_served{ 0 };
+	Platform in(3);
+
+	in.start_all();
+	auto server = replace_server(
+		in, 0,
+		[&](RawBackend &self, int fd, const RawBackend::Request &next) {
+			bool expected = next.expected == "i-left";
+
+			if (!RawBackend::read_body(fd, next.body_bytes))
+				return false;
+			nr_served += expected;
+			return self.send(
+				fd, expected ? RawBackend::answer(next.id, "x")
+					     : "HTTP/1.1 421 Misdirected\r\n"
+					       "X-Not-Executed: 1\r\n"
+					       "X-Request-Id: " +
+						       next.id +
+						       "\r\nContent-Length: "
+						       "0\r\n\r\n");
+		});
+	server->probe_answer = "HTTP/1.1 503 Leaving\r\nX-Warmup-Ms: 0\r\n"
+			       "X-Instance-Id: i-left\r\n"
+			       "Content-Length: 0\r\n\r\n";
+	process_kill(&in.hosts[0].daemon);
+	in.start_daemon(0);
+	for (int probes = server->nr_probes; server->nr_probes < probes + 3;) {
+		for (int i = 0; i < 3; i++)
+			EXPECT_EQ(in.send_request(i, "GET", "/stock/1").status,
+				  200);
+	}
+	EXPECT_EQ(nr_served, 0);
+}
+
 /* A text that opens a bracket so often, with the inner value, and closes it. */
 std::string nested(const std::string &open, const std::string &inner,
 		   const std::string &close, int levels)
