Push the known crashes to daemons that have not confirmed them

Cause: a crash was pushed once, at the moment it was noticed. A daemon that started later was never told; one that had not answered the push before it, or lost the push, was not told either. Change: the control thread keeps the crashes in the order of their changes, and for each other daemon the position that it has confirmed, 0 after a new connection or an unanswered push. Why it works: it is how published items reach a restarted daemon; the messages have not changed, so daemons of both versions understand each other.

--- a/lib/quarantine/quarantine.c
+++ b/lib/quarantine/quarantine.c
@@ -24,6 +24,7 @@
 	uint64_t last_life; /* life of the last crash; own origin only */
 	uint32_t count;
 	uint32_t cleared; /* count at the last success or end */
+	uint64_t changed; /* number of its last change */
 	int64_t end;
 };
 
@@ -39,6 +40,7 @@
 	 * entry that was dropped here and would ignore a smaller one.
 	 */
 	uint32_t own_count;
+	uint64_t nr_changes; /* of all entries, since the start */
 	struct cds_list_head buckets[NR_BUCKETS]; /* by fingerprint */
 	struct cds_list_head send; /* least recently sent first */
 	struct cds_list_head unused;
@@ -212,6 +214,13 @@
 	return entry;
 }
 
+/* Marks the entry as changed and makes it the next one to send. */
+static void note_change(struct quarantine *quarantine, struct entry *entry)
+{
+	entry->changed = ++quarantine->nr_changes;
+	cds_list_move(&entry->send_node, &quarantine->send);
+}
+
 static void entry_export(const struct entry *entry, int64_t now,
 			 struct quarantine_entry *exported)
 {
@@ -230,12 +239,12 @@
 		entry->cleared = entry->count;
 }
 
-/* Extends the end of the entry and makes it the next one to send. */
+/* Extends the end of the entry, which has changed. */
 static void entry_renew(struct quarantine *quarantine, struct entry *entry,
 			int64_t end)
 {
 	entry->end = MAX(entry->end, end);
-	cds_list_move(&entry->send_node, &quarantine->send);
+	note_change(quarantine, entry);
 }
 
 void quarantine_crash(struct quarantine *quarantine, uint64_t fingerprint,
@@ -264,7 +273,7 @@
 	if (cleared <= entry->cleared)
 		return false;
 	entry->cleared = cleared;
-	cds_list_move(&entry->send_node, &quarantine->send);
+	note_change(quarantine, entry);
 	return true;
 }
 
@@ -324,6 +333,40 @@
 	return n;
 }
 
+/* The entry with the first change after the position, or NULL. */
+static const struct entry *first_after(const struct quarantine *quarantine,
+				       uint64_t position, int64_t now)
+{
+	const struct entry *entry = NULL, *first = NULL;
+
+	cds_list_for_each_entry (entry, &quarantine->send, send_node)
+		if (entry->changed > position &&
+		    entry->end - now >= NS_PER_MS &&
+		    (!first || entry->changed < first->changed))
+			first = entry;
+	return first;
+}
+
+size_t quarantine_export_after(const struct quarantine *quarantine,
+			       uint64_t *position, int64_t now,
+			       struct quarantine_entry *entries, size_t max)
+{
+	size_t n = 0;
+
+	while (*position < quarantine->nr_changes && n < max) {
+		const struct entry *entry =
+			first_after(quarantine, *position, now);
+
+		if (!entry) {
+			*position = quarantine->nr_changes;
+			break;
+		}
+		entry_export(entry, now, &entries[n++]);
+		*position = entry->changed;
+	}
+	return n;
+}
+
 size_t quarantine_expire(struct quarantine *quarantine, int64_t now)
 {
 	struct entry *entry = NULL, *next;
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -100,6 +100,16 @@
 size_t quarantine_export(struct quarantine *quarantine, int64_t now,
 			 struct quarantine_entry *entries, size_t max);
 
+/*
+ * Writes up to max of the entries that have changed after a position, in the
+ * order of their changes, and moves the position behind them; returns their
+ * number. Position 0 is before all changes, for a peer that knows none. Unlike
+ * quarantine_export(), this lets each peer get each change once.
+ */
+size_t quarantine_export_after(const struct quarantine *quarantine,
+			       uint64_t *position, int64_t now,
+			       struct quarantine_entry *entries, size_t max);
+
 /* Drops the entries that have expired; returns the number of those left. */
 size_t quarantine_expire(struct quarantine *quarantine, int64_t now);
 
--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -42,8 +42,12 @@
 	struct rpc_call call;
 	bool calling;
 	int64_t acked; /* revision that it has confirmed; FEED_ACKED_UNKNOWN */
-	int64_t sent_from;	/* revision before the push in progress */
-	int64_t sent_to;	/* revision after the push in progress */
+	int64_t sent_from; /* revision before the push in progress */
+	int64_t sent_to;   /* revision after the push in progress */
+	/* Position in feed_peers.crashes that it has confirmed, and sent. */
+	uint64_t crashes_acked;
+	uint64_t crashes_sent;
+	bool crashes_left;	/* the push in progress holds not all of them */
 	uint32_t pending_roots; /* bit set of the roots to be sent, by slot */
 	uint32_t sent_roots;	/* the same for the push in progress */
 	bool failed;		/* the last push was not answered */
@@ -68,6 +72,12 @@
 	bool own_listed;	   /* this daemon, in the present view */
 	struct timer timer;
 	bool is_reader; /* this daemon reads the store */
+	/*
+	 * Crashes of backend servers, as known to this daemon. Each other
+	 * daemon gets those that it has not confirmed, and after a restart all
+	 * of them.
+	 */
+	struct quarantine *crashes;
 	/* Revision that a daemon is assumed to have before it confirms one. */
 	struct mesh_recent recent;
 	/* The last value compressed; kept because all daemons get it. */
@@ -94,8 +104,7 @@
 void feed_mark_own(struct feed_peers *peers, int64_t now);
 
 /* Sends a push, unless one to this daemon is in progress. */
-void feed_push_to(struct peer *peer, const struct quarantine_entry *crashes,
-		  size_t nr, int64_t now);
+void feed_push_to(struct peer *peer, int64_t now);
 
 /* Sends the pushes due, and ends those whose answer is overdue. */
 void feed_push_due(struct feed_peers *peers, int64_t now);
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/feed_internal.h"
+#include "relay/relay.h"
 
 /*
  * How long a daemon gets pushes after its backend server has left the view: it
@@ -111,7 +112,7 @@
 		peers->next_introduction = now + INTRODUCTION_INTERVAL_NS;
 	for (int i = 0; i < INTRODUCTION_RANKS; i++)
 		if (first[i])
-			feed_push_to(first[i], NULL, 0, now);
+			feed_push_to(first[i], now);
 }
 
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed)
@@ -140,9 +141,13 @@
 	struct peer *peer;
 	GHashTableIter iter;
 
+	for (size_t i = 0; i < nr; i++)
+		quarantine_merge(peers->crashes, &entries[i], now);
 	g_hash_table_iter_init(&iter, peers->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		feed_push_to(peer, entries, nr, now);
+		if (!peer->failed)
+			peer->next_push = now;
+	feed_update(peers, now);
 }
 
 static struct peer *get_peer(struct feed_peers *peers, const char *ip)
@@ -191,17 +196,22 @@
 			    const struct feed_push *push)
 {
 	struct quarantine_entry entries[PEER_CRASHES_MAX];
-	u_int nr = MIN(push->crashes.crashes_len, PEER_CRASHES_MAX);
+	int64_t now = clock_monotonic_ns();
+	size_t nr = 0;
 
-	for (u_int i = 0; i < nr; i++) {
+	for (u_int i = 0; i < push->crashes.crashes_len; i++) {
 		const struct peer_crash *received =
 			&push->crashes.crashes_val[i];
-
-		entries[i].fingerprint = received->fingerprint;
-		entries[i].origin = received->origin;
-		entries[i].count = received->count;
-		entries[i].cleared = received->cleared;
-		entries[i].left_ms = received->left_ms;
+		struct quarantine_entry entry = {
+			.fingerprint = received->fingerprint,
+			.origin = received->origin,
+			.count = received->count,
+			.cleared = received->cleared,
+			.left_ms = received->left_ms,
+		};
+
+		if (quarantine_merge(peers->crashes, &entry, now))
+			entries[nr++] = entry;
 	}
 	if (nr)
 		peers->options.ops->crashes(peers->options.ctx, entries, nr);
@@ -326,7 +336,7 @@
 	if (push->to < feed_revision(feed)) {
 		if (peer->acked == FEED_ACKED_UNKNOWN || peer->acked > push->to)
 			peer->acked = push->to;
-		feed_push_to(peer, NULL, 0, now);
+		feed_push_to(peer, now);
 	}
 	feed_update(peers, now);
 }
@@ -452,6 +462,11 @@
 				  GError **error)
 {
 	struct feed_peers *peers = g_new0(struct feed_peers, 1);
+	/* The daemon's own crashes come with the origin of its process. */
+	struct quarantine_options crashes = {
+		.crashes = RELAY_QUARANTINE_CRASHES,
+		.quarantine_ns = RELAY_QUARANTINE_NS,
+	};
 	struct rpc_options rpc = {
 		.loop = options->loop,
 		.record_max = FEED_RECORD_MAX,
@@ -469,8 +484,10 @@
 	peers->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	peers->listener = rpc_listen(&rpc, &options->host->control, error);
-	if (peers->listener)
+	if (peers->listener) {
+		peers->crashes = quarantine_new(&crashes);
 		return peers;
+	}
 	g_hash_table_unref(peers->peers);
 	g_free(peers);
 	return NULL;
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -66,7 +66,7 @@
  */
 void feed_peers_store_lost(struct feed_peers *peers);
 
-/* Pushes crashes of backend servers to all daemons at once. */
+/* Pushes crashes of the local backend server to all daemons at once. */
 void feed_peers_push_crashes(struct feed_peers *peers,
 			     const struct quarantine_entry *entries, size_t nr);
 
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -170,6 +170,7 @@
 
 	peer->failed = true;
 	peer->acked = FEED_ACKED_UNKNOWN;
+	peer->crashes_acked = 0;
 	peer->pending_roots |= peer->sent_roots;
 	peer->next_push = now + PUSH_RETRY_NS;
 	for (int i = 0; is_new && i < FEED_ROOTS_MAX; i++)
@@ -191,6 +192,9 @@
 		/* After a restart the revision may be lower than before. */
 		peer->acked = reply.revision;
 		peer->failed = false;
+		peer->crashes_acked = peer->crashes_sent;
+		if (peer->crashes_left)
+			peer->next_push = now;
 		if (peer->acked < peer->sent_to) {
 			peer->pending_roots |= peer->sent_roots;
 			peer->next_push = now;
@@ -219,6 +223,8 @@
 		return true;
 	if (peer->conn)
 		rpc_conn_unref(peer->conn);
+	/* The daemon may have been restarted. */
+	peer->crashes_acked = 0;
 	peer->conn = rpc_connect(&options, &peer->address, NULL);
 	return peer->conn != NULL;
 }
@@ -271,10 +277,30 @@
 		       FEED_PUSH, (xdrproc_t)xdr_feed_push, push);
 }
 
-void feed_push_to(struct peer *peer, const struct quarantine_entry *crashes,
-		  size_t nr, int64_t now)
+/* Fills in the crashes that the peer has not confirmed. */
+static u_int fill_crashes(struct peer *peer, struct peer_crash *out,
+			  int64_t now)
+{
+	struct quarantine_entry entries[PEER_CRASHES_MAX];
+	size_t nr;
+
+	peer->crashes_sent = peer->crashes_acked;
+	nr = quarantine_export_after(peer->peers->crashes, &peer->crashes_sent,
+				     now, entries, PEER_CRASHES_MAX);
+	peer->crashes_left = nr == PEER_CRASHES_MAX;
+	for (size_t i = 0; i < nr; i++) {
+		out[i].fingerprint = entries[i].fingerprint;
+		out[i].origin = entries[i].origin;
+		out[i].count = entries[i].count;
+		out[i].cleared = entries[i].cleared;
+		out[i].left_ms = entries[i].left_ms;
+	}
+	return (u_int)nr;
+}
+
+void feed_push_to(struct peer *peer, int64_t now)
 {
-	struct peer_crash out[PEER_CRASHES_MAX];
+	struct peer_crash crashes[PEER_CRASHES_MAX];
 	struct batch batch = { .peers = peer->peers, .now = now };
 	int64_t from = peer->acked;
 
@@ -286,15 +312,8 @@
 	if (from < feed_revision(peer->peers->options.feed))
 		feed_each_after(peer->peers->options.feed, from, add_entry,
 				&batch);
-	for (size_t i = 0; i < MIN(nr, PEER_CRASHES_MAX); i++) {
-		out[i].fingerprint = crashes[i].fingerprint;
-		out[i].origin = crashes[i].origin;
-		out[i].count = crashes[i].count;
-		out[i].cleared = crashes[i].cleared;
-		out[i].left_ms = crashes[i].left_ms;
-	}
-	batch.push.crashes.crashes_len = (u_int)MIN(nr, PEER_CRASHES_MAX);
-	batch.push.crashes.crashes_val = out;
+	batch.push.crashes.crashes_len = fill_crashes(peer, crashes, now);
+	batch.push.crashes.crashes_val = crashes;
 	send_push(peer, &batch, from);
 	g_array_unref(batch.entries);
 }
@@ -321,6 +340,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		check_call(peer, now);
 		if (peer->next_push <= now)
-			feed_push_to(peer, NULL, 0, now);
+			feed_push_to(peer, now);
 	}
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -59,10 +59,6 @@
 /* How often a stopping daemon checks whether it can exit. */
 #define STOP_CHECK_NS (50 * NS_PER_MS)
 
-/* Crashes after which a request is refused, and for how long. */
-#define QUARANTINE_CRASHES 2
-#define QUARANTINE_NS (60 * NS_PER_SEC)
-
 struct relay {
 	struct relay_context context;
 	struct timers timers;
@@ -177,14 +173,16 @@
 	struct relay *relay = ctx;
 	g_autofree char *control_text = mesh_control_dump_text(relay->control);
 	json_t *dump =
-		json_pack("{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o}", "host",
-			  relay->context.host->name, "zone",
+		json_pack("{s:s, s:s, s:b, s:b, s:o, s:o, s:o, s:o, s:o}",
+			  "host", relay->context.host->name, "zone",
 			  relay->context.host->zone, "ready",
 			  on_is_ready(relay), "stopping", relay->stopping,
 			  "control", json_loads(control_text, 0, NULL),
 			  "callers", caller_side_dump(relay->caller_side),
 			  "backend", backend_side_dump(relay->backend_side),
-			  "peers", peer_links_dump(relay->links));
+			  "peers", peer_links_dump(relay->links), "quarantine",
+			  quarantine_dump(relay->context.quarantine,
+					  clock_monotonic_ns()));
 	char *json = json_dumps(dump, JSON_INDENT(2) | JSON_SORT_KEYS);
 	char *text = g_strdup(json ? json : "{}");
 
@@ -392,8 +390,8 @@
 	struct quarantine_options quarantine = {
 		.origin = quarantine_origin(context->host->name,
 					    context->incarnation),
-		.crashes = QUARANTINE_CRASHES,
-		.quarantine_ns = QUARANTINE_NS,
+		.crashes = RELAY_QUARANTINE_CRASHES,
+		.quarantine_ns = RELAY_QUARANTINE_NS,
 	};
 
 	context->quarantine = quarantine_new(&quarantine);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_RELAY_H
 #define RELAY_RELAY_H
 
+#include "base/clock.h"
 #include "base/counters.h"
 #include "base/timer.h"
 #include "mesh/host.h"
@@ -14,6 +15,10 @@
  * requests; the control thread receives what is published and passes on views.
  */
 
+/* Crashes after which a request is refused, and for how long. */
+#define RELAY_QUARANTINE_CRASHES 2
+#define RELAY_QUARANTINE_NS (60 * NS_PER_SEC)
+
 /* Shared by the files of the traffic thread. */
 struct relay_context {
 	const struct mesh_host *host;
--- a/standins/target.c
+++ b/standins/target.c
@@ -4,7 +4,9 @@
  * its load and its remaining cold time.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "standin.h"
@@ -19,11 +21,12 @@
 	FAULT_NO_SIGNATURE, /* runs and answers without signature */
 	FAULT_CLOSE,	    /* runs and closes without an answer */
 	FAULT_OTHER_ID,	    /* runs and answers with a wrong request id */
-	FAULT_ENCODED	    /* runs and answers with Content-Encoding */
+	FAULT_ENCODED,	    /* runs and answers with Content-Encoding */
+	FAULT_CRASH	    /* the process ends as a request begins to run */
 };
-static const char *const modes[] = { "none",	 "slow",     "shed",
-				     "fail",	 "no-proof", "close",
-				     "other-id", "encoded",  NULL };
+static const char *const modes[] = { "none",	 "slow",  "shed",     "fail",
+				     "no-proof", "close", "other-id", "encoded",
+				     "crash",	 NULL };
 
 static struct setting settings[] = {
 	{ "id", "TEXT", "instance id of this process", 0, "i-1" },
@@ -130,6 +133,8 @@
 	int64_t wait_ms = settings[1].number;
 	int64_t end;
 
+	if (standin.fault.mode == FAULT_CRASH)
+		_exit(EXIT_FAILURE);
 	nr_running++;
 	max_running = MAX(max_running, nr_running);
 	record_run(request, id);
--- a/tests/quarantine/test_quarantine.cc
+++ b/tests/quarantine/test_quarantine.cc
@@ -1,6 +1,11 @@
 #include "quarantine_model.h"
 
 #include <set>
+#include <vector>
+
+extern "C" {
+#include "base/clock.h"
+}
 
 /* Guards against equal fingerprints of requests whose parts, joined, match. */
 TEST(Fingerprint, DependsOnBoundariesOfParts)
@@ -60,6 +65,55 @@
 	quarantine_free(q);
 }
 
+/* The fingerprints exported after a position, which is moved. */
+std::vector<uint64_t> export_after(const struct quarantine *q,
+				   uint64_t *position, int64_t now, size_t max)
+{
+	std::vector<struct quarantine_entry> entries(max);
+	std::vector<uint64_t> prints;
+
+	entries.resize(
+		quarantine_export_after(q, position, now, entries.data(), max));
+	for (const struct quarantine_entry &entry : entries)
+		prints.push_back(entry.fingerprint);
+	return prints;
+}
+
+/*
+ * Guards against a peer that never gets a crash that it has not confirmed, and
+ * against crashes that are sent to it over and over.
+ */
+TEST(Quarantine, PeerGetsEachChangeOnce)
+{
+	const int64_t lasts = 1000 * NS_PER_MS;
+	struct quarantine_options options = { 1, 2, lasts, 0 };
+	struct quarantine *q = quarantine_new(&options);
+	const struct quarantine_entry received = { 9, 2, 1, 0, 5000 };
+	uint64_t position = 0, other = 0;
+	using Prints = std::vector<uint64_t>;
+
+	EXPECT_EQ(export_after(q, &position, 0, 4), Prints());
+	quarantine_crash(q, 7, 1, 0, nullptr);
+	quarantine_crash(q, 8, 1, 0, nullptr);
+	EXPECT_TRUE(quarantine_merge(q, &received, 0));
+	EXPECT_EQ(export_after(q, &position, 0, 2), Prints({ 7, 8 }));
+	EXPECT_EQ(export_after(q, &position, 0, 2), Prints({ 9 }));
+	EXPECT_EQ(export_after(q, &position, 0, 2), Prints());
+	/* Received again, it is no change. */
+	EXPECT_FALSE(quarantine_merge(q, &received, 0));
+	EXPECT_EQ(export_after(q, &position, 0, 2), Prints());
+	quarantine_crash(q, 7, 2, 1, nullptr);
+	quarantine_success(q, 8, 1);
+	EXPECT_EQ(export_after(q, &position, 1, 4), Prints({ 7, 8 }));
+	/* A peer that knows nothing gets all, each as it is now. */
+	EXPECT_EQ(export_after(q, &other, 1, 4), Prints({ 9, 7, 8 }));
+	/* Entries that have ended are passed over. */
+	other = 0;
+	EXPECT_EQ(export_after(q, &other, lasts, 4), Prints());
+	EXPECT_EQ(other, position);
+	quarantine_free(q);
+}
+
 /*
  * Guards against crashing requests that are not refused, other requests that
  * are, and quarantines that do not end.
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -243,6 +243,81 @@
 	in.delete_item("servers/" + crashed);
 }
 
+/* How many requests a daemon refuses because they crash servers. */
+size_t nr_refused_suspects(Platform &in, int host)
+{
+	json_t *state = in.dump(host);
+	json_t *suspect;
+	size_t i, nr = 0;
+
+	json_array_foreach (json_object_get(json_object_get(state,
+							    "quarantine"),
+					    "suspects"),
+			    i, suspect)
+		nr += json_is_true(json_object_get(suspect, "refused"));
+	json_decref(state);
+	return nr;
+}
+
+/* Starts the next boot of each server that a request crashed. */
+int restart_crashed_servers(Platform &in)
+{
+	static int next;
+	int nr = 0;
+
+	for (size_t i = 0; i < in.hosts.size(); i++) {
+		std::string crashed = in.hosts[i].id;
+
+		if (!process_wait(&in.hosts[i].server, 0, nullptr))
+			continue;
+		nr++;
+		in.restart_server((int)i, "i-boot" + std::to_string(++next));
+		in.publish_entry((int)i);
+		in.delete_item("servers/" + crashed);
+		in.fault((int)i, "crash");
+	}
+	return nr;
+}
+
+/*
+ * A request crashes two servers, so that all daemons refuse it. Then the
+ * daemons restart one after the other. Guards against a daemon that learns only
+ * of the crashes since its start, and passes the request on again.
+ */
+TEST(Relay, RestartedDaemonsKnowTheRequestsThatCrashServers)
+{
+	Platform in = make(3);
+	int crashes = 0;
+
+	in.start_all();
+	for (int i = 0; i < 3; i++)
+		in.fault(i, "crash");
+	for (int tries = 0; tries < 20 && crashes < 2; tries++) {
+		in.send_request(0, "POST", "/orders/crash", "same");
+		usleep(200000);
+		crashes += restart_crashed_servers(in);
+	}
+	ASSERT_EQ(crashes, 2);
+	usleep(1000000);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(nr_refused_suspects(in, i), 1u) << i;
+	for (int restarted = 0; restarted < 3; restarted++) {
+		process_kill(&in.hosts[(size_t)restarted].daemon);
+		in.start_daemon(restarted);
+		/* The rules grant a daemon 3 s to get to know what is known. */
+		usleep(3000000);
+		EXPECT_EQ(nr_refused_suspects(in, restarted), 1u) << restarted;
+	}
+	for (int i = 0; i < 3; i++) {
+		EXPECT_TRUE(eventually([&] { return is_in_service(in, i); }));
+		EXPECT_EQ(in.send_request(i, "POST", "/orders/crash", "same")
+				  .status,
+			  503);
+	}
+	usleep(200000);
+	EXPECT_EQ(restart_crashed_servers(in), 0);
+}
+
 /*
  * Guards against a status for a server's fault that does not show whether the
  * request may have run.
