--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -108,6 +108,8 @@
 		{ "\"/o/\"", "null" },
 		{ "\"non_idempotent\"", "null" },
 		{ "{\"service\":\"docs\",\"weight\":10}", "{\"service\":1}" },
+		{ "\"weight\":10", "\"weight\":1e300" },
+		{ "\"1200ms\"", "\"1e300s\"" },
 		{ "\"service\":\"docs\",", "\"service\":\"none\"," },
 		{ "\"services\":", "\"service\":" },
 		{ "]]},\n\"services\"", "]],\n\"services\"" },
@@ -186,6 +188,19 @@
 		{ "\"sequence\":4", "\"sequence\":\"4\"" },
 		{ "1700000000000", "1.5" },
 		{ "{", "" },
+		{ "9,\"phase\"", "4294967297,\"phase\"" },
+		{ "9,\"phase\"", "2147483647,\"phase\"" },
+		{ "9,\"phase\"", "99999999999999999999,\"phase\"" },
+		{ "9,\"phase\"", "1e999,\"phase\"" },
+		{ "\"1.5s\"", "\"1e300s\"" },
+		{ "\"1.5s\"", "\"infs\"" },
+		{ "\"1.5s\"", "\"nans\"" },
+		{ ":8080", ":0" },
+		{ ":8080", ":65536" },
+		{ ":8080", ":4294975376" },
+		{ ":8080", ":-1" },
+		{ "10.0.0.9", "[::1]" },
+		{ "10.0.0.9", "10.0.0.256" },
 	};
 
 	for (const auto &test_case : cases) {
@@ -200,6 +215,39 @@
 	}
 }
 
+/* Guards against an id that ends the header field in which it is sent. */
+TEST(PlatformTarget, RefusesIdsThatAreNoToken)
+{
+	g_autoptr(GBytes) value = bytes(GOOD_ENTRY);
+
+	for (const char *id : { "", "i 1", "i\r\nX-Other: 1", "i\xc3\xa4" })
+		EXPECT_EQ(platform_decode_target(id, value), nullptr) << id;
+}
+
+/*
+ * Guards against numbers beyond the range of their type that become others in a
+ * configuration.
+ */
+TEST(PlatformConfig, NumbersOutOfRangeStayAtItsEnd)
+{
+	std::string text = GOOD_CONFIG;
+	g_autofree char *reason = NULL;
+	struct mesh_config *config;
+	const struct mesh_route *route;
+
+	text.replace(text.find("1,\"shop\",\n2"), 10,
+		     "4294967296,\"shop\",\n4294967298");
+	text.replace(text.find("1000,"), 4, "-1");
+	g_autoptr(GBytes) value = bytes(text);
+	config = platform_decode_config(value, &reason);
+	ASSERT_NE(config, nullptr) << reason;
+	route = mesh_config_find_route(config, "a.example", "/o/1");
+	EXPECT_EQ(route->priority, G_MAXINT);
+	EXPECT_EQ(route->attempts, G_MAXINT);
+	EXPECT_EQ(config->limits.head_max_bytes, 16384);
+	mesh_config_unref(config);
+}
+
 /* Decodes a text as a registration and as a configuration. */
 void *decode_value(void *arg)
 {
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -740,6 +740,16 @@
 	return text;
 }
 
+/* The entry of a server with the given values. */
+std::string entry(int sequence, const std::string &address,
+		  const std::string &slots, const std::string &cold = "0ms")
+{
+	return R"({"service":"shop","address":")" + address +
+	       R"(","zone":"z1","resource_version":"v1","max_concurrency":)" +
+	       slots + R"(,"phase":"ready","warmup_left":")" + cold +
+	       R"(","sequence":)" + std::to_string(sequence) + R"(,"born":5})";
+}
+
 /*
  * Another writer leaves an odd entry among those of the servers. Guards against
  * daemons that end, also after a restart while the entry is there, and against
@@ -755,6 +765,14 @@
 		  "{\"service\":" + nested("{\"a\":", "1", "}", 2040) + "}" },
 		{ "nested array", nested("[", "", "]", 2040) },
 		{ "unclosed arrays", nested("[", "", "", 500000) },
+		{ "too large a number", entry(9, "10.9.9.9:80", "1e999") },
+		{ "number beyond its type",
+		  entry(9, "10.9.9.9:80", "4294967297") },
+		{ "too long a time", entry(9, "10.9.9.9:80", "4", "1e300s") },
+		{ "port out of range", entry(9, "10.9.9.9:70000", "4") },
+		{ "address of a broadcast",
+		  entry(9, "255.255.255.255:80", "4") },
+		{ "address of another family", entry(9, "[::1]:80", "4") },
 	};
 	Platform in(2);
 	int version = 1;
