Pass on no value of a registration that names no server

Cause: an unreadable value of another writer, up to 1 MiB, was kept and pushed to all daemons; a key or value longer than a push may hold made every push that held it fail, with all other items of it. Change: such an item is kept without its value; entry_unreadable is logged when the item is first read, too. Result: Reports.OddEntryOfAnotherWriterEndsNoDaemon has a row with the longest value and passes. That row passes on the code before as well: the limit of the store is that of a push, so the failing push was not shown on processes.

--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -194,7 +194,7 @@
 		 * Another program may have written the entry, so it counts as
 		 * no server.
 		 */
-		if (old)
+		if (old || !feed_has_value(control->feed, key))
 			log_event(LOG_WARNING, "entry_unreadable", "key=%s",
 				  log_quote(key));
 		return g_hash_table_remove(control->targets, key);
@@ -210,18 +210,40 @@
 	return true;
 }
 
+/*
+ * Whether the item fits into a push to another daemon. One that does not would
+ * keep all other items of the push from that daemon.
+ */
+static bool fits_into_push(const char *key, GBytes *value)
+{
+	return strlen(key) <= FEED_KEY_MAX &&
+	       g_bytes_get_size(value) <= PEER_VALUE_MAX;
+}
+
 static void apply_write(struct mesh_control *control, const char *key,
 			GBytes *value, int64_t revision)
 {
+	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
 	bool changed = true;
 	const char *name;
 
 	if (!feed_is_newer(control->feed, key, revision))
 		return;
+	if (!fits_into_push(key, value)) {
+		log_event(LOG_ERR, "item_too_long", "key=%.*s bytes=%zu",
+			  FEED_KEY_MAX, log_quote(key),
+			  g_bytes_get_size(value));
+		if (strlen(key) > FEED_KEY_MAX)
+			return;
+		value = empty;
+	}
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
 		changed = apply_target(control, key, name, value, revision) ||
 			  !feed_has_value(control->feed, key);
+		/* What names no server is not passed on to the others. */
+		if (!g_hash_table_contains(control->targets, key))
+			value = empty;
 		break;
 	case PLATFORM_ITEM_CONFIG:
 		apply_config(control, value);
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -773,6 +773,7 @@
 		{ "address of a broadcast",
 		  entry(9, "255.255.255.255:80", "4") },
 		{ "address of another family", entry(9, "[::1]:80", "4") },
+		{ "longest value", std::string(1024 * 1024, 'x') },
 	};
 	Platform in(2);
 	int version = 1;
