--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -325,6 +325,25 @@
 	platform_page_free(page);
 }
 
+/*
+ * Guards against a key that no server has and that hides all other items of its
+ * page, or replaces the item whose key it begins with.
+ */
+TEST(PlatformStore, KeyWithANulIsPassedOver)
+{
+	struct platform_page *page = parse(
+		R"({"items":[{"key":"servers/i-1\u0000x","revision":4},
+		{"key":"servers/i-2","revision":5}],"at":9})");
+
+	ASSERT_NE(page, nullptr);
+	ASSERT_EQ(page->changes->len, 1u);
+	EXPECT_STREQ(((struct platform_change *)g_ptr_array_index(page->changes,
+								  0))
+			     ->key,
+		     "servers/i-2");
+	platform_page_free(page);
+}
+
 /* Guards against a malformed response being taken for an empty page. */
 TEST(PlatformStore, RefusesMalformedResponses)
 {
