Wait after a connection to a daemon that cannot be begun

Cause: where connect() fails at once, as for the address 255.255.255.255 of an odd entry, the push stayed due and was tried again every 10 ms.

--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -304,8 +304,14 @@
 	struct batch batch = { .peers = peer->peers, .now = now };
 	int64_t from = peer->acked;
 
-	if (peer->calling || !connect_peer(peer))
+	if (peer->calling)
 		return;
+	if (!connect_peer(peer)) {
+		/* Its address, such as that of a broadcast, has no daemon. */
+		peer->sent_roots = peer->pending_roots;
+		mark_failed(peer, now);
+		return;
+	}
 	if (peer->acked == FEED_ACKED_UNKNOWN)
 		from = peer->peers->recent.revision;
 	batch.entries = g_array_new(FALSE, TRUE, sizeof(struct feed_entry));
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -2,6 +2,7 @@
 #include "raw_backend.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <mutex>
 #include <sys/socket.h>
@@ -750,6 +751,54 @@
 	       R"(","sequence":)" + std::to_string(sequence) + R"(,"born":5})";
 }
 
+/* How often the threads of a process have run and waited again. */
+long nr_waits(pid_t pid)
+{
+	std::string directory = "/proc/" + std::to_string(pid) + "/task";
+	long sum = 0;
+
+	for (const auto &task :
+	     std::filesystem::directory_iterator(directory)) {
+		std::ifstream file(task.path() / "status");
+		std::string word;
+		long nr;
+
+		while (file >> word)
+			if (word == "voluntary_ctxt_switches:" && file >> nr)
+				sum += nr;
+	}
+	return sum;
+}
+
+/*
+ * Another writer's entry names an address to which no connection can even be
+ * begun. Guards against a daemon that tries it again in each iteration of its
+ * event loop, and against other daemons that miss what is published.
+ */
+TEST(Reports, AddressThatCannotBeReachedIsTriedSeldom)
+{
+	Platform in(3);
+	long before[3];
+
+	in.start_all();
+	for (int i = 0; i < 3; i++)
+		before[i] = nr_waits(in.hosts[(size_t)i].daemon.pid);
+	usleep(2000000);
+	long calm = 0;
+	for (int i = 0; i < 3; i++)
+		calm = std::max(calm, nr_waits(in.hosts[(size_t)i].daemon.pid) -
+					      before[i]);
+	in.put_item("servers/x-1", entry(9, "255.255.255.255:80", "4"));
+	usleep(1000000);
+	for (int i = 0; i < 3; i++)
+		before[i] = nr_waits(in.hosts[(size_t)i].daemon.pid);
+	usleep(2000000);
+	for (int i = 0; i < 3; i++)
+		EXPECT_LT(nr_waits(in.hosts[(size_t)i].daemon.pid) - before[i],
+			  2 * calm + 40)
+			<< i;
+}
+
 /*
  * Another writer leaves an odd entry among those of the servers. Guards against
  * daemons that end, also after a restart while the entry is there, and against
