Bound the idle timeout that a server announces

Cause: the seconds of Keep-Alive were multiplied into nanoseconds unchecked: a faulty server's huge number overflowed to any deadline. Change: numbers above an hour count as an hour, those below 0 as 0. Result: HttpClient.AnnouncedIdleTimeoutIsBounded failed before and passes.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -12,6 +12,9 @@
 /* The idle timeout when the server announces none with Keep-Alive. */
 #define IDLE_DEFAULT_NS (4 * NS_PER_SEC)
 
+/* Longer announced idle timeouts count as this one. */
+#define IDLE_MAX_S 3600
+
 /*
  * Share of the announced idle timeout within which a connection is reused, so
  * that no request is sent while the server closes the connection.
@@ -86,10 +89,13 @@
 	const char *at = text ? strstr(text, "timeout=") : NULL;
 	int64_t now = clock_monotonic_ns();
 	int64_t wait = IDLE_DEFAULT_NS;
+	int64_t seconds;
 
-	if (at)
-		wait = g_ascii_strtoll(at + strlen("timeout="), NULL, 10) *
-		       NS_PER_SEC * IDLE_PERCENT / 100;
+	if (at) {
+		seconds = g_ascii_strtoll(at + strlen("timeout="), NULL, 10);
+		wait = CLAMP(seconds, 0, IDLE_MAX_S) * NS_PER_SEC *
+		       IDLE_PERCENT / 100;
+	}
 	client->idle_since = now;
 	client->idle_deadline = now + wait;
 }
--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -84,6 +84,7 @@
 	int status = 0;
 	std::string body;
 	bool idle = false;
+	int64_t idle_wait = 0; /* for which it may be reused */
 };
 
 void on_done(struct http_client *client, enum http_end end,
@@ -94,6 +95,8 @@
 	result->done = true;
 	result->end = end;
 	result->idle = http_client_is_idle(client);
+	result->idle_wait =
+		http_client_idle_deadline(client) - clock_monotonic_ns();
 	if (response) {
 		result->status = response->status;
 		result->body.assign((const char *)response->body->data,
@@ -217,6 +220,38 @@
 	}
 }
 
+/*
+ * Guards against an idle timeout that a faulty server announces and that
+ * overflows as a deadline.
+ */
+TEST(HttpClient, AnnouncedIdleTimeoutIsBounded)
+{
+	static const struct {
+		const char *timeout;
+		int64_t wait_max;
+	} cases[] = {
+		{ "9223372036854775807", 3600 * NS_PER_SEC },
+		{ "99999999999999999999", 3600 * NS_PER_SEC },
+		{ "10", 7 * NS_PER_SEC },
+		{ "-9223372036854775808", 0 },
+		{ "x", 0 },
+	};
+
+	for (const auto &one : cases) {
+		RawServer server(std::string("HTTP/1.1 200 OK\r\nRequest-Id: "
+					     "7\r\nKeep-Alive: timeout=") +
+					 one.timeout +
+					 "\r\nContent-Length: 1\r\n\r\nx",
+				 false, false);
+		Result result = exchange(server.address);
+
+		ASSERT_TRUE(result.done) << one.timeout;
+		EXPECT_LE(result.idle_wait, one.wait_max) << one.timeout;
+		EXPECT_GE(result.idle_wait, one.wait_max / 2 - NS_PER_SEC)
+			<< one.timeout;
+	}
+}
+
 /* A server that repeats a unit after its first bytes until the client closes.
  */
 struct EndlessServer : Listener {
