Keep copies of a refusal from later requests of a connection

Cause: a refusal without a request id, written once more, fits any request that uses the connection next; one with an id fits a later request with the same id, and only the id of the request right before was compared. Change: a connection is not reused after an answer without an id, and not for a request whose id it carried among its last 256.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/rng.h"
 #include "http/client.h"
 
 #define READ_BYTES 16384
@@ -28,6 +29,12 @@
  */
 #define PASSED_OVER_MAX 8
 
+/*
+ * Ids of requests that a connection keeps, the latest ones. Second copies of
+ * responses come within the next few.
+ */
+#define CARRIED_MAX 256
+
 struct http_client {
 	struct net_source source;
 	struct http_client_options options;
@@ -35,6 +42,8 @@
 	GByteArray *out;
 	guint out_done;
 	char *request_id;   /* of the latest request */
+	GArray *carried;    /* uint64_t: hashes of request ids, a ring */
+	guint nr_carried;   /* requests with an id so far */
 	int nr_passed_over; /* responses, since the request was sent */
 	uint32_t events;
 	int64_t idle_deadline;
@@ -100,6 +109,14 @@
 	client->idle_deadline = now + wait;
 }
 
+/* Returns whether a copy of the response would fit any request. */
+static bool lacks_id(const struct http_client *client,
+		     const struct http_message *response)
+{
+	return client->request_id &&
+	       !http_message_value(response, HTTP_ROLE_REQUEST_ID);
+}
+
 /* Returns whether the response has the id of another request. */
 static bool is_for_other_request(const struct http_client *client,
 				 const struct http_message *response)
@@ -134,7 +151,8 @@
 {
 	struct http_message *response = http_reader_take(&client->reader);
 	bool reusable = response->keep_alive && !more && !client->unreusable &&
-			client->out_done == client->out->len;
+			client->out_done == client->out->len &&
+			!lacks_id(client, response);
 
 	if (response->status < 200 || is_for_other_request(client, response))
 		return pass_over(client, response);
@@ -272,6 +290,7 @@
 	client->source.fd = fd;
 	client->source.ready = on_ready;
 	client->out = g_byte_array_new();
+	client->carried = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	client->events = EPOLLIN | EPOLLOUT;
 	http_reader_init(&client->reader, false, options->roles,
 			 &options->limits);
@@ -289,6 +308,7 @@
 
 	http_reader_release(&client->reader);
 	g_byte_array_unref(client->out);
+	g_array_unref(client->carried);
 	g_free(client->request_id);
 	g_free(client);
 }
@@ -300,12 +320,36 @@
 	net_loop_defer(client->options.loop, free_client, client);
 }
 
+static void note_carried(struct http_client *client, const char *request_id)
+{
+	uint64_t hash = hash_string(request_id);
+	guint index = client->nr_carried++ % CARRIED_MAX;
+
+	if (index == client->carried->len)
+		g_array_append_val(client->carried, hash);
+	else
+		g_array_index(client->carried, uint64_t, index) = hash;
+}
+
+bool http_client_has_carried(const struct http_client *client,
+			     const char *request_id)
+{
+	uint64_t hash = hash_string(request_id);
+
+	for (guint i = 0; i < client->carried->len; i++)
+		if (g_array_index(client->carried, uint64_t, i) == hash)
+			return true;
+	return false;
+}
+
 void http_client_send(struct http_client *client, const GString *head,
 		      const void *body, size_t body_len, const char *request_id)
 {
 	client->busy = true;
 	g_free(client->request_id);
 	client->request_id = g_strdup(request_id);
+	if (request_id)
+		note_carried(client, request_id);
 	client->nr_passed_over = 0;
 	g_byte_array_set_size(client->out, 0);
 	client->out_done = 0;
@@ -323,11 +367,6 @@
 	       !client->closed;
 }
 
-const char *http_client_request_id(const struct http_client *client)
-{
-	return client->request_id;
-}
-
 int64_t http_client_idle_deadline(const struct http_client *client)
 {
 	return client->idle_deadline;
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -56,7 +56,9 @@
 /*
  * Sends a request; its bytes are copied. A response whose request id differs
  * from request_id is dropped, and the connection is not reused after it.
- * Responses without an id are accepted, and any id when request_id is NULL.
+ * A response without an id is accepted, but a second copy of it would fit any
+ * request, so the connection is not reused after it either. Any response is
+ * accepted when request_id is NULL.
  * The request ends as malformed when many responses do not belong to it.
  */
 void http_client_send(struct http_client *client, const GString *head,
@@ -66,8 +68,12 @@
 /* Returns whether the connection is open, reusable and without a request. */
 bool http_client_is_idle(const struct http_client *client);
 
-/* Returns the id of the latest request, or NULL if it had none. */
-const char *http_client_request_id(const struct http_client *client);
+/*
+ * Returns whether one of the recent requests on the connection had this id. A
+ * second copy of its response could not be told from that to a new request.
+ */
+bool http_client_has_carried(const struct http_client *client,
+			     const char *request_id);
 
 /* Returns until when the idle connection may be reused (monotonic ns). */
 int64_t http_client_idle_deadline(const struct http_client *client);
--- a/relay/backend_pool.c
+++ b/relay/backend_pool.c
@@ -141,16 +141,6 @@
 	return conn;
 }
 
-/*
- * The id of a response shows which request it is for. A request with the id of
- * the previous one could get a second copy of that one's response.
- */
-static bool repeats_id(const struct backend_conn *conn, const char *request_id)
-{
-	return request_id &&
-	       !g_strcmp0(http_client_request_id(conn->client), request_id);
-}
-
 static struct backend_conn *take_idle(struct backend_pool *pool,
 				      const char *request_id, bool fresh)
 {
@@ -161,7 +151,7 @@
 		return NULL;
 	conn = cds_list_first_entry(&pool->idle, struct backend_conn, node);
 	if (now >= http_client_idle_deadline(conn->client) ||
-	    repeats_id(conn, request_id))
+	    (request_id && http_client_has_carried(conn->client, request_id)))
 		return NULL;
 	if (fresh && now - http_client_idle_since(conn->client) > FRESH_NS)
 		return NULL;
--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -186,6 +186,8 @@
 		  "1\r\n\r\n"
 		  "y",
 		  false, true, true, HTTP_END_LOST, false },
+		{ "no id", "HTTP/1.1 503 Full\r\nContent-Length: 1\r\n\r\nx",
+		  false, false, true, HTTP_END_ANSWERED, false },
 		{ "truncated body",
 		  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", false, true,
 		  true, HTTP_END_LOST, false },
@@ -333,6 +335,44 @@
 	}
 }
 
+/*
+ * Guards against a request on a connection that has carried its id, where a
+ * second copy of the earlier response would be taken for its own.
+ */
+TEST(HttpClient, KnowsTheRecentIdsOfAConnection)
+{
+	struct net_loop_options loop_options = {};
+	struct http_client_options options = {};
+	GString *head = g_string_new("GET / HTTP/1.1\r\n\r\n");
+	struct net_loop *loop = net_loop_new(&loop_options);
+	struct http_client *client;
+	Listener listener;
+
+	options.loop = loop;
+	options.address = listener.address;
+	options.roles = &test_roles;
+	options.ops = &ops;
+	client = http_client_new(&options);
+	ASSERT_NE(client, nullptr);
+	EXPECT_FALSE(http_client_has_carried(client, "a"));
+	http_client_send(client, head, "", 0, "a");
+	http_client_send(client, head, "", 0, NULL);
+	http_client_send(client, head, "", 0, "b");
+	EXPECT_TRUE(http_client_has_carried(client, "a"));
+	EXPECT_TRUE(http_client_has_carried(client, "b"));
+	EXPECT_FALSE(http_client_has_carried(client, "c"));
+	/* Memory stays bounded: the oldest id gives way. */
+	for (int i = 0; i < 255; i++)
+		http_client_send(client, head, "", 0,
+				 std::to_string(i).c_str());
+	EXPECT_FALSE(http_client_has_carried(client, "a"));
+	EXPECT_TRUE(http_client_has_carried(client, "b"));
+	EXPECT_TRUE(http_client_has_carried(client, "254"));
+	http_client_free(client);
+	net_loop_free(loop);
+	g_string_free(head, TRUE);
+}
+
 /*
  * Guards against a refused connection being reported as a lost request, which
  * could not be retried safely.
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <sys/socket.h>
 #include <thread>
@@ -217,6 +218,133 @@
 	EXPECT_GT(served, 10);
 }
 
+/* How the copy of an earlier refusal can be told from another answer. */
+enum refusal {
+	REFUSAL_WITH_ID,
+	REFUSAL_WITHOUT_ID,
+	REFUSAL_SAME_ID /* the order has the id of the refused one */
+};
+
+/*
+ * Servers that refuse some orders, and write the refusal once more on the kept
+ * connection when a later order is due its answer. They count what they run.
+ */
+class RepeatingServers
+{
+      public:
+	RepeatingServers(Platform &in, enum refusal refusal) : refusal(refusal)
+	{
+		for (int i = 0; i < 2; i++)
+			servers.push_back(replace_server(
+				in, i,
+				[this](RawBackend &self, int fd,
+				       const RawBackend::Request &next) {
+					return serve(self, fd, next);
+				}));
+	}
+
+	int runs(const std::string &id)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		return nr_runs[id];
+	}
+
+	std::atomic<int> nr_copies{ 0 };
+	std::atomic<bool> refuses{ false };
+
+      private:
+	bool serve(RawBackend &self, int fd, const RawBackend::Request &next)
+	{
+		std::string copy;
+
+		if (!RawBackend::read_body(fd, next.body_bytes))
+			return false;
+		{
+			std::lock_guard<std::mutex> guard(lock);
+
+			if (refuses) {
+				refused[fd] =
+					"HTTP/1.1 503 Full\r\n"
+					"X-Not-Executed: 1\r\n" +
+					(refusal == REFUSAL_WITHOUT_ID
+						 ? ""
+						 : "X-Request-Id: " + next.id +
+							   "\r\n") +
+					"Content-Length: 0\r\n\r\n";
+				return self.send(fd, refused[fd]);
+			}
+			nr_runs[next.id]++;
+			/* The order between them ends without a copy. */
+			if (next.target != "/orders/between")
+				copy.swap(refused[fd]);
+		}
+		if (!copy.empty()) {
+			nr_copies++;
+			self.send(fd, copy);
+			usleep(5000);
+		}
+		return self.send(fd, RawBackend::answer(next.id, next.id));
+	}
+
+	enum refusal refusal;
+	std::mutex lock;		    /* guards the maps */
+	std::map<int, std::string> refused; /* by connection */
+	std::map<std::string, int> nr_runs; /* by request id */
+	std::vector<std::unique_ptr<RawBackend>> servers;
+};
+
+/*
+ * A server writes an earlier refusal once more on a kept connection. Guards
+ * against an order that runs, or has run, and is answered as not run or runs at
+ * a second server.
+ */
+TEST(Reports, SecondCopyOfARefusalPromisesNothing)
+{
+	for (enum refusal refusal :
+	     { REFUSAL_WITH_ID, REFUSAL_WITHOUT_ID, REFUSAL_SAME_ID }) {
+		Platform in(2);
+		int served = 0;
+
+		in.start_all();
+		RepeatingServers servers(in, refusal);
+		ASSERT_TRUE(wait_for_server(in, 0));
+		ASSERT_TRUE(wait_for_server(in, 1));
+		for (int i = 0; i < 30; i++) {
+			std::string id = std::to_string(i), first;
+
+			first = refusal == REFUSAL_SAME_ID ? "o" + id
+							   : "refused" + id;
+			servers.refuses = true;
+			for (int host = 0; host < 2; host++)
+				in.send_with_id(first, host, "POST",
+						"/orders/1", "x", 1000);
+			servers.refuses = false;
+			for (int host = 0; host < 2; host++)
+				in.send_with_id("between" + id, host, "POST",
+						"/orders/between", "x", 1000);
+			for (int host = 0; host < 2; host++) {
+				std::string order =
+					"o" + id + (host ? "b" : "");
+				CallerAnswer answer =
+					in.send_with_id(order, host, "POST",
+							"/orders/1", "x", 1000);
+				int runs = servers.runs(order);
+
+				served += answer.status == 200;
+				EXPECT_LE(runs, 1) << refusal;
+				if (answer.status == 200) {
+					EXPECT_EQ(answer.body, order);
+				}
+				if (answer.status == 503) {
+					EXPECT_EQ(runs, 0) << refusal;
+				}
+			}
+		}
+		EXPECT_GT(served, 30) << refusal;
+	}
+}
+
 /*
  * Guards against an answer that broke off and looks complete to the caller, on
  * the server's own host and when it passes another daemon.
