Test that answers without end in all slots fit into the memory

It can't happen here: heads are bounded by 64 KiB and bodies by a quarter of the memory over all slots. The tests so far sent such answers one after another. Change: a test sends them in all slots at once, in heads and in bodies, with the largest body that configurations allow, and checks the peak of the memory.

--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -162,7 +162,8 @@
 	return atoll(call(store->control, "GET", "/calls").body.c_str());
 }
 
-void Platform::publish_config(int version, const std::string &rows)
+void Platform::publish_config(int version, const std::string &rows,
+			      int body_max_bytes)
 {
 	put_item("op/config",
 		 R"({"resource_version":"r)" + std::to_string(version) +
@@ -174,7 +175,8 @@
 			 R"(]},"services":{"columns":["name","health_path",
 "max_connections","warmup_per_s"],"rows":[["shop","/health",100,16],
 ["docs","/health",100,16]]},"limits":{"max_header_bytes":16384,
-"max_body_bytes":1000000,"header_timeout":"3s","idle_timeout":"15s"}})");
+"max_body_bytes":)" + std::to_string(body_max_bytes) +
+			 R"(,"header_timeout":"3s","idle_timeout":"15s"}})");
 }
 
 void Platform::publish_entry(int index, const std::string &phase)
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -46,7 +46,8 @@
 	~Platform();
 
 	/* Publishes a configuration with two routes and the given rows. */
-	void publish_config(int version, const std::string &rows = "");
+	void publish_config(int version, const std::string &rows = "",
+			    int body_max_bytes = 1000000);
 	/* Publishes the entry of a host's server. */
 	void publish_entry(int host, const std::string &phase = "ready");
 	void delete_item(const std::string &key);
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -60,21 +60,27 @@
 		}));
 }
 
-/* Publishes the route of long orders and waits until a daemon serves by it. */
-void publish_long_orders(Platform &in, int host)
+/* Waits until a daemon serves by a version of the configuration. */
+void wait_for_version(Platform &in, int host, int version)
 {
-	in.publish_config(2, LONG_ORDERS);
 	EXPECT_TRUE(eventually([&] {
 		json_t *state = in.dump(host);
-		json_int_t version = json_integer_value(
+		json_int_t served = json_integer_value(
 			json_object_get(json_object_get(state, "callers"),
 					"version"));
 
 		json_decref(state);
-		return version == 2;
+		return served == version;
 	}));
 }
 
+/* Publishes the route of long orders and waits until a daemon serves by it. */
+void publish_long_orders(Platform &in, int host)
+{
+	in.publish_config(2, LONG_ORDERS);
+	wait_for_version(in, host, 2);
+}
+
 /* Where a second copy of the previous answer is sent. */
 enum copy {
 	COPY_NONE,
@@ -709,19 +715,30 @@
 	       !info.si_pid;
 }
 
-/* Memory of a process in kB. */
-long resident_kb(pid_t pid)
+/* A value in kB of a process's status. */
+long status_kb(pid_t pid, const std::string &name)
 {
 	std::ifstream file("/proc/" + std::to_string(pid) + "/status");
 	std::string word;
 	long kb = -1;
 
 	while (file >> word)
-		if (word == "VmRSS:")
+		if (word == name + ":")
 			file >> kb;
 	return kb;
 }
 
+long resident_kb(pid_t pid)
+{
+	return status_kb(pid, "VmRSS");
+}
+
+/* Most memory that a process had so far. */
+long peak_kb(pid_t pid)
+{
+	return status_kb(pid, "VmHWM");
+}
+
 /*
  * A server sends bytes without end that are no answer. Guards against a daemon
  * that reads them until the request's deadline, grows, tells the caller of an
@@ -814,6 +831,73 @@
 		  growth_max_kb);
 }
 
+/*
+ * A server sends bytes without end in all of its slots at once, in heads or in
+ * bodies. Guards against a daemon that keeps them all, exceeds its memory, and
+ * ends with the requests of its other callers.
+ */
+TEST(Reports, EndlessAnswersInAllSlotsFitIntoTheMemory)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Signature: p\r\n";
+	const struct {
+		const char *name;
+		std::string first, unit;
+	} cases[] = {
+		{ "head", head, "X-Odd: y\r\n" },
+		{ "body", head + "\r\n", "x" },
+	};
+	const int slots = 4;
+	const long memory_max_kb = 110 * 1024;
+	std::atomic<int> kind{ 0 }, nr_endless{ 0 };
+	Platform in(2);
+
+	for (const PlatformHost &host : in.hosts)
+		std::ofstream(host.settings, std::ios::app)
+			<< "limits.memory_mb=110\n";
+	in.start_all();
+	in.publish_config(2, "", 64 * 1024 * 1024);
+	wait_for_version(in, 0, 2);
+	auto server = replace_server(
+		in, 0,
+		[&](RawBackend &self, int fd, const RawBackend::Request &next) {
+			if (!RawBackend::read_body(fd, next.body_bytes))
+				return false;
+			if (next.target != "/orders/endless")
+				return self.send(fd, RawBackend::answer(next.id,
+									"x"));
+			nr_endless++;
+			self.send_endlessly(fd, cases[kind].first,
+					    cases[kind].unit);
+			return false;
+		});
+	for (size_t i = 0; i < std::size(cases); i++) {
+		kind = (int)i;
+		nr_endless = 0;
+		/* After failures the daemon uses the other server for a time.
+		 */
+		for (int n = 0; n < 50 && nr_endless < 3 * slots; n++) {
+			std::vector<std::thread> callers;
+
+			for (int caller = 0; caller < 4 * slots; caller++)
+				callers.emplace_back([&in] {
+					in.send_request(0, "POST",
+							"/orders/endless", "x",
+							2000);
+				});
+			EXPECT_EQ(in.send_request(0, "GET", "/stock/1").status,
+				  200)
+				<< cases[i].name;
+			for (std::thread &caller : callers)
+				caller.join();
+			usleep(100000);
+		}
+		EXPECT_GE(nr_endless, 3 * slots) << cases[i].name;
+		EXPECT_TRUE(is_running(in.hosts[0].daemon)) << cases[i].name;
+		EXPECT_LT(peak_kb(in.hosts[0].daemon.pid), memory_max_kb)
+			<< cases[i].name;
+	}
+}
+
 /*
  * A server leaves after a crash: its own entry is deleted, that of the boot
  * that crashed is not yet. Guards against a daemon that restarts then, takes
