Wait for readiness and measure freed memory in two tests of the reports

Reports.RestartedDaemonUsesNoServerThatHasLeft expected 200 from a daemon that had not read a configuration yet, which rightly answers 503. Reports.EndlessAnswersInAllSlotsFitIntoTheMemory counted memory that ASan keeps after it is freed (peak 242,504 kB of 112,640 allowed). Change: the first waits for /readyz, as start_all() does; the daemons of the second run with quarantine_size_mb=0.

--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -851,10 +851,13 @@
 	std::atomic<int> kind{ 0 }, nr_endless{ 0 };
 	Platform in(2);
 
+	/* AddressSanitizer must not keep the memory that the daemons free. */
+	setenv("ASAN_OPTIONS", "quarantine_size_mb=0", 1);
 	for (const PlatformHost &host : in.hosts)
 		std::ofstream(host.settings, std::ios::app)
 			<< "limits.memory_mb=110\n";
 	in.start_all();
+	unsetenv("ASAN_OPTIONS");
 	in.publish_config(2, "", 64 * 1024 * 1024);
 	wait_for_version(in, 0, 2);
 	auto server = replace_server(
@@ -931,6 +934,9 @@
 			       "Content-Length: 0\r\n\r\n";
 	process_kill(&in.hosts[0].daemon);
 	in.start_daemon(0);
+	EXPECT_TRUE(eventually([&] {
+		return call(in.hosts[0].ready, "GET", "/readyz").status == 200;
+	}));
 	for (int probes = server->nr_probes; server->nr_probes < probes + 3;) {
 		for (int i = 0; i < 3; i++)
 			EXPECT_EQ(in.send_request(i, "GET", "/stock/1").status,
