Count refused requests, not entries, in a test of the crashes

It counted the entries of the quarantine that are refused and expected one. The state has an entry for each daemon whose server a request crashed, so that a request that crashed the servers of two hosts has two. Which host the second try reached was left to the time that the first server needed to come back. The program is right; only the test changes.

Change: the test makes both cases on purpose, one request that crashes one server twice and one that crashes two servers, and expects of each daemon exactly two refused requests with two crashes each. It waits for the boots that were started last and for the known crashes, no longer for a fixed time. It is stricter: the count of the crashes was not checked before.

--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fstream>
+#include <map>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -243,20 +244,69 @@
 	in.delete_item("servers/" + crashed);
 }
 
-/* How many requests a daemon refuses because they crash servers. */
-size_t nr_refused_suspects(Platform &in, int host)
+struct Suspect {
+	int crashes = 0;
+	bool refused = false;
+};
+
+/*
+ * The requests that a daemon knows to have crashed servers, by fingerprint. Its
+ * state has an entry for each daemon whose server a request crashed.
+ */
+std::map<std::string, Suspect> known_suspects(Platform &in, int host)
 {
+	std::map<std::string, Suspect> known;
 	json_t *state = in.dump(host);
-	json_t *suspect;
-	size_t i, nr = 0;
+	json_t *entry;
+	size_t i;
 
 	json_array_foreach (json_object_get(json_object_get(state,
 							    "quarantine"),
 					    "suspects"),
-			    i, suspect)
-		nr += json_is_true(json_object_get(suspect, "refused"));
+			    i, entry) {
+		Suspect &suspect = known[json_string_value(
+			json_object_get(entry, "fingerprint"))];
+
+		suspect.crashes += (int)json_integer_value(
+			json_object_get(entry, "crashes"));
+		suspect.refused =
+			json_is_true(json_object_get(entry, "refused"));
+	}
 	json_decref(state);
-	return nr;
+	return known;
+}
+
+/* Expects that the daemon refuses two requests, each for two crashes. */
+void expect_two_refused(Platform &in, int host)
+{
+	std::map<std::string, Suspect> known = known_suspects(in, host);
+
+	EXPECT_EQ(known.size(), 2u) << host;
+	for (const auto &[fingerprint, suspect] : known) {
+		EXPECT_EQ(suspect.crashes, 2) << host << " " << fingerprint;
+		EXPECT_TRUE(suspect.refused) << host << " " << fingerprint;
+	}
+}
+
+/*
+ * Sends an order that crashes a server, and waits until all daemons know its
+ * crashes.
+ */
+void crash_a_server(Platform &in, const char *body, int crashes)
+{
+	in.send_request(0, "POST", "/orders/crash", body);
+	EXPECT_TRUE(eventually([&] {
+		for (int i = 0; i < 3; i++) {
+			int sum = 0;
+
+			for (const auto &known : known_suspects(in, i))
+				sum += known.second.crashes;
+			if (sum < crashes)
+				return false;
+		}
+		return true;
+	})) << body
+	    << " " << crashes;
 }
 
 /* Starts the next boot of each server that a request crashed. */
@@ -280,40 +330,63 @@
 }
 
 /*
- * A request crashes two servers, so that all daemons refuse it. Then the
- * daemons restart one after the other. Guards against a daemon that learns only
- * of the crashes since its start, and passes the request on again.
+ * Waits until each daemon has noticed the boot of its server that was started
+ * last and counts it as in service, so that it is used.
+ */
+void wait_for_servers(Platform &in)
+{
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(eventually([&] {
+			json_t *state = in.dump(i);
+			bool is_last =
+				in.hosts[(size_t)i].id ==
+				json_string_value(json_object_get(
+					json_object_get(state, "backend"),
+					"backend"));
+
+			json_decref(state);
+			return is_last && is_in_service(in, i);
+		})) << i;
+}
+
+/*
+ * One request crashes the same server twice, another one two servers, so that
+ * all daemons refuse both. Then the daemons restart one after the other. Guards
+ * against a daemon that learns only of the crashes since its start, and passes
+ * the requests on again.
  */
 TEST(Relay, RestartedDaemonsKnowTheRequestsThatCrashServers)
 {
 	Platform in = make(3);
-	int crashes = 0;
 
 	in.start_all();
 	for (int i = 0; i < 3; i++)
 		in.fault(i, "crash");
-	for (int tries = 0; tries < 20 && crashes < 2; tries++) {
-		in.send_request(0, "POST", "/orders/crash", "same");
-		usleep(200000);
-		crashes += restart_crashed_servers(in);
+	for (int crashes = 1; crashes <= 2; crashes++) {
+		wait_for_servers(in);
+		crash_a_server(in, "one server", crashes);
+		ASSERT_EQ(restart_crashed_servers(in), 1);
 	}
-	ASSERT_EQ(crashes, 2);
-	usleep(1000000);
+	wait_for_servers(in);
+	crash_a_server(in, "two servers", 3);
+	crash_a_server(in, "two servers", 4);
+	ASSERT_EQ(restart_crashed_servers(in), 2);
 	for (int i = 0; i < 3; i++)
-		EXPECT_EQ(nr_refused_suspects(in, i), 1u) << i;
+		expect_two_refused(in, i);
 	for (int restarted = 0; restarted < 3; restarted++) {
 		process_kill(&in.hosts[(size_t)restarted].daemon);
 		in.start_daemon(restarted);
 		/* The rules grant a daemon 3 s to get to know what is known. */
 		usleep(3000000);
-		EXPECT_EQ(nr_refused_suspects(in, restarted), 1u) << restarted;
-	}
-	for (int i = 0; i < 3; i++) {
-		EXPECT_TRUE(eventually([&] { return is_in_service(in, i); }));
-		EXPECT_EQ(in.send_request(i, "POST", "/orders/crash", "same")
-				  .status,
-			  503);
+		expect_two_refused(in, restarted);
 	}
+	wait_for_servers(in);
+	for (int i = 0; i < 3; i++)
+		for (const char *body : { "one server", "two servers" })
+			EXPECT_EQ(in.send_request(i, "POST", "/orders/crash",
+						  body)
+					  .status,
+				  503);
 	usleep(200000);
 	EXPECT_EQ(restart_crashed_servers(in), 0);
 }
