Let a stopping daemon write its answers before it exits

A stopping daemon exits once it has no requests in progress. A request is no longer in progress when its answer is handed to the connection, though most of a long answer then waits in the daemon's memory for a caller that reads slowly, or for the paced link to another daemon. Its exit 2.45 s after SIGTERM cut these answers.

Change: it exits only when no caller's connection and no connection of another daemon has a message under way, in either direction. The same cause on the related path, the answers to other daemons, is mended with it.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -427,12 +427,13 @@
 	}
 }
 
-bool http_server_is_reading(const struct http_server *server)
+bool http_server_is_transferring(const struct http_server *server)
 {
 	const struct http_server_conn *conn;
 
 	cds_list_for_each_entry (conn, &server->conns, node) {
-		if (conn->state == CONN_READING && conn->reader.started)
+		if (conn->state == CONN_WRITING ||
+		    (conn->state == CONN_READING && conn->reader.started))
 			return true;
 	}
 	return false;
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -62,8 +62,11 @@
  */
 void http_server_stop(struct http_server *server);
 
-/* Returns whether a request has arrived in part. */
-bool http_server_is_reading(const struct http_server *server);
+/*
+ * Returns whether a request has arrived in part, or a response was not passed
+ * to its socket whole.
+ */
+bool http_server_is_transferring(const struct http_server *server);
 
 void http_server_set_limits(struct http_server *server,
 			    const struct http_server_limits *limits);
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -139,6 +139,22 @@
 	net_loop_defer(conn->options.loop, close_deferred, net_conn_ref(conn));
 }
 
+static size_t unsent_bytes(const struct net_conn *conn)
+{
+	return conn->output->len - conn->output_sent;
+}
+
+bool net_conn_is_transferring(struct net_conn *conn)
+{
+	bool transferring;
+
+	pthread_mutex_lock(&conn->lock);
+	transferring =
+		!conn->closed && (conn->input->len || unsent_bytes(conn));
+	pthread_mutex_unlock(&conn->lock);
+	return transferring;
+}
+
 /* Writes until the socket is full. Returns the bytes written, or -1. */
 static ssize_t write_some(int fd, const unsigned char *data, size_t len)
 {
@@ -177,11 +193,6 @@
 				 clock_monotonic_ns());
 }
 
-static size_t unsent_bytes(const struct net_conn *conn)
-{
-	return conn->output->len - conn->output_sent;
-}
-
 static bool is_paced(const struct net_conn *conn, size_t unsent)
 {
 	return conn->options.pacer && unsent >= PACED_MIN_BYTES;
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -76,6 +76,12 @@
  */
 bool net_conn_established(struct net_conn *conn);
 
+/*
+ * Returns whether a record has arrived in part, or output was not passed to the
+ * socket; on the loop's thread.
+ */
+bool net_conn_is_transferring(struct net_conn *conn);
+
 /* Returns when the peer's last bytes were read (monotonic ns); 0: never. */
 int64_t net_conn_last_read(const struct net_conn *conn);
 
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -132,6 +132,11 @@
 	return net_conn_established(rpc->conn);
 }
 
+bool rpc_conn_is_transferring(const struct rpc_conn *rpc)
+{
+	return net_conn_is_transferring(rpc->conn);
+}
+
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size)
 {
 	net_conn_peer(rpc->conn, text, size);
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -76,6 +76,12 @@
  * that was sent on it has reached the peer.
  */
 bool rpc_conn_established(struct rpc_conn *rpc);
+
+/*
+ * Returns whether a message has arrived in part, or one was not passed to the
+ * socket whole; on the loop's thread.
+ */
+bool rpc_conn_is_transferring(const struct rpc_conn *rpc);
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size);
 
 /*
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -551,9 +551,9 @@
 			cds_list_first_entry(&side->calls, struct call, node));
 }
 
-bool caller_side_is_reading(const struct caller_side *side)
+bool caller_side_is_transferring(const struct caller_side *side)
 {
-	return http_server_is_reading(side->http);
+	return http_server_is_transferring(side->http);
 }
 
 int caller_side_nr_calls(const struct caller_side *side)
--- a/relay/caller_side.h
+++ b/relay/caller_side.h
@@ -35,8 +35,11 @@
 /* Answers all requests in progress as failed, because the process exits. */
 void caller_side_end_calls(struct caller_side *side);
 
-/* Whether a part of a request has arrived that is not read completely. */
-bool caller_side_is_reading(const struct caller_side *side);
+/*
+ * Whether a request is not read completely, or an answer not passed completely
+ * to its socket. The request of such an answer is no longer in progress.
+ */
+bool caller_side_is_transferring(const struct caller_side *side);
 
 /* Number of requests in progress. */
 int caller_side_nr_calls(const struct caller_side *side);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -18,7 +18,8 @@
 	struct backend_side *backend_side;
 	struct rpc_service service;
 	struct rpc_listener *listener;
-	GHashTable *jobs; /* set of struct remote_job */
+	GHashTable *conns; /* set of open struct rpc_conn, with references */
+	GHashTable *jobs;  /* set of struct remote_job */
 	/*
 	 * Requests received in this event-loop iteration. They start at its
 	 * end: after a pause of this process or a stalled link, a request and
@@ -122,6 +123,8 @@
 {
 	struct peers *peers = ctx;
 
+	if (!g_hash_table_contains(peers->conns, conn))
+		g_hash_table_add(peers->conns, rpc_conn_ref(conn));
 	*error = GARBAGE_ARGS;
 	switch (procedure) {
 	case RELAY_REQUEST:
@@ -147,6 +150,20 @@
 	/* Cancelling may start and end other jobs, so the search restarts. */
 	while ((remote = find_job(peers, conn, 0)))
 		cancel_remote(peers, remote);
+	g_hash_table_remove(peers->conns, conn);
+}
+
+bool peers_is_transferring(const struct peers *peers)
+{
+	GHashTableIter iter;
+	const struct rpc_conn *conn;
+
+	g_hash_table_iter_init(&iter, peers->conns);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&conn, NULL)) {
+		if (rpc_conn_is_transferring(conn))
+			return true;
+	}
+	return false;
 }
 
 void peers_start_arrivals(struct peers *peers)
@@ -175,6 +192,9 @@
 	};
 
 	peers->backend_side = backend_side;
+	peers->conns =
+		g_hash_table_new_full(NULL, NULL,
+				      (GDestroyNotify)rpc_conn_unref, NULL);
 	peers->jobs = g_hash_table_new(NULL, NULL);
 	CDS_INIT_LIST_HEAD(&peers->arrivals);
 	peers->service.program = RELAY_PROGRAM;
@@ -185,6 +205,7 @@
 	peers->listener = rpc_listen(&options, &context->host->peers, error);
 	if (peers->listener)
 		return peers;
+	g_hash_table_unref(peers->conns);
 	g_hash_table_unref(peers->jobs);
 	g_free(peers);
 	return NULL;
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -22,6 +22,12 @@
 struct peers *peers_new(const struct relay_context *context,
 			struct backend_side *backend_side, GError **error);
 
+/*
+ * Whether a message of another daemon is not read completely, or an answer to
+ * one not passed completely to its socket.
+ */
+bool peers_is_transferring(const struct peers *peers);
+
 /* Starts the requests received; called after each event-loop iteration. */
 void peers_start_arrivals(struct peers *peers);
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -224,7 +224,8 @@
 	       now - relay->backend_stopped >= STOP_REFUSE_NS &&
 	       !backend_side_nr_jobs(relay->backend_side) &&
 	       !caller_side_nr_calls(relay->caller_side) &&
-	       !caller_side_is_reading(relay->caller_side);
+	       !caller_side_is_transferring(relay->caller_side) &&
+	       !peers_is_transferring(relay->peers);
 }
 
 static void on_stop_timer(struct timer *timer, int64_t now)
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -2,10 +2,12 @@
 #include "raw_backend.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -706,6 +708,95 @@
 	EXPECT_TRUE(process_wait(&in.hosts[0].daemon, 10000, nullptr));
 }
 
+/* Bytes of an answer that a link of 10 Mbit/s carries in 1.4 s. */
+const size_t LONG_ANSWER_BYTES = 1700000;
+
+/* Host 0 has a server with long answers and a slow link, host 3 none of it. */
+std::unique_ptr<Platform> start_with_long_answers()
+{
+	auto in = std::make_unique<Platform>(
+		4,
+		std::vector<std::string>{ "--service-ms", "5", "--body-bytes",
+					  std::to_string(LONG_ANSWER_BYTES) });
+
+	std::ofstream(in->hosts[0].settings, std::ios::app)
+		<< "limits.link_mbps=10\n";
+	in->start_all();
+	in->publish_config(2, "", 2 * LONG_ANSWER_BYTES);
+	wait_for_version(*in, 0, 2);
+	wait_for_version(*in, 3, 2);
+	keep_server_0_only(*in);
+	return in;
+}
+
+/* When a stopping daemon is about to exit, which it does 2.45 s after SIGTERM.
+ */
+const int LATE_IN_STOP_US = 2100000;
+
+/* The body of the answer that a caller behind a slow link reads. */
+size_t read_slowly(const std::string &address, const std::string &request)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int small = 16384, segment = 1460;
+	size_t colon = address.find(':');
+	struct sockaddr_in to = {};
+	struct timeval limit = { 10, 0 };
+	std::string received;
+	char buffer[16384];
+	ssize_t n;
+
+	/* Without these the sender's kernel takes the whole answer. */
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	to.sin_family = AF_INET;
+	to.sin_port = htons((uint16_t)std::stoi(address.substr(colon + 1)));
+	inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	EXPECT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+		  (ssize_t)request.size());
+	usleep(800000);
+	while ((n = recv(fd, buffer, sizeof(buffer), 0)) > 0)
+		received.append(buffer, (size_t)n);
+	close(fd);
+	return received.size() - received.find("\r\n\r\n") - 4;
+}
+
+/*
+ * A caller reads a long answer slowly while its daemon stops. Guards against a
+ * daemon that exits with the rest of the answer in its memory.
+ */
+TEST(Reports, StopWaitsForAnAnswerThatACallerReads)
+{
+	auto in = start_with_long_answers();
+
+	process_signal(&in->hosts[0].daemon, SIGTERM);
+	usleep(LATE_IN_STOP_US);
+	EXPECT_EQ(read_slowly(in->hosts[0].callers,
+			      "GET /stock/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+			      "X-Request-Id: slow-1\r\nX-Timeout-Ms: 2000\r\n"
+			      "\r\n"),
+		  LONG_ANSWER_BYTES);
+	EXPECT_TRUE(process_wait(&in->hosts[0].daemon, 10000, nullptr));
+}
+
+/*
+ * Another daemon reads a long answer over a slow link while the daemon beside
+ * the server stops. Guards against one that exits with the rest in its memory.
+ */
+TEST(Reports, StopWaitsForAnAnswerThatAnotherDaemonReads)
+{
+	auto in = start_with_long_answers();
+	CallerAnswer answer;
+
+	process_signal(&in->hosts[0].daemon, SIGTERM);
+	usleep(LATE_IN_STOP_US);
+	answer = in->send_request(3, "GET", "/stock/1", "", 2300);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body.size(), LONG_ANSWER_BYTES);
+	EXPECT_TRUE(process_wait(&in->hosts[0].daemon, 10000, nullptr));
+}
+
 bool is_running(const struct process &process)
 {
 	siginfo_t info = {};
