Notice a server that turns cold by the requests it gets

A server may turn cold at any moment. Its daemon learns that from its probe, once a second, and sends it the full rate until then. The cold rate then began anew, on top of what had been sent in the same second: at 38 requests a second, 0.54 s of delay are enough to break the bound of 29.

Change: the next probe is sent after six tenths of the requests that a cold server may get in a second, at most ten times a second. When a limit begins, the starts of the last second since the server was last known to be warm count as if they had been made under it. A server that is new to the daemon has none.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -31,6 +31,12 @@
  */
 #define PROCESS_PAUSE_NS (600 * NS_PER_MS)
 
+/*
+ * Number of the last starts whose times are known. While a server may have been
+ * cold unnoticed, no more of them count.
+ */
+#define RECENT_STARTS 128
+
 struct admit {
 	int queue_max;
 	const struct admit_limit_policy *policy;
@@ -47,7 +53,9 @@
 	struct admit_cold_rate cold_rate;
 	int64_t cold_deadline;
 	double cold_tokens;
-	int64_t cold_filled; /* when tokens were last added */
+	int64_t cold_filled;	       /* when tokens were last added */
+	int64_t starts[RECENT_STARTS]; /* times of the last starts, a ring */
+	unsigned next_start;	       /* where the next one is recorded */
 };
 
 /* Start of the measured service time of a running request. */
@@ -245,12 +253,35 @@
 			   1);
 }
 
+/* The number of starts since a time, of those whose times are known. */
+static int count_starts(const struct admit *admit, int64_t since)
+{
+	int nr = 0;
+
+	for (int i = 0; i < RECENT_STARTS; i++)
+		nr += admit->starts[i] > since;
+	return nr;
+}
+
+/* The tokens left if the rate had applied for as long as it can matter. */
+static double initial_tokens(const struct admit *admit,
+			     const struct admit_cold_rate *rate,
+			     int64_t last_warm)
+{
+	int64_t since = MAX(last_warm, admit->latest - NS_PER_SEC);
+	double seconds = (double)(admit->latest - since) / NS_PER_SEC;
+
+	return MIN(rate->burst + seconds * rate->per_s -
+			   count_starts(admit, since),
+		   1);
+}
+
 void admit_set_cold(struct admit *admit, const struct admit_cold_rate *rate,
-		    int64_t deadline, int64_t now)
+		    int64_t deadline, int64_t last_warm, int64_t now)
 {
 	now = update_clock(admit, now);
 	if (!is_start_rate_limited(admit)) {
-		admit->cold_tokens = 1;
+		admit->cold_tokens = initial_tokens(admit, rate, last_warm);
 		admit->cold_filled = now;
 	}
 	admit->cold_rate = *rate;
@@ -266,6 +297,7 @@
 {
 	if (is_start_rate_limited(admit))
 		admit->cold_tokens -= 1;
+	admit->starts[admit->next_start++ % RECENT_STARTS] = admit->latest;
 	request->state = ADMIT_RUNNING;
 	request->started = admit->latest;
 	request->life = admit->life;
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -111,8 +111,8 @@
 
 /*
  * Rate limit for the starts of requests on a cold backend server: a token
- * bucket that fills with per_s and holds burst. It starts with one token, since
- * an earlier process may just have started other requests.
+ * bucket that fills with per_s and holds burst. It starts with one token at
+ * most, since an earlier process may just have started other requests.
  */
 struct admit_cold_rate {
 	double per_s;
@@ -209,10 +209,12 @@
 /*
  * Limits the rate of starts until the deadline, while the backend server is
  * cold. A deadline in the past ends the limit. The concurrency limit, which
- * counts running requests, applies as well.
+ * counts running requests, applies as well. The server was warm for the last
+ * time at last_warm, or started at that time: what was started since then
+ * counts as started at the cold rate when the limit begins.
  */
 void admit_set_cold(struct admit *admit, const struct admit_cold_rate *rate,
-		    int64_t deadline, int64_t now);
+		    int64_t deadline, int64_t last_warm, int64_t now);
 
 /* Until when starts are limited by the cold rate. */
 int64_t admit_cold_deadline(const struct admit *admit);
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -246,8 +246,10 @@
 				  request->body.body_len, request->request_id,
 				  request->at_most_once, on_response, job);
 	g_string_free(head, TRUE);
-	if (job->conn)
+	if (job->conn) {
+		probe_note_start(side->probe);
 		return;
+	}
 	end_run(side, job, FAILURE_BACKEND_REFUSED);
 	refuse(side, job, FAILURE_BACKEND_REFUSED);
 }
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -4,8 +4,8 @@
 #include "relay/probe.h"
 
 /*
- * Time between probes of a server in use. A server that becomes cold is noticed
- * with this delay.
+ * Longest time between probes of a server in use. A server that becomes cold is
+ * noticed with this delay, or sooner if it gets many requests.
  */
 #define INTERVAL_NS (1 * NS_PER_SEC)
 
@@ -18,6 +18,13 @@
 /* Minimum time between two probes. */
 #define MIN_INTERVAL_NS (100 * NS_PER_MS)
 
+/*
+ * Share of the requests that a cold server may get in a second after which the
+ * next probe is sent. The rest allows for those that are sent until its answer
+ * arrives, which may wait for a slot of the server.
+ */
+#define STARTS_SHARE 0.6
+
 /* Time limit of a probe. */
 #define TIMEOUT_NS (1 * NS_PER_SEC)
 
@@ -37,6 +44,8 @@
 	int64_t started;
 	int64_t last_request;
 	int64_t last_answer; /* to any request */
+	int64_t last_warm;   /* when a probe was sent that found it warm */
+	double starts;	     /* requests sent since the last probe was sent */
 	bool down;
 	bool requested; /* send another probe after the one in flight */
 };
@@ -122,6 +131,7 @@
 			probe->path,
 			probe->options.context->host->backend_text);
 	probe->started = now;
+	probe->starts = 0;
 	/* While the server is down, an idle connection may be dead. */
 	probe->conn = backend_pool_send(probe->pool, head, "", 0, NULL,
 					probe->down, on_answer, probe);
@@ -184,6 +194,8 @@
 void probe_restart(struct probe *probe, struct admit *admit, int64_t now)
 {
 	probe->down = false;
+	/* A new process has got no requests yet. */
+	probe->last_warm = now;
 	backend_pool_close_idle(probe->pool);
 	probe_set_cold(probe, admit, now + COLD_UNKNOWN_NS, now);
 	probe_now(probe);
@@ -192,8 +204,11 @@
 void probe_set_cold(struct probe *probe, struct admit *admit,
 		    int64_t cold_deadline, int64_t now)
 {
+	if (cold_deadline <= now)
+		probe->last_warm = probe->started;
 	if (probe->rate.per_s > 0)
-		admit_set_cold(admit, &probe->rate, cold_deadline, now);
+		admit_set_cold(admit, &probe->rate, cold_deadline,
+			       probe->last_warm, now);
 }
 
 void probe_now(struct probe *probe)
@@ -218,6 +233,16 @@
 	probe->last_request = now;
 }
 
+void probe_note_start(struct probe *probe)
+{
+	const struct admit_cold_rate *rate = &probe->rate;
+
+	probe->starts++;
+	if (rate->per_s > 0 && !probe->conn &&
+	    probe->starts >= STARTS_SHARE * (rate->per_s + rate->burst))
+		probe_now(probe);
+}
+
 void probe_note_answer(struct probe *probe)
 {
 	probe->last_answer = clock_monotonic_ns();
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -45,7 +45,10 @@
 /* The server is new or may have become cold: cold until a probe reports. */
 void probe_restart(struct probe *probe, struct admit *admit, int64_t now);
 
-/* Limits the starts of requests until the deadline, at the cold rate. */
+/*
+ * Limits the starts of requests until the deadline, at the cold rate. A
+ * deadline that is not after now ends the limit: the server is warm.
+ */
 void probe_set_cold(struct probe *probe, struct admit *admit,
 		    int64_t cold_deadline, int64_t now);
 
@@ -55,6 +58,13 @@
 /* Records that a request arrived; an idle server is probed less often. */
 void probe_note_request(struct probe *probe);
 
+/*
+ * Records that a request was sent to the server. The more it gets, the more
+ * often it is probed: one that becomes cold must not get many more than its
+ * cold rate before that is noticed.
+ */
+void probe_note_start(struct probe *probe);
+
 /* Records that the server answered a request, with any status. */
 void probe_note_answer(struct probe *probe);
 
--- a/standins/target.c
+++ b/standins/target.c
@@ -22,11 +22,13 @@
 	FAULT_CLOSE,	    /* runs and closes without an answer */
 	FAULT_OTHER_ID,	    /* runs and answers with a wrong request id */
 	FAULT_ENCODED,	    /* runs and answers with Content-Encoding */
-	FAULT_CRASH	    /* the process ends as a request begins to run */
+	FAULT_CRASH,	    /* the process ends as a request begins to run */
+	/* Turns cold for fault.ms just after its next answer to a probe. */
+	FAULT_COLD
 };
 static const char *const modes[] = { "none",	 "slow",  "shed",     "fail",
 				     "no-proof", "close", "other-id", "encoded",
-				     "crash",	 NULL };
+				     "crash",	 "cold",  NULL };
 
 static struct setting settings[] = {
 	{ "id", "TEXT", "instance id of this process", 0, "i-1" },
@@ -44,6 +46,7 @@
 static json_t *runs; /* array of the requests that ran */
 static int nr_running, max_running, nr_shed, nr_misdirected;
 static int64_t started;
+static int64_t cold_end;    /* of the cold time that a fault set */
 static GArray *cold_starts; /* int64_t: monotonic ns of starts while cold */
 
 static void init(void)
@@ -55,7 +58,7 @@
 
 static int64_t cold_left_ms(void)
 {
-	int64_t end = started + settings[3].number * NS_PER_MS;
+	int64_t end = MAX(cold_end, started + settings[3].number * NS_PER_MS);
 
 	return MAX(0, end - clock_monotonic_ns()) / NS_PER_MS;
 }
@@ -193,6 +196,20 @@
 	       clock_monotonic_ns() - last > settings[6].number * NS_PER_MS;
 }
 
+static enum MHD_Result answer_probe(const struct request *request)
+{
+	enum MHD_Result result;
+
+	pthread_mutex_lock(&standin.lock);
+	result = answer(request, 200, NULL, NULL, NULL);
+	if (standin.fault.mode == FAULT_COLD) {
+		standin.fault.mode = FAULT_NONE;
+		cold_end = clock_monotonic_ns() + standin.fault.ms * NS_PER_MS;
+	}
+	pthread_mutex_unlock(&standin.lock);
+	return result;
+}
+
 static enum MHD_Result serve_request(struct request *request)
 {
 	const char *expected = request_header(request, "X-Expected-Instance");
@@ -200,7 +217,7 @@
 	enum MHD_Result result;
 
 	if (!strcmp(request->path, "/health"))
-		return answer(request, 200, NULL, NULL, NULL);
+		return answer_probe(request);
 	pthread_mutex_lock(&standin.lock);
 	if (expected && strcmp(expected, settings[0].text) != 0) {
 		nr_misdirected++;
--- a/tests/admit/test_load.cc
+++ b/tests/admit/test_load.cc
@@ -370,7 +370,7 @@
 		Replay replay(load);
 		Outcome outcome;
 
-		admit_set_cold(replay.admit, &rate, warm, 0);
+		admit_set_cold(replay.admit, &rate, warm, 0, 0);
 		outcome = replay.run();
 		EXPECT_LE((double)most_in_a_second(outcome, warm),
 			  c.per_s * c.overage + c.slack);
@@ -379,6 +379,44 @@
 	}
 }
 
+/*
+ * A server gets 40 requests a second and is found to be cold half a second
+ * after it was warm for the last time; then more requests come than may start.
+ * Guards against starts at the cold rate on top of those that came before it
+ * applied, and against a limit that counts starts while the server was warm.
+ */
+TEST(AdmitLoad, ColdLimitCountsTheStartsBeforeItWasNoticed)
+{
+	const int64_t last_warm = 9 * NS_PER_SEC;
+	const int64_t noticed = last_warm + NS_PER_SEC / 2;
+	const int64_t warm = noticed + 3 * NS_PER_SEC;
+	struct admit_cold_rate rate = admit_cold_rate_within(16, 1.5, 5);
+	struct admit_options options = {};
+	struct admit_request request = {}, *displaced;
+	struct admit *admit;
+	Outcome outcome;
+
+	options.slots = options.cold_slots = 4;
+	options.limit_policy = &admit_limit_fixed;
+	admit = admit_new(&options, 0);
+	request.deadline = INT64_MAX;
+	for (int64_t now = last_warm - NS_PER_SEC; now < warm;
+	     now += NS_PER_MS) {
+		if (now == noticed)
+			admit_set_cold(admit, &rate, warm, last_warm, now);
+		if (now < noticed && now % (25 * NS_PER_MS))
+			continue;
+		if (admit_arrive(admit, &request, now, &displaced) != ADMIT_RUN)
+			continue;
+		admit_done(admit, &request, ADMIT_ANSWERED, now);
+		if (now > last_warm)
+			outcome.starts.push_back(now);
+	}
+	EXPECT_LE(most_in_a_second(outcome, warm), 29u);
+	EXPECT_GE(outcome.starts.size() - starts_before(outcome, noticed), 50u);
+	admit_free(admit);
+}
+
 /*
  * One answer of a server is lost while the others take 100 ms. Guards against a
  * run that is noticed only at its deadline, and against runs that count as
--- a/tests/fleet/test_fleet.cc
+++ b/tests/fleet/test_fleet.cc
@@ -152,7 +152,7 @@
 	{
 		struct admit_cold_rate rate = { COLD_PER_S, faults.cold_burst };
 
-		admit_set_cold(daemon.admit, &rate, until, now);
+		admit_set_cold(daemon.admit, &rate, until, now, now);
 	}
 
 	/* Schedules restarts of daemons and servers, and one drain. */
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -1,6 +1,7 @@
 #include "platform.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <fstream>
 #include <map>
 #include <netinet/in.h>
@@ -459,6 +460,38 @@
 	EXPECT_LE(in.state_number(0, "most_cold_starts"), 29);
 }
 
+/*
+ * A server that gets 50 requests a second turns cold just after its answer to a
+ * probe. Guards against a daemon that sends it the full rate until the next
+ * regular probe, and the cold rate on top of it in the same second.
+ */
+TEST(Relay, ServerThatTurnsColdIsNotOverrun)
+{
+	Platform in(1, { "--slots", "12", "--service-ms", "5" });
+	std::vector<std::thread> callers;
+	std::atomic<bool> ended{ false };
+	std::atomic<int> next{ 0 };
+
+	in.start_all();
+	for (int i = 0; i < 5; i++)
+		callers.emplace_back([&] {
+			while (!ended) {
+				in.send_with_id("t" + std::to_string(++next), 0,
+						"GET", "/stock/1", "", 300);
+				usleep(100000);
+			}
+		});
+	usleep(1000000);
+	in.fault(0, "cold&ms=2500");
+	usleep(4500000);
+	ended = true;
+	for (std::thread &caller : callers)
+		caller.join();
+	/* At most warmup_per_s 16, times 1.5, plus 5. */
+	EXPECT_GT(in.state_number(0, "most_cold_starts"), 10);
+	EXPECT_LE(in.state_number(0, "most_cold_starts"), 29);
+}
+
 /* Guards against an explanation that differs from the view in force. */
 TEST(Relay, RunningDaemonExplainsARoute)
 {
