Write a slice of each waiting output within a second

The pacer of a host's link wrote the output with the fewest bytes left first, without bound. While shorter answers kept coming, a connection with more to write got no byte. After 2.5 s the daemon at its other end took the host for dead and ended all its requests there with 502, also one sent 9 ms before.

Change: an output that has waited for a second gets the next slice.

Measured: Pacer.LongOutputGetsASliceEachSecond, 5 s of shorter responses: failed before, passes.

--- a/lib/net/pacer.c
+++ b/lib/net/pacer.c
@@ -13,6 +13,13 @@
 /* Short output delays paced output by at most this number of slices. */
 #define DEBT_MAX_SLICES 8
 
+/*
+ * Longest time that an output waits for a slice while others get them, apart
+ * from those that have waited longer. A connection is given up after 2.5 s
+ * without a byte (relay/peer_links.c).
+ */
+#define WAIT_MAX_NS (1 * NS_PER_SEC)
+
 struct net_pacer {
 	struct timers *timers;
 	struct cds_list_head queue;
@@ -31,22 +38,30 @@
 	pacer->credit = MIN(pacer->credit + gained, pacer->slice);
 }
 
-static struct net_paced *find_shortest(const struct net_pacer *pacer)
+/* The output that has waited too long, or else the one with the fewest bytes.
+ */
+static struct net_paced *find_next(const struct net_pacer *pacer, int64_t now)
 {
-	struct net_paced *paced, *best = NULL;
+	struct net_paced *paced, *shortest = NULL, *oldest = NULL;
 
 	cds_list_for_each_entry (paced, &pacer->queue, node) {
-		if (!best || paced->bytes_left < best->bytes_left)
-			best = paced;
+		if (!shortest || paced->bytes_left < shortest->bytes_left)
+			shortest = paced;
+		if (!oldest || paced->written_at < oldest->written_at)
+			oldest = paced;
 	}
-	return best;
+	return oldest && now - oldest->written_at >= WAIT_MAX_NS ? oldest
+								 : shortest;
 }
 
-static void write_slice(struct net_pacer *pacer, struct net_paced *paced)
+static void write_slice(struct net_pacer *pacer, struct net_paced *paced,
+			int64_t now)
 {
 	size_t bytes_max = MIN(paced->bytes_left, (size_t)pacer->slice);
-	size_t written = paced->write(paced, bytes_max);
+	size_t written;
 
+	paced->written_at = now;
+	written = paced->write(paced, bytes_max);
 	pacer->credit -= (double)written;
 	/* The write may have closed the owner, which removes the output. */
 	if (paced->queued && (written < bytes_max || !paced->bytes_left))
@@ -69,8 +84,8 @@
 	struct net_paced *paced;
 
 	add_credit(pacer, now);
-	while (pacer->credit >= 0 && (paced = find_shortest(pacer)))
-		write_slice(pacer, paced);
+	while (pacer->credit >= 0 && (paced = find_next(pacer, now)))
+		write_slice(pacer, paced, now);
 	if (!cds_list_empty(&pacer->queue))
 		set_timer(pacer, now);
 }
@@ -105,6 +120,7 @@
 	if (paced->queued)
 		return;
 	paced->queued = true;
+	paced->written_at = now;
 	cds_list_add_tail(&paced->node, &pacer->queue);
 	add_credit(pacer, now);
 	if (!pacer->timer.position)
--- a/lib/net/pacer.h
+++ b/lib/net/pacer.h
@@ -14,8 +14,10 @@
  * that are in a socket buffer delay all bytes written after them: on a link of
  * 15 Mbit/s, a few responses of 500 KB delay everything else by a second. The
  * pacer therefore writes long outputs in slices, slightly below the rate of the
- * link, and picks the output with the fewest bytes left for each slice. Short
- * outputs are written at once by their owners.
+ * link, and picks the output with the fewest bytes left for each slice. An
+ * output that has waited for a second gets the next slice, as its reader would
+ * take a connection without bytes for dead. Short outputs are written at once
+ * by their owners.
  *
  * A pacer belongs to the thread that runs its timers. `now` is monotonic ns.
  */
@@ -25,8 +27,9 @@
 /* A paced output; embedded in the object that owns it. */
 struct net_paced {
 	struct cds_list_head node;
-	bool queued;	   /* in the pacer's queue */
-	size_t bytes_left; /* not written yet; set by the owner */
+	bool queued;	    /* in the pacer's queue */
+	int64_t written_at; /* when it was queued or last got a slice */
+	size_t bytes_left;  /* not written yet; set by the owner */
 	/*
 	 * Writes at most bytes_max bytes, updates bytes_left and returns the
 	 * number of bytes written. A smaller number than bytes_max means that
--- a/tests/net/test_pacer.cc
+++ b/tests/net/test_pacer.cc
@@ -131,6 +131,34 @@
 	EXPECT_GT(long_one.done_at, 0);
 }
 
+/*
+ * Shorter responses take the whole link for 5 s. Guards against a long response
+ * of which no byte is written meanwhile: its reader takes the daemon for dead
+ * after 2.5 s, and loses the requests that run there.
+ */
+TEST(Pacer, LongOutputGetsASliceEachSecond)
+{
+	std::vector<struct output> short_ones(250);
+	struct output long_one;
+	struct link link;
+	int64_t written_at = link.now, gap = 0;
+
+	add(link, long_one, 540000);
+	for (struct output &short_one : short_ones) {
+		size_t left = long_one.paced.bytes_left;
+
+		add(link, short_one, 40000);
+		link.run(link.now + 20 * NS_PER_MS, NULL);
+		if (long_one.paced.bytes_left < left)
+			written_at = link.now;
+		gap = MAX(gap, link.now - written_at);
+	}
+	EXPECT_GT(long_one.paced.bytes_left, 0u);
+	EXPECT_LE(gap, 1200 * NS_PER_MS);
+	link.run(link.now + 10 * NS_PER_SEC, NULL);
+	EXPECT_GT(long_one.done_at, 0);
+}
+
 /* Guards against a full socket that blocks the other outputs. */
 TEST(Pacer, BlockedOutputIsRemovedFromQueue)
 {
