Count the time after a server's departure from that departure

Readers of the store push to a daemon for 20 s after its server has left the view. The 20 s were counted from the last view with that server. Views are built only when something changes, so after 20 calm seconds the daemon was dropped at once with its server. It then served by an old version until it noticed the silence after 2.4 s and read the store itself.

Change: the time counts from the view that no longer has the server.

Measured: Departure.DaemonsOfServersThatLeftGetTheNextConfiguration failed 4 of 5 times before (once the daemons concerned were told by others), passes 5 of 5, five at a time.

--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -54,7 +54,10 @@
 	int64_t next_push;
 	/* When it was last announced as reading the store; 0: never. */
 	int64_t reader_seen_at;
-	/* When the last view with it was applied, or it introduced itself. */
+	/*
+	 * If it is not listed: until when the views listed it, or when it last
+	 * pushed.
+	 */
 	int64_t listed_at;
 	bool listed; /* in the present view: counts in the ranking */
 };
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -413,14 +413,18 @@
 	return !peer->listed && *now - peer->listed_at > UNLISTED_PUSH_NS;
 }
 
-static void unlist_all(struct feed_peers *peers)
+/* The view before this one listed its daemons until now. */
+static void unlist_all(struct feed_peers *peers, int64_t now)
 {
 	struct peer *peer;
 	GHashTableIter iter;
 
 	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->listed)
+			peer->listed_at = now;
 		peer->listed = false;
+	}
 }
 
 static int get_rank(struct feed_peers *peers)
@@ -441,7 +445,7 @@
 	const char *own = peers->options.host->ip;
 	int64_t now = clock_monotonic_ns();
 
-	unlist_all(peers);
+	unlist_all(peers, now);
 	peers->own_listed = false;
 	for (guint i = 0; i < view->targets->len; i++) {
 		const struct mesh_target *target =
