--- a/lib/net/pacer.c
+++ b/lib/net/pacer.c
@@ -38,8 +38,7 @@
 	pacer->credit = MIN(pacer->credit + gained, pacer->slice);
 }
 
-/* The output that has waited too long, or else the one with the fewest bytes.
- */
+/* The output that has waited too long, or else that with the fewest bytes. */
 static struct net_paced *find_next(const struct net_pacer *pacer, int64_t now)
 {
 	struct net_paced *paced, *shortest = NULL, *oldest = NULL;
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -45,7 +45,7 @@
 	int64_t last_request;
 	int64_t last_answer; /* to any request */
 	int64_t last_warm;   /* when a probe was sent that found it warm */
-	double starts;	     /* requests sent since the last probe was sent */
+	int starts;	     /* requests sent since the last probe was sent */
 	bool down;
 	bool requested; /* send another probe after the one in flight */
 };
@@ -194,7 +194,7 @@
 void probe_restart(struct probe *probe, struct admit *admit, int64_t now)
 {
 	probe->down = false;
-	/* A new process has got no requests yet. */
+	/* It is new or was out of service, and has got no requests lately. */
 	probe->last_warm = now;
 	backend_pool_close_idle(probe->pool);
 	probe_set_cold(probe, admit, now + COLD_UNKNOWN_NS, now);
