Estimate the cost of requests and place by the expected answer time

Requests that look alike cost very different amounts of work, and the servers of one service differ in speed by a factor of three. The choice went by the number of requests and a smoothed latency, so slow servers queued while fast ones had free slots.

lib/cost estimates the work of a request, and the speed, the pace and the outstanding work of a server. For services whose servers report load, the balancer takes the least expected time until the answer of three random candidates, and the admission beside the server counts the queued work. Without reports both decide as before.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -153,6 +153,18 @@
 	return MAX(service->mean_ns, by_age);
 }
 
+/* Expected run time; the ages of the running requests count as well. */
+static int64_t request_ns(const struct admit *admit,
+			  const struct admit_request *request)
+{
+	int64_t service_ns = admit_service_ns(admit, request->priority);
+	int64_t mean_ns = admit->service_times[request->priority].mean_ns;
+
+	if (!request->expected_ns || !mean_ns)
+		return MAX(request->expected_ns, service_ns);
+	return (int64_t)((double)request->expected_ns * service_ns / mean_ns);
+}
+
 /*
  * Whether a request that starts after wait_ns would end after its due time, so
  * that another server should get it. While no request of its priority runs, one
@@ -164,7 +176,7 @@
 	if (!request->due ||
 	    !admit->service_times[request->priority].nr_running)
 		return false;
-	return wait_ns + admit_service_ns(admit, request->priority) >
+	return wait_ns + request_ns(admit, request) >
 	       request->due - admit->latest;
 }
 
@@ -186,7 +198,7 @@
 	left = queue_wait_deadline(request) - admit->latest;
 	if (!service->nr_running)
 		return wait_ns >= left;
-	return wait_ns + admit_service_ns(admit, request->priority) > left;
+	return wait_ns + request_ns(admit, request) > left;
 }
 
 /*
@@ -210,7 +222,7 @@
 	left = request->deadline - admit->latest;
 	if (!service->nr_running)
 		return wait_ns >= left;
-	return wait_ns + admit_service_ns(admit, request->priority) > left;
+	return wait_ns + request_ns(admit, request) > left;
 }
 
 static bool is_start_rate_limited(const struct admit *admit)
@@ -311,7 +323,9 @@
 {
 	int ahead =
 		queue_ahead(&admit->queue, request->priority, request->caller);
-	int64_t wait = ahead * (admit->mean_ns / admit->ramp.limit);
+	int64_t wait =
+		MAX(ahead * (admit->mean_ns / admit->ramp.limit),
+		    queue_work_ns(&admit->queue, ahead) / admit->ramp.limit);
 
 	if (is_start_rate_limited(admit) && admit->cold_rate.per_s > 0)
 		wait = MAX(wait, MIN(admit->cold_deadline - admit->latest,
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -79,6 +79,12 @@
 	 * later, the request is refused even if a slot is free.
 	 */
 	int64_t due;
+	/*
+	 * Expected run time on this server at its present speed; 0: not known.
+	 * Replaces the mean of the priority, which has requests of very
+	 * different work.
+	 */
+	int64_t expected_ns;
 	int cost; /* in the caller's turn, 1 (or 0) to ADMIT_COST_MAX */
 
 	/* Set by the library. */
--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -27,6 +27,7 @@
 void queue_init(struct admit_queue *queue)
 {
 	queue->nr_requests = 0;
+	queue->expected_ns = 0;
 	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++) {
 		struct admit_class *class = &queue->classes[i];
 
@@ -80,6 +81,7 @@
 	caller->nr_requests++;
 	class->nr_requests++;
 	queue->nr_requests++;
+	queue->expected_ns += request->expected_ns;
 	class->earliest_deadline =
 		MIN(class->earliest_deadline, queue_wait_deadline(request));
 }
@@ -93,6 +95,7 @@
 	request->caller_queue = NULL;
 	class->nr_requests--;
 	queue->nr_requests--;
+	queue->expected_ns -= request->expected_ns;
 	if (!--caller->nr_requests)
 		caller_free(class, caller);
 	if (!class->nr_requests)
@@ -179,6 +182,13 @@
 	return ahead;
 }
 
+int64_t queue_work_ns(const struct admit_queue *queue, int nr_requests)
+{
+	if (!queue->nr_requests)
+		return 0;
+	return queue->expected_ns / queue->nr_requests * nr_requests;
+}
+
 static int guarantee(int queue_max)
 {
 	return queue_max < ADMIT_NR_PRIORITIES
--- a/lib/admit/queue.h
+++ b/lib/admit/queue.h
@@ -30,6 +30,7 @@
 struct admit_queue {
 	struct admit_class classes[ADMIT_NR_PRIORITIES];
 	int nr_requests;
+	int64_t expected_ns; /* sum of the expected run times, where known */
 };
 
 /*
@@ -50,6 +51,9 @@
 int queue_ahead(const struct admit_queue *queue, enum admit_priority priority,
 		uint64_t caller);
 
+/* Expected run time of the first requests, by the mean of those queued. */
+int64_t queue_work_ns(const struct admit_queue *queue, int nr_requests);
+
 /* The queued request that an arrival displaces in a full queue, or NULL. */
 struct admit_request *queue_victim(const struct admit_queue *queue,
 				   const struct admit_request *arrival,
--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -114,6 +114,8 @@
 	char traffic[BALANCE_NAME_MAX];
 	bool own_zone;
 	bool trial; /* a trial request to an ejected or once draining target */
+	/* Expected time until the answer, if it decided; 0: it did not. */
+	int64_t expected_ns;
 	/* The target is in service, not leaving and not draining. */
 	bool accepts_new_work;
 };
@@ -151,6 +153,17 @@
 	 * request.
 	 */
 	int64_t expected_ns;
+	/* Work of the request as given to balance_pick_for(); 0: not known. */
+	int64_t work_ns;
+	int64_t run_ns;	 /* time on the backend server; 0: did not run */
+	int64_t wait_ns; /* when refused: expected wait at the target */
+	/*
+	 * Pace that the backend server reports (100: usual, 250: takes 2.5
+	 * times as long); 0: it reports no load. The next one is unused then.
+	 */
+	int pace_percent;
+	/* Expected work outstanding at the target, divided by its slots. */
+	int64_t backlog_ns;
 };
 
 struct balance;
@@ -197,6 +210,15 @@
 		  const struct balance_request *request, int64_t now,
 		  struct balance_choice *choice);
 
+/*
+ * The same for a request whose run would take work_ns on a target of usual
+ * speed; 0: not known. If backend servers of the service have reported their
+ * load lately, the choice goes by the expected time of the answer.
+ */
+bool balance_pick_for(struct balance *balance,
+		      const struct balance_request *request, int64_t work_ns,
+		      int64_t now, struct balance_choice *choice);
+
 /*
  * Finds the target on the host that the ticket of a request names. Also finds
  * targets that accept no new work (see choice->accepts_new_work), because a
@@ -211,6 +233,20 @@
  */
 bool balance_start(struct balance *balance, balance_handle handle, int64_t now);
 
+/*
+ * Adds the expected work of a request counted by balance_start() to what is
+ * outstanding at its target, until the target reports again.
+ */
+void balance_add_work(struct balance *balance, balance_handle handle,
+		      int64_t work_ns);
+
+/*
+ * How long a run takes on a target, relative to a usual one; 1 for unknown
+ * handles.
+ */
+double balance_target_factor(const struct balance *balance,
+			     balance_handle handle, int64_t now);
+
 /* Ends a request counted by balance_start(). */
 void balance_finish(struct balance *balance, balance_handle handle,
 		    const struct balance_result *result, int64_t now);
--- a/lib/balance/finish.c
+++ b/lib/balance/finish.c
@@ -17,6 +17,15 @@
 	return true;
 }
 
+void balance_add_work(struct balance *balance, balance_handle handle,
+		      int64_t work_ns)
+{
+	struct target *target = balance_target_at(balance, handle);
+
+	if (target)
+		cost_server_sent(&target->cost, work_ns);
+}
+
 /* Ejects a target after failures unless the limit of ejections is reached. */
 static void eject(const struct balance *balance, struct target *target,
 		  int64_t now)
@@ -170,6 +179,7 @@
 	}
 	update_report(target, result, now);
 	update_latency(target, result, now);
+	expected_record(balance, target, result, now);
 	apply_result(balance, target, result, now);
 	if ((result->reported && result->draining) ||
 	    result->reason == FAILURE_TARGET_DRAINING)
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -163,16 +163,40 @@
 	g_strlcpy(choice->traffic, target->traffic, sizeof(choice->traffic));
 	choice->own_zone = target->tier == TIER_ZONE;
 	choice->trial = trial;
+	choice->expected_ns = 0;
 	choice->accepts_new_work = target_accepts_new_work(target);
 }
 
+/* Chooses one of the n candidates, by expected time or by the policy. */
+static struct target *choose(struct balance *balance, struct service *service,
+			     int64_t work_ns, size_t n, int64_t now,
+			     int64_t *expected_ns)
+{
+	const struct balance_policy *policy = balance->options.policy;
+
+	*expected_ns = 0;
+	if (service_expects(service, work_ns, now))
+		return expected_choose(balance, service, work_ns, n, now,
+				       expected_ns);
+	return balance->candidate_targets[policy->choose(balance->candidates, n,
+							 &service->cursor,
+							 balance->options.rng)];
+}
+
 bool balance_pick(struct balance *balance,
 		  const struct balance_request *request, int64_t now,
 		  struct balance_choice *choice)
+{
+	return balance_pick_for(balance, request, 0, now, choice);
+}
+
+bool balance_pick_for(struct balance *balance,
+		      const struct balance_request *request, int64_t work_ns,
+		      int64_t now, struct balance_choice *choice)
 {
 	struct service *service = balance_service_at(balance, request->service);
-	const struct balance_policy *policy = balance->options.policy;
 	struct target *target;
+	int64_t expected_ns = 0;
 	size_t n = 0;
 
 	if (!service)
@@ -188,9 +212,8 @@
 				    now);
 		if (!n)
 			return false;
-		target = balance->candidate_targets[policy->choose(
-			balance->candidates, n, &service->cursor,
-			balance->options.rng)];
+		target =
+			choose(balance, service, work_ns, n, now, &expected_ns);
 	}
 	if (target_is_trial_only(target)) {
 		/* One trial for each back-off, even if it never finishes. */
@@ -198,6 +221,7 @@
 		target->trial_at = now + target->back_off;
 	}
 	fill_choice(choice, target, target_is_trial_only(target));
+	choice->expected_ns = expected_ns;
 	return true;
 }
 
--- a/lib/balance/state.h
+++ b/lib/balance/state.h
@@ -5,6 +5,7 @@
 
 #include "balance/balance.h"
 #include "base/clock.h"
+#include "cost/server.h"
 
 /* Internal state of a balance, shared by the files of this library. */
 
@@ -53,6 +54,7 @@
 	bool has_report;
 	int64_t latency; /* 0: no sample yet */
 	int64_t latency_at;
+	struct cost_server cost; /* speed and outstanding work */
 };
 
 struct service {
@@ -74,6 +76,11 @@
 	size_t nr_trial_only; /* in the subset: ejected or on probation */
 	int64_t refresh_at;   /* the next end of a draining mark */
 	int64_t latency;      /* smoothed over all targets; 0: none */
+	/* Load reports of backend servers: the end of the last one's use. */
+	int64_t load_reports_until;
+	double backlog_ns; /* smoothed over the reports of all targets */
+	/* Smoothed logarithm of the targets' factors; see expected.c. */
+	double log_factor;
 };
 
 struct balance {
@@ -131,6 +138,22 @@
 void service_refresh_subset(const struct balance *balance,
 			    struct service *service, int64_t now);
 
+/* Whether the expected time of the answer decides where a request goes. */
+bool service_expects(const struct service *service, int64_t work_ns,
+		     int64_t now);
+
+/*
+ * The target with the least expected time until its answer, of a few random
+ * ones of the n candidates. Sets *expected_ns to that time.
+ */
+struct target *expected_choose(struct balance *balance,
+			       const struct service *service, int64_t work_ns,
+			       size_t n, int64_t now, int64_t *expected_ns);
+
+/* Applies the load report and the run time in the result of a request. */
+void expected_record(const struct balance *balance, struct target *target,
+		     const struct balance_result *result, int64_t now);
+
 /* Removes a target; its handle stays valid until its requests end. */
 void balance_remove_target(struct balance *balance, struct target *target);
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -453,4 +453,24 @@
 		  "ip: not an IP number\n");
 }
 
+/* Guards against load reports that are malformed and taken for figures. */
+TEST(PlatformLoad, DecodesThreeOrFourFiguresOnly)
+{
+	struct platform_load load = {};
+
+	ASSERT_TRUE(platform_decode_load("3,1,13", &load));
+	EXPECT_EQ(load.running, 3);
+	EXPECT_EQ(load.waiting, 1);
+	EXPECT_EQ(load.slots, 13);
+	EXPECT_EQ(load.pace_percent, 100);
+	ASSERT_TRUE(platform_decode_load("0, 0, 4, 250", &load));
+	EXPECT_EQ(load.pace_percent, 250);
+	for (const char *wrong :
+	     { "", "3", "3,1", "3,1,", "3,1,0", "3,1,13,0", "3,1,13,100,5",
+	       "-3,1,13", "3,1,13,x", "3;1;13", "3,1,99999999" })
+		EXPECT_FALSE(platform_decode_load(wrong, &load)) << wrong;
+	EXPECT_FALSE(platform_decode_load(NULL, &load));
+	EXPECT_EQ(load.pace_percent, 250);
+}
+
 } // namespace
