Place the relay's requests by expected cost

The daemon beside a server decodes X-Server-Load, which nothing read so far, and puts the pace of the server's machine and the work outstanding there into its answers. The sender measures the work of each route, sends it along and places by the expected time of the answer; the queue beside the server counts work instead of requests. A hedged request that is not expected to end before the deadline is not sent. Services whose servers report nothing are placed as before.

--- a/lib/balance/dump.c
+++ b/lib/balance/dump.c
@@ -7,7 +7,7 @@
 {
 	return json_pack(
 		"{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:b, s:b, s:i, s:I, "
-		"s:I, s:I, s:I, s:I}",
+		"s:I, s:I, s:I, s:I, s:f, s:I}",
 		"host", target->host, "zone", target->zone, "traffic",
 		target->traffic, "tier", tier_names[target->tier], "in_subset",
 		target->in_subset, "in_service", target->in_service, "leaving",
@@ -20,7 +20,13 @@
 		"in_flight", (json_int_t)target->in_flight, "load",
 		(json_int_t)target_load(balance, target, now), "limit",
 		(json_int_t)target->limit, "latency_us",
-		(json_int_t)(target_latency(target, now) / NS_PER_US));
+		(json_int_t)(target_latency(target, now) / NS_PER_US), "factor",
+		cost_server_factor(&target->cost, now), "wait_us",
+		(json_int_t)(cost_server_wait_ns(&target->cost,
+						 (int)target->limit,
+						 target->service->backlog_ns,
+						 now) /
+			     NS_PER_US));
 }
 
 json_t *balance_dump(const struct balance *balance, int64_t now)
--- a/lib/base/counters.c
+++ b/lib/base/counters.c
@@ -44,11 +44,16 @@
 	return __atomic_load_n(&counter->value, __ATOMIC_RELAXED);
 }
 
+static const uint64_t *get_bounds(const struct histogram *hist)
+{
+	return hist->bounds ? hist->bounds : bucket_bounds_us;
+}
+
 void histogram_observe(struct histogram *hist, uint64_t us)
 {
 	int i = 0;
 
-	while (i < HISTOGRAM_BUCKETS - 1 && us > bucket_bounds_us[i])
+	while (i < HISTOGRAM_BUCKETS - 1 && us > get_bounds(hist)[i])
 		i++;
 	__atomic_fetch_add(&hist->buckets[i], 1, __ATOMIC_RELAXED);
 	__atomic_fetch_add(&hist->sum_us, us, __ATOMIC_RELAXED);
@@ -102,8 +107,7 @@
 				       labels, comma);
 		if (i < HISTOGRAM_BUCKETS - 1)
 			g_string_append_printf(out, "%g",
-					       (double)bucket_bounds_us[i] /
-						       1e6);
+					       (double)get_bounds(h)[i] / 1e6);
 		else
 			g_string_append(out, "+Inf");
 		g_string_append_printf(out, "\"} %" G_GUINT64_FORMAT "\n",
--- a/lib/base/counters.h
+++ b/lib/base/counters.h
@@ -29,6 +29,11 @@
 	const char *name;
 	const char *labels; /* such as route="a"; NULL: none */
 	const char *help;
+	/*
+	 * Upper bounds of all buckets but the last, in millionths of the unit;
+	 * NULL: those for response times in microseconds.
+	 */
+	const uint64_t *bounds;
 	uint64_t buckets[HISTOGRAM_BUCKETS];
 	uint64_t sum_us;
 	uint64_t count;
--- a/lib/cost/server.c
+++ b/lib/cost/server.c
@@ -103,14 +103,17 @@
 	return server->reported_at && now - server->reported_at < max_age_ns;
 }
 
-double cost_server_factor(const struct cost_server *server, int64_t now)
+double cost_server_pace(const struct cost_server *server, int64_t now)
 {
-	double pace = 1;
+	if (!server->reported_at)
+		return 1;
+	return 1 + (server->pace - 1) *
+			   decay(server->reported_at, now, PACE_HALF_LIFE_NS);
+}
 
-	if (server->reported_at)
-		pace += (server->pace - 1) *
-			decay(server->reported_at, now, PACE_HALF_LIFE_NS);
-	return get_slowness(server, now) * pace;
+double cost_server_factor(const struct cost_server *server, int64_t now)
+{
+	return get_slowness(server, now) * cost_server_pace(server, now);
 }
 
 int64_t cost_server_wait_ns(const struct cost_server *server, int slots,
--- a/lib/cost/server.h
+++ b/lib/cost/server.h
@@ -51,6 +51,9 @@
 bool cost_server_is_reporting(const struct cost_server *server,
 			      int64_t max_age_ns, int64_t now);
 
+/* The reported pace, which returns to 1 as the report ages. */
+double cost_server_pace(const struct cost_server *server, int64_t now);
+
 /* Run time on this server of work that takes 1 on a usual one. */
 double cost_server_factor(const struct cost_server *server, int64_t now);
 
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -138,6 +138,7 @@
  * latency objective; it is negative when the objective has passed.
  * answer_bytes is the usual response length of the route. When due_left_ms is
  * not 0, the request is refused if it would be answered later than that.
+ * cost_us is its expected run time on a server of usual speed; 0: not known.
  */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
@@ -155,10 +156,16 @@
 	unsigned hyper fingerprint;
 	int answer_bytes;
 	hyper due_left_ms;
+	hyper cost_us;
 	opaque body<PEER_BODY_MAX>;
 };
 
-/* sent is true when the backend server received any part of the request. */
+/*
+ * sent is true when the backend server received any part of the request.
+ * pace_percent is how long work takes on the server's machine now, as the
+ * server reports it: 100 is usual, 0 means that it reports no load. backlog_us
+ * is the expected work outstanding at the server, divided by its slots.
+ */
 struct relay_answer {
 	int reason;
 	bool sent;
@@ -170,6 +177,8 @@
 	hyper wait_ms;
 	hyper expected_ms;
 	hyper service_us;
+	int pace_percent;
+	hyper backlog_us;
 	peer_crash crash;
 	string fields<RELAY_FIELDS_MAX>;
 	opaque body<PEER_BODY_MAX>;
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -300,6 +300,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->cost_us))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 			 return FALSE;
 		return TRUE;
@@ -342,6 +344,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->cost_us))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 			 return FALSE;
 	 return TRUE;
@@ -377,6 +381,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->cost_us))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 		 return FALSE;
 	return TRUE;
@@ -421,6 +427,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->service_us))
 			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->pace_percent))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->backlog_us))
+			 return FALSE;
 		 if (!xdr_peer_crash (xdrs, &objp->crash))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
@@ -461,6 +471,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->service_us))
 			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->pace_percent))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->backlog_us))
+			 return FALSE;
 		 if (!xdr_peer_crash (xdrs, &objp->crash))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
@@ -490,6 +504,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->service_us))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->pace_percent))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->backlog_us))
+		 return FALSE;
 	 if (!xdr_peer_crash (xdrs, &objp->crash))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->fields, RELAY_FIELDS_MAX))
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -167,6 +167,7 @@
 	u_quad_t fingerprint;
 	int answer_bytes;
 	quad_t due_left_ms;
+	quad_t cost_us;
 	struct {
 		u_int body_len;
 		char *body_val;
@@ -184,6 +185,8 @@
 	quad_t wait_ms;
 	quad_t expected_ms;
 	quad_t service_us;
+	int pace_percent;
+	quad_t backlog_us;
 	struct peer_crash crash;
 	char *fields;
 	struct {
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -28,6 +28,8 @@
 	answer->in_flight = admit_running(side->admit);
 	answer->queued = admit_queued(side->admit);
 	answer->limit = MAX(1, side->slots);
+	backend_load_fill(&side->load, side->slots, answer,
+			  clock_monotonic_ns());
 	answer->wait_ms = admit_wait_ns(side->admit) / NS_PER_MS;
 	answer->expected_ms =
 		admit_service_ns(side->admit, job->admit.priority) / NS_PER_MS;
@@ -45,15 +47,18 @@
 		       : 0;
 }
 
-static void track_job(struct backend_side *side, const struct relay_job *job)
+static void track_job(struct backend_side *side, struct relay_job *job)
 {
 	side->nr_jobs++;
+	backend_load_track(&side->load, job,
+			   admit_service_ns(side->admit, ADMIT_LOOKUP));
 	side->long_bytes += long_answer_bytes(job);
 }
 
-static void untrack_job(struct backend_side *side, const struct relay_job *job)
+static void untrack_job(struct backend_side *side, struct relay_job *job)
 {
 	side->nr_jobs--;
+	backend_load_untrack(&side->load, job);
 	side->long_bytes -= long_answer_bytes(job);
 }
 
@@ -77,14 +82,18 @@
 	log_event(LOG_INFO, "admission_refused",
 		  "id=%s backend=%s reason=%s running=%d queued=%d slots=%d "
 		  "wait_ms=%" PRId64 " cold_left_ms=%" PRId64
-		  " left_ms=%" PRId64,
+		  " left_ms=%" PRId64 " cost_us=%" PRId64
+		  " expected_us=%" PRId64 " report_age_ms=%" PRId64,
 		  log_quote(job->request.request_id),
 		  side->backend_id ? side->backend_id : "none",
 		  failure_get(reason)->name, admit_running(side->admit),
 		  admit_queued(side->admit), side->slots,
 		  admit_wait_ns(side->admit) / NS_PER_MS,
 		  MAX(admit_cold_deadline(side->admit) - now, 0) / NS_PER_MS,
-		  (job->deadline - now) / NS_PER_MS);
+		  (job->deadline - now) / NS_PER_MS,
+		  (int64_t)job->request.cost_us,
+		  job->admit.expected_ns / NS_PER_US,
+		  backend_load_age_ms(&side->load, now));
 	finish_job(side, job, &answer);
 }
 
@@ -104,6 +113,7 @@
 		  side->context->host->name,
 		  side->backend_id ? side->backend_id : "none");
 	side->life++;
+	backend_load_reset(&side->load);
 	admit_backend_lost(side->admit, admit_life(side->admit), now);
 	backend_pool_close_idle(side->pool);
 	while (losses_take(&side->losses, now, &fingerprint)) {
@@ -127,7 +137,8 @@
 }
 
 /* Applies the result of a probe: the server's id and its cold time. */
-static void on_probed(void *ctx, const char *backend_id, int64_t cold_left_ms)
+static void on_probed(void *ctx, const struct http_message *response,
+		      const char *backend_id, int64_t cold_left_ms)
 {
 	struct backend_side *side = ctx;
 	int64_t now = clock_monotonic_ns();
@@ -138,7 +149,9 @@
 			  side->backend_id, backend_id);
 		g_free(side->backend_id);
 		side->backend_id = g_strdup(backend_id);
+		backend_load_reset(&side->load);
 	}
+	backend_load_note(&side->load, response, now);
 	if (cold_left_ms > 0)
 		probe_set_cold(side->probe, side->admit,
 			       now + cold_left_ms * NS_PER_MS + COLD_MARGIN_NS,
@@ -209,8 +222,13 @@
 	enum failure_reason reason = backend_message_classify(end, response);
 	int status = response ? response->status : 0;
 	struct relay_answer answer = { .reason = (int)reason };
+	int64_t now = clock_monotonic_ns();
 
 	end_run(side, job, reason);
+	backend_load_note(&side->load, response, now);
+	if (reason == FAILURE_NONE && status < HTTP_STATUS_FAILED)
+		backend_load_ran(&side->load, job, now - job->admit.started,
+				 now);
 	backend_side_record_outcome(side, job, reason, status);
 	log_run(side, job, reason, status);
 	probe_note_answer(side->probe);
@@ -375,6 +393,7 @@
 	if (job->request.due_left_ms > 0)
 		job->admit.due =
 			now + job->request.due_left_ms * NS_PER_MS - send_ns;
+	job->admit.expected_ns = backend_load_expect(&side->load, job, now);
 	job->admit.objective =
 		now + job->request.objective_left_ms * NS_PER_MS - send_ns;
 	reason = arrival_reason(side, job, now);
@@ -509,6 +528,7 @@
 	metrics_add_counter(metrics, &side->refused);
 	metrics_add_counter(metrics, &side->crashes);
 	metrics_add_histogram(metrics, &side->service_time);
+	backend_load_add_metrics(&side->load, metrics);
 }
 
 struct backend_side *backend_side_new(const struct relay_context *context)
@@ -540,12 +560,13 @@
 
 json_t *backend_side_dump(const struct backend_side *side)
 {
-	return json_pack("{s:s, s:b, s:b, s:i, s:i, s:I, s:o}", "backend",
+	return json_pack("{s:s, s:b, s:b, s:i, s:i, s:I, s:o, s:o}", "backend",
 			 side->backend_id ? side->backend_id : "", "in_service",
 			 side->in_service, "draining", side->draining, "jobs",
 			 side->nr_jobs, "connections",
 			 (int)backend_pool_nr_conns(side->pool),
 			 "connections_opened",
-			 (json_int_t)backend_pool_nr_opened(side->pool),
+			 (json_int_t)backend_pool_nr_opened(side->pool), "load",
+			 backend_load_dump(&side->load, clock_monotonic_ns()),
 			 "admit", admit_dump(side->admit));
 }
--- a/relay/backend_side_internal.h
+++ b/relay/backend_side_internal.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_BACKEND_SIDE_INTERNAL_H
 #define RELAY_BACKEND_SIDE_INTERNAL_H
 
+#include "relay/backend_load.h"
 #include "relay/backend_pool.h"
 #include "relay/backend_side.h"
 #include "relay/losses.h"
@@ -10,6 +11,7 @@
 /*
  * Shared by the files of the backend side: backend_side.c admits, runs and
  * answers requests, backend_outcome.c judges the server by their results,
+ * backend_load.c estimates its speed and outstanding work,
  * backend_view.c applies the published configuration and the server's entry.
  */
 
@@ -31,6 +33,7 @@
 	int64_t call_failed;	   /* when one of its calls last failed */
 	struct losses losses;
 	struct sound sound;
+	struct backend_load load;
 	struct counter admitted;
 	struct counter refused;
 	struct counter crashes;
--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -44,6 +44,7 @@
 	g_free(side->backend_id);
 	side->backend_id = g_strdup(target->id);
 	backend_pool_close_idle(side->pool);
+	backend_load_reset(&side->load);
 	/* A newly registered server counts as cold until a probe reports. */
 	probe_restart(side->probe, side->admit, now);
 }
--- a/relay/call.c
+++ b/relay/call.c
@@ -42,6 +42,7 @@
 	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
 	int64_t started;
+	struct placement_expectation expected;
 	struct peer_call peer;
 	struct relay_job job;
 };
@@ -141,6 +142,7 @@
 	request->priority = call_priority(call);
 	request->at_most_once = call->route->at_most_once;
 	request->fingerprint = call->fingerprint;
+	request->cost_us = placement_cost_us(call);
 	request->answer_bytes = (int)MIN(call->state->answer_bytes, G_MAXINT);
 	request->body.body_len = message->body->len;
 	request->body.body_val = (char *)message->body->data;
@@ -164,7 +166,10 @@
 		result.expected_ns = answer->expected_ms * NS_PER_MS;
 		result.draining = answer->flags & TRAFFIC_DRAINING;
 	}
+	placement_fill_result(answer, &attempt->expected, &result);
 	balance_finish(side->balance, attempt->target, &result, now);
+	placement_learn(attempt->call, attempt->target, &attempt->expected,
+			&result, now);
 }
 
 /*
@@ -328,14 +333,20 @@
 	log_event(LOG_INFO, "attempt_failed",
 		  "id=%s attempt=%d version=%" PRId64
 		  " backend=%s local=%d reason=%s sent=%d running=%d queued=%d "
-		  "limit=%d took_ms=%" PRId64 " left_ms=%" PRId64,
+		  "limit=%d took_ms=%" PRId64 " left_ms=%" PRId64
+		  " work_us=%" PRId64 " expected_us=%" PRId64
+		  " pace_percent=%d backlog_us=%" PRId64,
 		  call_id(call), call->nr_placed, call->view->config->version,
 		  attempt->backend, attempt->is_local,
 		  failure_get(reason)->name, answer && answer->sent,
 		  answer ? answer->in_flight : -1, answer ? answer->queued : -1,
 		  answer ? answer->limit : -1,
 		  (now - attempt->started) / NS_PER_MS,
-		  (call->deadline - now) / NS_PER_MS);
+		  (call->deadline - now) / NS_PER_MS,
+		  attempt->expected.work_ns / NS_PER_US,
+		  attempt->expected.answer_ns / NS_PER_US,
+		  answer ? answer->pace_percent : -1,
+		  answer ? (int64_t)answer->backlog_us : -1);
 }
 
 static void end_attempt(struct attempt *attempt, enum failure_reason reason,
@@ -422,13 +433,15 @@
 }
 
 static void start_attempt(struct call *call,
-			  const struct balance_choice *choice)
+			  const struct balance_choice *choice,
+			  const struct placement_expectation *expected)
 {
 	struct caller_side *side = call->side;
 	struct attempt *attempt = g_new0(struct attempt, 1);
 
 	attempt->call = call;
 	attempt->target = choice->target;
+	attempt->expected = *expected;
 	g_strlcpy(attempt->backend, choice->host, sizeof(attempt->backend));
 	attempt->started = clock_monotonic_ns();
 	attempt->peer.done = on_peer_done;
@@ -455,7 +468,6 @@
  */
 static enum failure_reason try_place(struct call *call)
 {
-	struct caller_side *side = call->side;
 	int64_t now = clock_monotonic_ns();
 	struct balance_request request = {
 		.service = call->service_index,
@@ -464,15 +476,15 @@
 		.regions = call->route->regions,
 		.retryable = !call->route->at_most_once,
 	};
+	struct placement_expectation expected;
 	struct balance_choice choice;
 
 	if (get_lane(call) == PEER_LANE_LONG)
 		request.overflow_percent = LONG_ANSWER_OVERFLOW_PERCENT;
 	if (call->nr_excluded == BALANCE_EXCLUDED_MAX ||
-	    !balance_pick(side->balance, &request, now, &choice) ||
-	    !balance_start(side->balance, choice.target, now))
+	    !placement_start(call, &request, now, &choice, &expected))
 		return FAILURE_NO_TARGET;
-	start_attempt(call, &choice);
+	start_attempt(call, &choice, &expected);
 	return FAILURE_NONE;
 }
 
@@ -482,6 +494,7 @@
 	set_timer(call);
 	if (call->nr_attempts != 1 ||
 	    call->nr_sent + call->nr_attempts >= call->route->attempts ||
+	    !placement_can_finish(call, clock_monotonic_ns()) ||
 	    is_quarantined(call) || !take_retry(call))
 		return;
 	counter_add(&call->side->nr_retries, 1);
--- a/relay/call.h
+++ b/relay/call.h
@@ -6,6 +6,7 @@
 #include "base/rng.h"
 #include "http/server.h"
 #include "relay/caller_side.h"
+#include "relay/placement.h"
 #include "relay/route_metrics.h"
 #include "retry/retry.h"
 #include "retry/window.h"
@@ -28,6 +29,7 @@
 	int64_t longest_time_limit_ms;
 	int64_t longest_seen; /* when it was last received (monotonic ns) */
 	int64_t answer_bytes; /* smoothed length of an answer */
+	struct cost_estimate cost; /* work of a request */
 	struct route_metrics *metrics;
 	/*
 	 * State of the weighted round robin over the route's services, which
@@ -64,6 +66,7 @@
 	struct route_metrics_set route_metrics;
 	struct counter nr_retries;
 	struct histogram added_time;
+	struct placement placement;
 };
 
 struct call {
@@ -100,6 +103,7 @@
 	bool accepts_late;  /* daemons may answer it late */
 	int64_t wait_ms;    /* shortest wait in daemons' refusals; -1: none */
 	struct timer timer; /* the deadline, or the hedged request */
+	bool by_estimate;   /* the expected time decided its last placement */
 	bool hedged;	    /* a hedged request was sent, or not allowed */
 };
 
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -225,6 +225,8 @@
 	if (!state) {
 		state = g_new0(struct route_state, 1);
 		state->route = g_strdup(route->name);
+		cost_estimate_init(&state->cost,
+				   route->objective_ms * NS_PER_MS);
 		state->credits = g_array_new(FALSE, TRUE, sizeof(int64_t));
 		/* Assumed until the length of the first answers is known. */
 		if (route->long_answers)
@@ -529,6 +531,7 @@
 	side->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     free_state);
 	add_metrics(side);
+	placement_add_metrics(&side->placement, context->metrics);
 	side->http = http_server_new(&http, error);
 	return side->http ? side : NULL;
 }
@@ -563,12 +566,12 @@
 
 json_t *caller_side_dump(const struct caller_side *side)
 {
-	return json_pack("{s:i, s:i, s:I, s:o}", "requests", side->nr_calls,
-			 "connections", (int)http_server_nr_conns(side->http),
-			 "version",
+	return json_pack("{s:i, s:i, s:I, s:o, s:o}", "requests",
+			 side->nr_calls, "connections",
+			 (int)http_server_nr_conns(side->http), "version",
 			 side->view && side->view->config
 				 ? (json_int_t)side->view->config->version
 				 : (json_int_t)0,
-			 "balance",
+			 "placement", placement_dump(side), "balance",
 			 balance_dump(side->balance, clock_monotonic_ns()));
 }
--- a/relay/job.h
+++ b/relay/job.h
@@ -48,7 +48,8 @@
 	struct cds_list_head node; /* in the running jobs */
 	struct backend_conn *conn;
 	int64_t deadline;
-	bool overdue; /* counted as failed, as its answer may be lost */
+	int64_t work_ns; /* counted as outstanding; see backend_load.h */
+	bool overdue;	 /* counted as failed, as its answer may be lost */
 };
 
 #endif
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -101,7 +101,8 @@
 			  probe->options.context->host->name);
 	probe->down = false;
 	probe->last_answer = clock_monotonic_ns();
-	probe->options.probed(probe->options.ctx, get_backend_id(response),
+	probe->options.probed(probe->options.ctx, response,
+			      get_backend_id(response),
 			      get_cold_left_ms(response));
 }
 
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -24,11 +24,12 @@
 struct probe_options {
 	const struct relay_context *context;
 	/*
-	 * The server answered a probe: its id, NULL if it did not report one or
-	 * is not healthy, and how long it stays cold, PROBE_COLD_UNKNOWN if it
-	 * did not tell.
+	 * The server answered a probe: the response, its id, NULL if it did not
+	 * report one or is not healthy, and how long it stays cold,
+	 * PROBE_COLD_UNKNOWN if it did not tell.
 	 */
-	void (*probed)(void *ctx, const char *backend_id, int64_t cold_left_ms);
+	void (*probed)(void *ctx, const struct http_message *response,
+		       const char *backend_id, int64_t cold_left_ms);
 	/* The server refuses connections, so its process has ended. */
 	void (*ended)(void *ctx);
 	/* The server answers neither probes nor requests. */
