--- a/standins/target.c
+++ b/standins/target.c
@@ -24,11 +24,14 @@
 	FAULT_ENCODED,	    /* runs and answers with Content-Encoding */
 	FAULT_CRASH,	    /* the process ends as a request begins to run */
 	/* Turns cold for fault.ms just after its next answer to a probe. */
-	FAULT_COLD
+	FAULT_COLD,
+	FAULT_PACE,    /* takes fault.ms % of the time, and reports it */
+	FAULT_BAD_LOAD /* reports a malformed load */
+};
+static const char *const modes[] = {
+	"none",	   "slow",  "shed", "fail", "no-proof", "close", "other-id",
+	"encoded", "crash", "cold", "pace", "bad-load", NULL
 };
-static const char *const modes[] = { "none",	 "slow",  "shed",     "fail",
-				     "no-proof", "close", "other-id", "encoded",
-				     "crash",	 "cold",  NULL };
 
 static struct setting settings[] = {
 	{ "id", "TEXT", "instance id of this process", 0, "i-1" },
@@ -95,7 +98,14 @@
 	char load[64], cold[32];
 
 	memset(body, 'x', len);
-	snprintf(load, sizeof(load), "%d,0,%d", nr_running, settings[2].number);
+	if (standin.fault.mode == FAULT_PACE)
+		snprintf(load, sizeof(load), "%d,0,%d,%d", nr_running,
+			 settings[2].number, (int)standin.fault.ms);
+	else if (standin.fault.mode == FAULT_BAD_LOAD)
+		snprintf(load, sizeof(load), "%d,none", nr_running);
+	else
+		snprintf(load, sizeof(load), "%d,0,%d", nr_running,
+			 settings[2].number);
 	snprintf(cold, sizeof(cold), "%lld", (long long)reported_cold_ms());
 	response = MHD_create_response_from_buffer(len, body,
 						   MHD_RESPMEM_MUST_COPY);
@@ -148,6 +158,8 @@
 	}
 	if (standin.fault.mode == FAULT_SLOW)
 		wait_ms += standin.fault.ms;
+	if (standin.fault.mode == FAULT_PACE)
+		wait_ms = wait_ms * standin.fault.ms / 100;
 	end = clock_monotonic_ns() + wait_ms * NS_PER_MS;
 	while (standin_wait(end))
 		;
