Check HTTP messages against the grammar before they are parsed

Cause: libhttp-parser accepts more than HTTP/1.1. Responses with status 600 or 999, another protocol version, blanks in field names, a folded first line, bare line feeds, blanks in chunk sizes or an unknown transfer coding reached the caller, and 000, 099, 20 and 101 were passed over as if they were interim. The body that a 304 response announces was waited for. Trailers were forwarded as fields of the head and could replace its request id.

Change: lib/http/grammar checks each byte first; a message is malformed when it violates the grammar or when the two disagree about its end.

--- a/lib/http/reader.h
+++ b/lib/http/reader.h
@@ -3,9 +3,14 @@
 
 #include <http_parser.h>
 
+#include "http/grammar.h"
 #include "http/message.h"
 
-/* Parses the successive HTTP messages of one direction of a connection. */
+/*
+ * Parses the successive HTTP messages of one direction of a connection. Each
+ * byte is checked by http/grammar.h before libhttp-parser gets it, and both
+ * must find the same end of the message.
+ */
 
 struct http_limits {
 	size_t head_max; /* bytes of the request target and the fields */
@@ -24,6 +29,7 @@
 	http_parser parser;
 	http_parser_settings settings;
 	struct http_limits limits;
+	struct http_grammar grammar;
 	const struct http_field_roles *roles;
 	struct http_message *message;
 	GString *name;
