Do not take a reset during an upload for the end of a response

Cause: a server responds without a length while the request is still being written, sends a part of the body and resets the connection. The write fails first, and the kernel reports the error of a socket once: the next read returned 0 like an orderly close, which completed the response. A server whose process ends by accident closes in order and resets when more of the request arrives; that response was complete as well.

Change: after a failed write only a length or the last chunk completes a response. When the connection ends before the whole request has arrived, the rest is written first, and the shutdown after it must be confirmed. A server that responds early and reads the rest is served as before.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -1,7 +1,10 @@
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include "base/clock.h"
@@ -50,6 +53,9 @@
 	int64_t idle_since;
 	bool connected;
 	bool busy;	 /* a request is outstanding */
+	bool broken;	 /* writing has failed: the server has reset it */
+	bool ended;	 /* the end of the response was read before all of the
+			    request had arrived at the server */
 	bool unreusable; /* no further request may use the connection */
 	bool closed;
 };
@@ -193,32 +199,6 @@
 	}
 }
 
-static void handle_eof(struct http_client *client)
-{
-	/* A response without a length is completed by an orderly close only. */
-	if (client->busy && client->reader.head_done &&
-	    http_reader_end(&client->reader) == HTTP_READ_DONE &&
-	    !is_for_other_request(client, client->reader.message)) {
-		client->unreusable = true;
-		handle_response(client, false);
-		return;
-	}
-	fail(client, HTTP_END_LOST);
-}
-
-static void read_some(struct http_client *client)
-{
-	char buffer[READ_BYTES];
-	ssize_t n = recv(client->source.fd, buffer, sizeof(buffer), 0);
-
-	if (n > 0)
-		parse_bytes(client, buffer, (size_t)n);
-	else if (n == 0)
-		handle_eof(client);
-	else if (errno != EAGAIN && errno != EINTR)
-		fail(client, HTTP_END_LOST);
-}
-
 static void write_out(struct http_client *client)
 {
 	while (client->out_done < client->out->len) {
@@ -230,27 +210,127 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			set_events(client, EPOLLIN | EPOLLOUT);
+			set_events(client,
+				   EPOLLOUT | (client->ended ? 0u : EPOLLIN));
 			return;
 		}
 		if (n < 0) {
-			/* The server may have responded before it closed. */
+			/*
+			 * The server may have responded before it closed. The
+			 * error is reported once only: after it, the connection
+			 * looks to recv() as if it was closed in order.
+			 */
 			set_events(client, EPOLLIN);
+			client->broken = true;
 			client->unreusable = true;
 			return;
 		}
 		client->out_done += (guint)n;
 	}
-	set_events(client, EPOLLIN);
+	if (!client->ended)
+		set_events(client, EPOLLIN);
 }
 
-static bool finish_connect(struct http_client *client)
+/* Takes the error of the socket, if any. */
+static bool has_error(struct http_client *client)
 {
 	socklen_t len = sizeof(int);
 	int error = 0;
 
 	getsockopt(client->source.fd, SOL_SOCKET, SO_ERROR, &error, &len);
-	if (error) {
+	return error != 0;
+}
+
+/* Returns whether the server's host has received the whole request. */
+static bool request_has_arrived(const struct http_client *client)
+{
+	int unconfirmed = 0;
+
+	return client->out_done == client->out->len &&
+	       !ioctl(client->source.fd, SIOCOUTQ, &unconfirmed) &&
+	       !unconfirmed;
+}
+
+/* Ends the request whose response the end of the connection has completed. */
+static void finish_at_eof(struct http_client *client)
+{
+	if (client->broken || has_error(client)) {
+		fail(client, HTTP_END_LOST);
+		return;
+	}
+	client->unreusable = true;
+	handle_response(client, false);
+}
+
+static int tcp_state(const struct http_client *client)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	getsockopt(client->source.fd, IPPROTO_TCP, TCP_INFO, &info, &len);
+	return info.tcpi_state;
+}
+
+/*
+ * Writes the rest of a request whose response the server has ended already. A
+ * server that has closed the connection, or exited, resets it now. One that
+ * reads on confirms the whole request and the shutdown after it.
+ */
+static void write_after_end(struct http_client *client)
+{
+	if (client->out_done < client->out->len)
+		write_out(client);
+	if (client->broken) {
+		fail(client, HTTP_END_LOST);
+		return;
+	}
+	if (client->out_done < client->out->len)
+		return;
+	shutdown(client->source.fd, SHUT_WR);
+	/* EPOLLHUP stays set from now on, so only changes are reported. */
+	set_events(client, EPOLLET);
+	if (tcp_state(client) == TCP_CLOSE)
+		finish_at_eof(client);
+}
+
+/*
+ * A response without a length is completed by an orderly close only. While the
+ * request is still being sent, that is not known yet: the process of a server
+ * that ends by accident also closes its connections, and the reset follows when
+ * the next bytes of the request arrive.
+ */
+static void handle_eof(struct http_client *client)
+{
+	if (!client->busy || !client->reader.head_done ||
+	    http_reader_end(&client->reader) != HTTP_READ_DONE ||
+	    is_for_other_request(client, client->reader.message)) {
+		fail(client, HTTP_END_LOST);
+		return;
+	}
+	if (client->broken || request_has_arrived(client)) {
+		finish_at_eof(client);
+		return;
+	}
+	client->ended = true;
+	write_after_end(client);
+}
+
+static void read_some(struct http_client *client)
+{
+	char buffer[READ_BYTES];
+	ssize_t n = recv(client->source.fd, buffer, sizeof(buffer), 0);
+
+	if (n > 0)
+		parse_bytes(client, buffer, (size_t)n);
+	else if (n == 0)
+		handle_eof(client);
+	else if (errno != EAGAIN && errno != EINTR)
+		fail(client, HTTP_END_LOST);
+}
+
+static bool finish_connect(struct http_client *client)
+{
+	if (has_error(client)) {
 		fail(client, HTTP_END_NOT_SENT);
 		return false;
 	}
@@ -270,6 +350,10 @@
 			write_out(client);
 		return;
 	}
+	if (client->ended) {
+		write_after_end(client);
+		return;
+	}
 	if (events & EPOLLOUT) {
 		write_out(client);
 		if (!(events & ~(uint32_t)EPOLLOUT))
@@ -361,6 +445,16 @@
 		write_out(client);
 }
 
+bool http_client_is_connected(const struct http_client *client)
+{
+	return client->connected;
+}
+
+bool http_client_has_begun(const struct http_client *client)
+{
+	return client->reader.started || client->nr_passed_over > 0;
+}
+
 bool http_client_is_idle(const struct http_client *client)
 {
 	return client->connected && !client->busy && !client->unreusable &&
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -65,6 +65,12 @@
 		      const void *body, size_t body_len,
 		      const char *request_id);
 
+/* Returns whether the server has accepted the connection. */
+bool http_client_is_connected(const struct http_client *client);
+
+/* Returns whether a part of the response to the latest request was read. */
+bool http_client_has_begun(const struct http_client *client);
+
 /* Returns whether the connection is open, reusable and without a request. */
 bool http_client_is_idle(const struct http_client *client);
 
--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -112,8 +112,9 @@
 
 const struct http_client_ops ops = { on_done, on_closed };
 
-/* Sends one request and runs the loop until it has ended, at most 300 ms. */
-Result exchange(const struct net_address &address)
+/* Sends one request and runs the loop until it has ended, or for a time. */
+Result exchange(const struct net_address &address, const std::string &body = "",
+		int64_t wait = 300 * NS_PER_MS)
 {
 	struct context {
 		struct net_loop *loop;
@@ -125,7 +126,7 @@
 	struct http_client *client;
 	GString *head = g_string_new("GET / HTTP/1.1\r\nRequest-Id: 7\r\n\r\n");
 
-	context.deadline = clock_monotonic_ns() + 300 * NS_PER_MS;
+	context.deadline = clock_monotonic_ns() + wait;
 	loop_options.ctx = &context;
 	loop_options.on_iteration = [](void *ctx, int64_t now) {
 		struct context *context = (struct context *)ctx;
@@ -144,7 +145,7 @@
 	options.ops = &ops;
 	options.ctx = &context.result;
 	client = http_client_new(&options);
-	http_client_send(client, head, "", 0, "7");
+	http_client_send(client, head, body.data(), body.size(), "7");
 	net_loop_run(context.loop);
 	http_client_free(client);
 	net_loop_free(context.loop);
@@ -254,6 +255,138 @@
 	}
 }
 
+/* How a server ends a connection while a request is still being sent. */
+enum early_end {
+	END_RESET,	     /* reset at once */
+	END_CLOSE,	     /* closed with unread bytes, which is a reset */
+	END_SHUTDOWN,	     /* closed in order, then reset */
+	END_CLOSE_AFTER_READ /* closed in order if all bytes so far are read */
+};
+
+/* A server that responds early, while most of the request is unread. */
+struct EarlyServer : Listener {
+	std::thread thread;
+
+	EarlyServer(const std::string &bytes, size_t read_first,
+		    enum early_end end)
+	    : thread([=] { serve(bytes, read_first, end); })
+	{
+	}
+
+	static void read_some(int conn, size_t len)
+	{
+		std::string buffer(65536, 0);
+		ssize_t n = 1;
+
+		for (; len && n > 0; len -= (size_t)n)
+			n = recv(conn, &buffer[0], std::min(len, buffer.size()),
+				 0);
+	}
+
+	void serve(const std::string &bytes, size_t read_first,
+		   enum early_end end)
+	{
+		int conn = accept(fd, NULL, NULL);
+		struct linger linger = { 1, 0 };
+		std::string buffer(65536, 0);
+
+		read_some(conn, read_first);
+		EXPECT_EQ(send(conn, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+			  (ssize_t)bytes.size());
+		/* The client reads the bytes before the end. */
+		usleep(5000);
+		if (end == END_CLOSE_AFTER_READ)
+			for (int i = 0; i < 100; i++)
+				if (recv(conn, &buffer[0], buffer.size(),
+					 MSG_DONTWAIT) <= 0)
+					break;
+		if (end == END_SHUTDOWN)
+			shutdown(conn, SHUT_WR);
+		if (end == END_SHUTDOWN)
+			usleep(5000);
+		if (end == END_RESET || end == END_SHUTDOWN)
+			setsockopt(conn, SOL_SOCKET, SO_LINGER, &linger,
+				   sizeof(linger));
+		close(conn);
+	}
+
+	~EarlyServer()
+	{
+		thread.join();
+	}
+};
+
+/*
+ * A server responds before it has read the request, and the connection breaks
+ * while the request is still being written. Guards against the part of the body
+ * that arrived being delivered as a whole one: the error of a failed write is
+ * reported once, and the next read looks like an orderly close.
+ */
+TEST(HttpClient, EarlyResponseThatBreaksOffIsNotComplete)
+{
+	/* More than the sockets hold and the server reads. */
+	const std::string upload(32 * 1024 * 1024, 'u');
+	const std::string id = "Request-Id: 7\r\n";
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\n" + id + "\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n" + id + "\r\n",
+		"HTTP/1.0 200 OK\r\n" + id + "\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n" + id + "\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + id +
+			"\r\n9\r\n",
+	};
+	const enum early_end ends[] = { END_RESET, END_CLOSE, END_SHUTDOWN,
+					END_CLOSE_AFTER_READ };
+
+	for (const std::string &head : heads)
+		for (enum early_end end : ends)
+			for (size_t read_first : { 10, 1000000 })
+				for (const char *part : { "", "12345" }) {
+					EarlyServer server(head + part,
+							   read_first, end);
+					Result result =
+						exchange(server.address, upload,
+							 3 * NS_PER_SEC);
+
+					EXPECT_TRUE(result.done)
+						<< head << part << " end "
+						<< end << " after "
+						<< read_first;
+					EXPECT_EQ(result.end, HTTP_END_LOST)
+						<< head << part << " end "
+						<< end << " after "
+						<< read_first;
+				}
+}
+
+/*
+ * Guards against losing the response of a server that ends it early, but reads
+ * the whole request (RFC 9112, 9.6).
+ */
+TEST(HttpClient, EarlyResponseIsCompleteWhenTheRequestIsRead)
+{
+	const std::string upload(8 * 1024 * 1024, 'u');
+	Listener server;
+	std::thread thread([&] {
+		const std::string bytes =
+			"HTTP/1.1 413 No\r\nRequest-Id: 7\r\n\r\nx";
+		int conn = accept(server.fd, NULL, NULL);
+
+		EXPECT_EQ(send(conn, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+			  (ssize_t)bytes.size());
+		shutdown(conn, SHUT_WR);
+		usleep(20000);
+		EarlyServer::read_some(conn, SIZE_MAX);
+		close(conn);
+	});
+	Result result = exchange(server.address, upload, 5 * NS_PER_SEC);
+
+	thread.join();
+	EXPECT_EQ(result.end, HTTP_END_ANSWERED);
+	EXPECT_EQ(result.status, 413);
+	EXPECT_EQ(result.body, "x");
+}
+
 /* A server that repeats a unit after its first bytes until the client closes.
  */
 struct EndlessServer : Listener {
