--- a/fuzz/make_corpus.py
+++ b/fuzz/make_corpus.py
@@ -163,7 +163,67 @@
     "pause": HOST_LIST + announce(1, 1) + bytes([5, 255, 255]) + RESULTS,
 }
 
-CORPORA = {"manifest": MANIFESTS, "hosts": HOSTS, "text": TEXTS,
+# The first byte tells requests (odd) from responses, and the length of pieces.
+REQUEST_BYTE, RESPONSE_BYTE = b"\x03", b"\x02"
+
+
+def response(fields=b"Content-Length: 3\r\n", body=b"abc",
+             start=b"HTTP/1.1 200 OK"):
+    return RESPONSE_BYTE + start + b"\r\n" + fields + b"\r\n" + body
+
+
+def post(fields=b"Content-Length: 3\r\n", body=b"abc",
+         start=b"POST /a HTTP/1.1"):
+    return (REQUEST_BYTE + start + b"\r\nHost: x\r\n" + fields + b"\r\n"
+            + body)
+
+
+CHUNKED_FIELD = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"3;a=b\r\nabc\r\n0\r\nTrailer: x\r\n\r\n"
+
+MESSAGES = {
+    "response": response(),
+    "response-chunked": response(CHUNKED_FIELD, CHUNKS),
+    "response-to-close": response(b""),
+    "response-interim": response(b"", b"", b"HTTP/1.1 103 Early Hints"),
+    "response-304": response(start=b"HTTP/1.1 304 Not Modified", body=b""),
+    "response-no-reason": response(start=b"HTTP/1.1 200 "),
+    "status-000": response(start=b"HTTP/1.1 000 No"),
+    "status-20": response(start=b"HTTP/1.1 20 No"),
+    "status-101": response(b"", b"", b"HTTP/1.1 101 No"),
+    "status-600": response(start=b"HTTP/1.1 600 No"),
+    "version-2": response(start=b"HTTP/2.0 200 OK"),
+    "version-icy": response(start=b"ICY 200 OK"),
+    "first-line-folded": response(b" A: x\r\nContent-Length: 3\r\n"),
+    "folded": response(b"A: x\r\n y\r\nContent-Length: 3\r\n"),
+    "name-blank": response(b"A b: x\r\nContent-Length: 3\r\n"),
+    "name-control": response(b"A\x01: x\r\nContent-Length: 3\r\n"),
+    "colon-blank": response(b"Content-Length : 3\r\n"),
+    "value-nul": response(b"A: x\0\r\nContent-Length: 3\r\n"),
+    "bare-cr": response(b"A: x\ry\r\nContent-Length: 3\r\n"),
+    "bare-lf": response(b"A: x\nContent-Length: 3\r\n"),
+    "length-list": response(b"Content-Length: 3, 3\r\n"),
+    "length-twice": response(b"Content-Length: 3\r\n" * 2),
+    "length-sign": response(b"Content-Length: +3\r\n"),
+    "coding-unknown": response(b"Transfer-Encoding: gzip\r\n"),
+    "coding-list": response(b"Transfer-Encoding: gzip, chunked\r\n", CHUNKS),
+    "chunk-blank": response(CHUNKED_FIELD, b"3 \r\nabc\r\n0\r\n\r\n"),
+    "chunk-sign": response(CHUNKED_FIELD, b"+3\r\nabc\r\n0\r\n\r\n"),
+    "chunk-long": response(CHUNKED_FIELD, b"0" * 20 + b"3\r\nabc\r\n"),
+    "chunk-lf": response(CHUNKED_FIELD, b"3\nabc\r\n0\r\n\r\n"),
+    "request": post(),
+    "request-chunked": post(CHUNKED_FIELD, CHUNKS),
+    "request-absolute": post(start=b"POST http://x/a HTTP/1.1"),
+    "request-other-authority": post(start=b"POST http://y/a HTTP/1.1"),
+    "request-connect": post(b"", b"", b"CONNECT x:80 HTTP/1.1"),
+    "request-options": post(b"", b"", b"OPTIONS * HTTP/1.1"),
+    "request-both": post(CHUNKED_FIELD + b"Content-Length: 3\r\n", CHUNKS),
+    "request-host-twice": post(b"Host: y\r\n", b""),
+    "request-old": REQUEST_BYTE + b"GET /\r\n\r\n",
+    "request-empty-lines": REQUEST_BYTE + b"\r\n\r\nGET / HTTP/1.0\r\n\r\n",
+}
+
+CORPORA = {"http": MESSAGES, "manifest": MANIFESTS, "hosts": HOSTS, "text": TEXTS,
            "wire": WIRE, "announce": EVENTS}
 
 
