Send one Host in the requests of the tests

Cause: neon sends the name of its session as Host, and the tests of the platform added a second one, so all their requests had two with different values.

Change: the session has the name that a test gives as Host, and connects to the test's address.

--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -17,14 +17,40 @@
 	ne_sock_init();
 }
 
-static ne_session *open_session(const struct http_request *request)
+/* Returns the value of the field Host among the headers, or NULL. */
+static char *find_host(const char *headers)
+{
+	g_auto(GStrv) lines = g_strsplit(headers ? headers : "", "\r\n", -1);
+
+	for (char **line = lines; *line; line++)
+		if (!g_ascii_strncasecmp(*line, "Host:", 5))
+			return g_strdup(g_strstrip(*line + 5));
+	return NULL;
+}
+
+/*
+ * neon sends the name of its session as Host, and a request with two of them is
+ * malformed. So the session has the name that the test gives, and *target,
+ * which is freed after the session, holds where it connects to.
+ */
+static ne_session *open_session(const struct http_request *request,
+				ne_inet_addr **target)
 {
 	g_auto(GStrv) parts = g_strsplit(request->address, ":", 2);
+	g_autofree char *host = find_host(request->headers);
+	unsigned port = parts[1] ? (unsigned)atoi(parts[1]) : 0;
 	int timeout =
 		request->timeout_s ? request->timeout_s : DEFAULT_TIMEOUT_S;
-	ne_session *session =
-		ne_session_create("http", parts[0],
-				  parts[1] ? (unsigned)atoi(parts[1]) : 0);
+	ne_session *session = ne_session_create("http", host ? host : parts[0],
+						host ? 80 : port);
+
+	*target = NULL;
+	if (host) {
+		const ne_inet_addr *list[1];
+
+		list[0] = *target = ne_iaddr_parse(parts[0], ne_iaddr_ipv4);
+		ne_set_addrlist2(session, port, list, 1);
+	}
 
 	ne_set_read_timeout(session, timeout);
 	ne_set_connect_timeout(session, timeout);
@@ -43,6 +69,8 @@
 		if (!value)
 			continue;
 		*value++ = '\0';
+		if (!g_ascii_strcasecmp(*line, "Host"))
+			continue;
 		ne_add_request_header(req, *line, value + strspn(value, " "));
 	}
 }
@@ -79,7 +107,7 @@
 	      struct http_response *response)
 {
 	static pthread_once_t once = PTHREAD_ONCE_INIT;
-	ne_inet_addr *source = NULL;
+	ne_inet_addr *source = NULL, *target;
 	ne_session *session;
 	ne_request *req;
 	int result;
@@ -90,7 +118,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	response->body = g_byte_array_new();
 
-	session = open_session(request);
+	session = open_session(request, &target);
 	if (request->source) {
 		source = ne_iaddr_parse(request->source, ne_iaddr_ipv4);
 		ne_set_localaddr(session, source);
@@ -113,6 +141,8 @@
 	g_byte_array_set_size(response->body, response->body->len - 1);
 	ne_request_destroy(req);
 	ne_session_destroy(session);
+	if (target)
+		ne_iaddr_free(target);
 	if (source)
 		ne_iaddr_free(source);
 	return response->status;
