Bound what callers make the HTTP servers hold

250 callers that sent bodies of 1 MB and stopped just short of the end took a daemon to 262 MB. A memory account, whose limit follows limits.memory_mb, now decides over heads, bodies, pipelined bytes and responses of all connections of the HTTP servers: a new body that does not fit waits unread for up to 500 ms and is then refused with 503, a stalled one gives way, bodies and responses have a progress deadline, and limits.max_fds bounds callers' connections.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "http/server.h"
+#include "http/server_internal.h"
 
 #define READ_BYTES 16384
 
@@ -18,43 +18,12 @@
 /* A persistent connection frees its buffer after a longer response. */
 #define OUT_KEEP_BYTES 8192
 
-enum conn_state {
-	CONN_READING, /* reads a request, or is idle before its first byte */
-	CONN_SERVING, /* the owner of the server has the request */
-	CONN_WRITING, /* the response is being written */
-	CONN_CLOSED
-};
-
-struct http_server {
-	struct http_server_options options;
-	struct net_source listener;
-	struct cds_list_head conns;
-	unsigned nr_conns;
-	bool draining;
-};
-
-struct http_server_conn {
-	struct net_source source;
-	struct timer timer;
-	struct cds_list_head node;
-	struct http_server *server;
-	struct http_reader reader;
-	enum conn_state state;
-	uint32_t events;
-	GByteArray *out; /* the response that is being written */
-	guint out_done;	 /* bytes of out that were written */
-	/* Bytes read after the current request, at most READ_BYTES. */
-	GByteArray *pipelined;
-	bool close_after; /* close the connection after the response */
-	bool is_head;	  /* the request is HEAD */
-	void *data;
-	char peer_ip[INET6_ADDRSTRLEN];
-};
-
-static void conn_close(struct http_server_conn *conn);
+/* Retry-After of a request that is refused for lack of memory. */
+#define RETRY_AFTER "Retry-After: 0.500\r\n"
+
 static void conn_read_pipelined(struct http_server_conn *conn);
 
-static void set_events(struct http_server_conn *conn, uint32_t events)
+void server_conn_set_events(struct http_server_conn *conn, uint32_t events)
 {
 	if (conn->events == events)
 		return;
@@ -72,7 +41,7 @@
 	g_free(conn);
 }
 
-static void conn_close(struct http_server_conn *conn)
+void server_conn_close(struct http_server_conn *conn)
 {
 	struct http_server *server = conn->server;
 	bool serving = conn->state == CONN_SERVING;
@@ -80,6 +49,7 @@
 	if (conn->state == CONN_CLOSED)
 		return;
 	conn->state = CONN_CLOSED;
+	memory_hold_release(&conn->hold);
 	timers_cancel(server->options.timers, &conn->timer);
 	net_loop_remove(server->options.loop, &conn->source);
 	close(conn->source.fd);
@@ -97,10 +67,11 @@
 
 	conn->state = CONN_READING;
 	http_reader_next(&conn->reader);
+	server_conn_idle(conn);
 	conn->reader.limits = server->options.limits.message;
 	timers_set(server->options.timers, &conn->timer,
 		   clock_monotonic_ns() + server->options.limits.idle_max_ns);
-	set_events(conn, EPOLLIN | EPOLLRDHUP);
+	server_conn_set_events(conn, EPOLLIN | EPOLLRDHUP);
 }
 
 static void finish_reply(struct http_server_conn *conn)
@@ -114,7 +85,8 @@
 	if (conn->close_after) {
 		/* Lets the caller read the whole response before a reset. */
 		shutdown(conn->source.fd, SHUT_WR);
-		conn_close(conn);
+		if (!server_conn_linger(conn))
+			server_conn_close(conn);
 		return;
 	}
 	wait_for_request(conn);
@@ -131,14 +103,15 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			set_events(conn, EPOLLOUT);
+			server_conn_set_events(conn, EPOLLOUT);
 			return;
 		}
 		if (n < 0) {
-			conn_close(conn);
+			server_conn_close(conn);
 			return;
 		}
 		conn->out_done += (guint)n;
+		server_conn_wrote(conn, (size_t)n);
 	}
 	finish_reply(conn);
 }
@@ -178,16 +151,17 @@
 	if (has_body(reply->status) && !conn->is_head)
 		g_byte_array_append(conn->out, reply->body,
 				    (guint)reply->body_len);
+	server_conn_writing(conn);
 	write_out(conn);
 }
 
 void http_server_abort(struct http_server_conn *conn)
 {
 	conn->data = NULL;
-	/* In this state conn_close() does not call disconnected(). */
+	/* In this state server_conn_close() does not call disconnected(). */
 	if (conn->state == CONN_SERVING)
 		conn->state = CONN_WRITING;
-	conn_close(conn);
+	server_conn_close(conn);
 }
 
 void http_server_set_data(struct http_server_conn *conn, void *data)
@@ -200,15 +174,17 @@
 	return conn->data;
 }
 
-static void refuse(struct http_server_conn *conn, int status)
+void server_conn_refuse(struct http_server_conn *conn, int status)
 {
 	struct http_reply reply = {
 		.status = status,
+		.fields = status == 503 ? RETRY_AFTER : NULL,
 		.body = "",
 		.close = true,
 	};
 
 	conn->state = CONN_SERVING;
+	conn->unread = true;
 	http_server_reply(conn, &reply);
 }
 
@@ -219,12 +195,13 @@
 
 	timers_cancel(server->options.timers, &conn->timer);
 	conn->state = CONN_SERVING;
+	server_conn_serving(conn, message);
 	conn->close_after = !message->keep_alive;
 	conn->is_head = !strcmp(message->method, "HEAD");
 	server->options.ops->request(conn, message, server->options.ctx);
 }
 
-static void send_continue(struct http_server_conn *conn)
+void server_conn_send_continue(struct http_server_conn *conn)
 {
 	static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct http_message *message = conn->reader.message;
@@ -234,7 +211,7 @@
 		return;
 	g_clear_pointer(&message->values[HTTP_ROLE_EXPECT], g_free);
 	if (send(conn->source.fd, line, sizeof(line) - 1, MSG_NOSIGNAL) < 0)
-		conn_close(conn);
+		server_conn_close(conn);
 }
 
 static void parse_bytes(struct http_server_conn *conn, const char *data,
@@ -251,7 +228,8 @@
 				   clock_monotonic_ns() +
 					   server->options.limits
 						   .request_read_max_ns);
-		send_continue(conn);
+		if (server_conn_read_part(conn, len))
+			server_conn_send_continue(conn);
 		return;
 	case HTTP_READ_DONE:
 		g_byte_array_append(conn->pipelined,
@@ -260,13 +238,13 @@
 		dispatch_request(conn);
 		return;
 	case HTTP_READ_HEAD_TOO_LARGE:
-		refuse(conn, 431);
+		server_conn_refuse(conn, 431);
 		return;
 	case HTTP_READ_BODY_TOO_LARGE:
-		refuse(conn, 413);
+		server_conn_refuse(conn, 413);
 		return;
 	default:
-		refuse(conn, 400);
+		server_conn_refuse(conn, 400);
 	}
 }
 
@@ -288,7 +266,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		conn_close(conn);
+		server_conn_close(conn);
 		return;
 	}
 	parse_bytes(conn, buffer, (size_t)n);
@@ -301,21 +279,27 @@
 
 	switch (conn->state) {
 	case CONN_READING:
-		read_some(conn);
+		if (!server_conn_is_waiting(conn))
+			read_some(conn);
+		else if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+			server_conn_close(conn);
 		break;
 	case CONN_SERVING:
 		if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-			conn_close(conn);
+			server_conn_close(conn);
 		else
 			/* Input stays in the socket until the response. */
-			set_events(conn, EPOLLRDHUP);
+			server_conn_set_events(conn, EPOLLRDHUP);
 		break;
 	case CONN_WRITING:
 		if (events & (EPOLLHUP | EPOLLERR))
-			conn_close(conn);
+			server_conn_close(conn);
 		else
 			write_out(conn);
 		break;
+	case CONN_LINGERING:
+		server_conn_discard(conn);
+		break;
 	case CONN_CLOSED:
 		break;
 	}
@@ -326,11 +310,12 @@
 	struct http_server_conn *conn =
 		caa_container_of(timer, struct http_server_conn, timer);
 
-	(void)now;
+	if (server_conn_run_timer(conn, now))
+		return;
 	if (conn->state == CONN_READING && conn->reader.started)
-		refuse(conn, 408);
-	else if (conn->state == CONN_READING)
-		conn_close(conn);
+		server_conn_refuse(conn, 408);
+	else if (conn->state != CONN_CLOSED)
+		server_conn_close(conn);
 }
 
 static void format_ip(const struct sockaddr_storage *address, char *text,
@@ -359,6 +344,7 @@
 	conn->pipelined = g_byte_array_new();
 	http_reader_init(&conn->reader, true, server->options.roles,
 			 &server->options.limits.message);
+	server_conn_init_memory(conn);
 	cds_list_add_tail(&conn->node, &server->conns);
 	server->nr_conns++;
 	conn->events = EPOLLIN | EPOLLRDHUP;
@@ -376,8 +362,13 @@
 
 	(void)events;
 	while ((fd = accept4(source->fd, (struct sockaddr *)&peer, &len,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		add_conn(server, fd, &peer);
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0 ||
+	       ((errno == EMFILE || errno == ENFILE) &&
+		server_close_idlest(server))) {
+		if (fd >= 0 && server_has_place(server))
+			add_conn(server, fd, &peer);
+		else if (fd >= 0)
+			close(fd);
 		len = sizeof(peer);
 	}
 	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
@@ -397,6 +388,7 @@
 		g_free(server);
 		return NULL;
 	}
+	server_init_memory(server);
 	net_loop_add(options->loop, &server->listener, EPOLLIN);
 	return server;
 }
@@ -423,7 +415,7 @@
 		if (is_idle(conn))
 			read_some(conn);
 		if (is_idle(conn))
-			conn_close(conn);
+			server_conn_close(conn);
 	}
 }
 
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_SERVER_H
 #define HTTP_SERVER_H
 
+#include "base/memory_account.h"
 #include "base/timer.h"
 #include "http/message.h"
 #include "http/reader.h"
@@ -35,12 +36,31 @@
 	void (*disconnected)(struct http_server_conn *conn, void *ctx);
 };
 
+/* What a server refused or closed to stay within its limits. */
+struct http_server_counters {
+	struct counter no_room; /* requests refused with 503 */
+	struct counter stalled; /* bodies refused with 408 */
+	struct counter closed;	/* connections closed for new ones */
+};
+
 struct http_server_options {
 	struct net_loop *loop;
 	struct timers *timers;
 	struct net_address listen;
 	const struct http_field_roles *roles;
 	struct http_server_limits limits;
+	/*
+	 * Bounds what connections hold; borrowed. NULL: only the limits above
+	 * do. With an account the time limit of reading holds for the head,
+	 * and a body has a progress deadline instead.
+	 */
+	struct memory_account *account;
+	/*
+	 * Most open connections; 0: any number. The one that has been idle or
+	 * without progress for longest is closed for a new one.
+	 */
+	unsigned conns_max;
+	struct http_server_counters *counters; /* borrowed; NULL: none */
 	const struct http_server_ops *ops;
 	void *ctx;
 };
--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -33,6 +33,7 @@
 	int cold_slack;
 	double link_bytes_per_s; /* capacity of the host's link; 0: unknown */
 	int64_t memory_bytes;	 /* that the daemon may use; 0: unknown */
+	int descriptors_max;	 /* that the daemon may use; 0: unknown */
 	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
 	bool first_start;	 /* the whole fleet starts for the first time */
 };
--- a/relay/admin_server.c
+++ b/relay/admin_server.c
@@ -4,6 +4,7 @@
 #include "http/server.h"
 #include "platform/platform.h"
 #include "relay/admin_server.h"
+#include "relay/memory_limits.h"
 
 #define HEAD_MAX_BYTES 8192
 #define HEAD_WAIT_NS (3 * NS_PER_SEC)
@@ -121,6 +122,8 @@
 		.limits = { .message = { .head_max = HEAD_MAX_BYTES },
 			    .request_read_max_ns = HEAD_WAIT_NS,
 			    .idle_max_ns = IDLE_WAIT_NS },
+		.account = server->context->account,
+		.conns_max = memory_limits_admin_max(server->context->host),
 		.ops = ops,
 		.ctx = server,
 	};
--- a/relay/call.h
+++ b/relay/call.h
@@ -63,6 +63,7 @@
 	char *failure_names[FAILURE_REASONS];
 	struct route_metrics_set route_metrics;
 	struct counter nr_retries;
+	struct http_server_counters http_counters;
 	struct histogram added_time;
 };
 
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "platform/platform.h"
 #include "relay/call.h"
+#include "relay/memory_limits.h"
 
 /* Limits before the first configuration is received. */
 #define HEAD_MAX_BYTES_START 16384
@@ -512,6 +513,9 @@
 					 .body_max = BODY_MAX_BYTES_START },
 			    .request_read_max_ns = HEAD_WAIT_NS_START,
 			    .idle_max_ns = IDLE_WAIT_NS_START },
+		.account = context->account,
+		.conns_max = memory_limits_callers_max(context->host),
+		.counters = &side->http_counters,
 		.ops = &server_ops,
 		.ctx = side,
 	};
@@ -529,6 +533,7 @@
 	side->routes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     free_state);
 	add_metrics(side);
+	memory_limits_add_counters(context->metrics, &side->http_counters);
 	side->http = http_server_new(&http, error);
 	return side->http ? side : NULL;
 }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -12,6 +12,7 @@
 #include "relay/admin_server.h"
 #include "relay/backend_side.h"
 #include "relay/caller_side.h"
+#include "relay/memory_limits.h"
 #include "relay/mesh_control.h"
 #include "relay/peer_links.h"
 #include "relay/peers.h"
@@ -442,6 +443,7 @@
 			net_pacer_new(&pacer, clock_monotonic_ns());
 	}
 	relay->context.metrics = &relay->metrics;
+	relay->context.account = memory_limits_new(host, &relay->metrics);
 	relay->context.stop_deadline = DEADLINE_NEVER;
 	relay->context.report_crash = on_crashed;
 	relay->context.ctx = relay;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/memory_account.h"
 #include "base/timer.h"
 #include "mesh/host.h"
 #include "mesh/view.h"
@@ -27,6 +28,8 @@
 	struct timers *timers;
 	struct net_pacer *pacer; /* NULL: the link's rate is not known */
 	struct metrics *metrics;
+	/* Of the traffic thread; NULL: the memory has no limit. */
+	struct memory_account *account;
 	struct quarantine *quarantine;
 	/*
 	 * When the process has to have answered all requests (monotonic ns);
