Account for records between daemons and send bodies without copies

A body of 64 MiB was held three times by each daemon on its way: in the reader, in the XDR record and in the unsent output, and again in the record, its decoded copy and the output to the server. A body that another daemon sent was in no account, and a record of over 4 MB was refused by a new connection on which a ping waited to be sent, so that a large body never reached a second daemon.

Records are now encoded around a body that is referred to until it is sent, long records are read into buffers of their own and decoded in place, and requests to the server are written from there. Long records are in the memory account; one that does not fit is dropped unread and refused as not run.

The stand-in of the server took 16 MB; it takes 64 MiB now.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -40,7 +40,9 @@
 	struct http_client_options options;
 	struct http_reader reader;
 	GByteArray *out;
-	guint out_done;
+	const char *body; /* of the request, after out; borrowed */
+	size_t body_len;
+	size_t out_done;    /* bytes of both that were written */
 	char *request_id;   /* of the latest request */
 	GArray *carried;    /* uint64_t: hashes of request ids, a ring */
 	guint nr_carried;   /* requests with an id so far */
@@ -75,6 +77,8 @@
 			struct http_message *response)
 {
 	client->busy = false;
+	client->body = NULL;
+	client->body_len = 0;
 	client->options.ops->done(client, end, response, client->options.ctx);
 }
 
@@ -109,6 +113,11 @@
 	client->idle_deadline = now + wait;
 }
 
+static bool is_written(const struct http_client *client)
+{
+	return client->out_done == client->out->len + client->body_len;
+}
+
 /* Returns whether a copy of the response would fit any request. */
 static bool lacks_id(const struct http_client *client,
 		     const struct http_message *response)
@@ -151,8 +160,7 @@
 {
 	struct http_message *response = http_reader_take(&client->reader);
 	bool reusable = response->keep_alive && !more && !client->unreusable &&
-			client->out_done == client->out->len &&
-			!lacks_id(client, response);
+			is_written(client) && !lacks_id(client, response);
 
 	if (response->status < 200 || is_for_other_request(client, response))
 		return pass_over(client, response);
@@ -219,13 +227,25 @@
 		fail(client, HTTP_END_LOST);
 }
 
+static ssize_t write_some(const struct http_client *client)
+{
+	size_t head_len = client->out->len;
+
+	if (client->out_done < head_len)
+		return send(client->source.fd,
+			    client->out->data + client->out_done,
+			    head_len - client->out_done,
+			    MSG_NOSIGNAL | (client->body_len ? MSG_MORE : 0));
+	return send(client->source.fd,
+		    client->body + (client->out_done - head_len),
+		    client->body_len - (client->out_done - head_len),
+		    MSG_NOSIGNAL);
+}
+
 static void write_out(struct http_client *client)
 {
-	while (client->out_done < client->out->len) {
-		ssize_t n =
-			send(client->source.fd,
-			     client->out->data + client->out_done,
-			     client->out->len - client->out_done, MSG_NOSIGNAL);
+	while (!is_written(client)) {
+		ssize_t n = write_some(client);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -239,7 +259,7 @@
 			client->unreusable = true;
 			return;
 		}
-		client->out_done += (guint)n;
+		client->out_done += (size_t)n;
 	}
 	set_events(client, EPOLLIN);
 }
@@ -356,7 +376,8 @@
 	client->reader.no_body = !strncmp(head->str, "HEAD ", 5);
 	g_byte_array_append(client->out, (const guint8 *)head->str,
 			    (guint)head->len);
-	g_byte_array_append(client->out, body, (guint)body_len);
+	client->body = body;
+	client->body_len = body_len;
 	if (client->connected)
 		write_out(client);
 }
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -54,10 +54,11 @@
 void http_client_free(struct http_client *client);
 
 /*
- * Sends a request; its bytes are copied. A response whose request id differs
- * from request_id is dropped, and the connection is not reused after it.
- * A response without an id is accepted, but a second copy of it would fit any
- * request, so the connection is not reused after it either. Any response is
+ * Sends a request. The body is borrowed until the request has ended or the
+ * client is freed; everything else is copied. A response whose request id
+ * differs from request_id is dropped, and the connection is not reused after
+ * it. A response without an id is accepted, but a second copy of it would fit
+ * any request, so the connection is not reused after it either. Any response is
  * accepted when request_id is NULL.
  * The request ends as malformed when many responses do not belong to it.
  */
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -107,6 +107,12 @@
 /* Returns the caller's IP address, or "" when it is not known. */
 const char *http_server_peer_ip(const struct http_server_conn *conn);
 
+/*
+ * Takes bytes of the request out of the account, because its owner accounts for
+ * them from now on.
+ */
+void http_server_disown(struct http_server_conn *conn, size_t bytes);
+
 /* Attaches data of the request's owner; a reply or an abort clears it. */
 void http_server_set_data(struct http_server_conn *conn, void *data);
 void *http_server_data(const struct http_server_conn *conn);
--- a/lib/http/server_memory.c
+++ b/lib/http/server_memory.c
@@ -159,6 +159,12 @@
 			message_bytes(message) + conn->pipelined->len);
 }
 
+void http_server_disown(struct http_server_conn *conn, size_t bytes)
+{
+	memory_hold_set(&conn->hold,
+			conn->hold.bytes - MIN(bytes, conn->hold.bytes));
+}
+
 void server_conn_writing(struct http_server_conn *conn)
 {
 	int64_t now = clock_monotonic_ns();
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/uio.h>
 #include <arpa/inet.h>
 #include <unistd.h>
 
@@ -22,27 +23,94 @@
 /* Unsent output of at least this length is paced. */
 #define PACED_MIN_BYTES 16384
 
-/* Sent bytes are removed from the output buffer in steps of this size. */
-#define OUTPUT_COMPACT_BYTES 65536
+/* Most parts of the output that are passed to the socket at once. */
+#define WRITE_PARTS 16
+
+/*
+ * A host that vanished is noticed by these times of TCP, so that a record which
+ * it has sent in part does not stay in the account. They are above the times
+ * after which other daemons give such a connection up.
+ */
+#define KEEPALIVE_IDLE_S 10
+#define KEEPALIVE_INTERVAL_S 5
+#define KEEPALIVE_PROBES 3
+
+/* Bytes to send: a copy of unsent bytes, or the body of a record. */
+struct output_part {
+	struct cds_list_head node;
+	GBytes *bytes;
+	size_t done;
+	bool is_copy;
+};
+
+/* A long record and its place in the account. */
+struct long_record {
+	unsigned char *data;
+	size_t len;
+	struct memory_hold hold;
+};
 
 struct net_conn {
 	struct net_source source; /* first member, cast by on_ready() */
 	struct net_conn_options options;
 	gint refs;
-	pthread_mutex_t lock; /* guards output, connecting and closed */
-	GByteArray *output;
-	size_t output_sent;
-	bool output_long;	/* output held more than BUFFER_KEEP_BYTES */
+	pthread_mutex_t lock;	     /* guards output, connecting and closed */
+	struct cds_list_head output; /* struct output_part */
+	size_t unsent;
 	struct net_paced paced; /* loop's thread only */
 	bool connecting;
 	bool closed;
 	int64_t last_read; /* atomic */
 	GByteArray *input; /* loop's thread only */
+	/* A long record that has arrived in part; loop's thread only. */
+	struct long_record *long_record;
+	size_t long_done;
+	/* Bytes of a record that are still to be dropped. */
+	size_t drop_left;
+	unsigned char dropped_head[NET_DROPPED_HEAD_BYTES];
+	size_t dropped_head_len;
+	struct memory_hold output_hold; /* copied output */
 };
 
 static void on_ready(struct net_source *source, uint32_t events);
 static size_t write_paced(struct net_paced *paced, size_t bytes_max);
 
+static void set_keepalive(int fd)
+{
+	int on = 1, idle = KEEPALIVE_IDLE_S, interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void free_long_record(void *arg)
+{
+	struct long_record *record = arg;
+
+	memory_hold_release(&record->hold);
+	g_free(record->data);
+	g_free(record);
+}
+
+static void free_part(struct output_part *part)
+{
+	cds_list_del(&part->node);
+	g_bytes_unref(part->bytes);
+	g_free(part);
+}
+
+static void free_output(struct net_conn *conn)
+{
+	while (!cds_list_empty(&conn->output))
+		free_part(cds_list_first_entry(&conn->output,
+					       struct output_part, node));
+	conn->unsent = 0;
+	memory_hold_set(&conn->output_hold, 0);
+}
+
 struct net_conn *net_conn_new(const struct net_conn_options *options)
 {
 	struct net_conn *conn = g_new0(struct net_conn, 1);
@@ -54,10 +122,13 @@
 	conn->paced.write = write_paced;
 	conn->refs = 2; /* held by the caller and by the loop */
 	conn->connecting = options->connecting;
-	conn->output = g_byte_array_new();
+	CDS_INIT_LIST_HEAD(&conn->output);
+	memory_hold_init(&conn->output_hold, options->account, 0);
 	conn->input = g_byte_array_new();
 	pthread_mutex_init(&conn->lock, NULL);
 	setsockopt(options->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (options->account)
+		set_keepalive(options->fd);
 	net_loop_add(options->loop, &conn->source,
 		     EPOLLIN | (conn->connecting ? EPOLLOUT : 0));
 	return conn;
@@ -76,7 +147,7 @@
 	close(conn->source.fd);
 	if (conn->options.free_ctx)
 		conn->options.free_ctx(conn->options.ctx);
-	g_byte_array_unref(conn->output);
+	free_output(conn);
 	g_byte_array_unref(conn->input);
 	pthread_mutex_destroy(&conn->lock);
 	g_free(conn);
@@ -122,6 +193,10 @@
 	if (conn->options.pacer)
 		net_pacer_remove(conn->options.pacer, &conn->paced);
 	shutdown(conn->source.fd, SHUT_RDWR);
+	free_output(conn);
+	if (conn->long_record)
+		free_long_record(conn->long_record);
+	conn->long_record = NULL;
 	conn->options.ops->on_closed(conn, reason);
 	net_loop_defer(conn->options.loop, drop_loop_reference, conn);
 }
@@ -141,7 +216,7 @@
 
 static size_t unsent_bytes(const struct net_conn *conn)
 {
-	return conn->output->len - conn->output_sent;
+	return conn->unsent;
 }
 
 bool net_conn_is_transferring(struct net_conn *conn)
@@ -150,7 +225,8 @@
 
 	pthread_mutex_lock(&conn->lock);
 	transferring =
-		!conn->closed && (conn->input->len || unsent_bytes(conn));
+		!conn->closed && (conn->input->len || conn->long_record ||
+				  conn->drop_left || unsent_bytes(conn));
 	pthread_mutex_unlock(&conn->lock);
 	return transferring;
 }
@@ -204,42 +280,169 @@
 	net_pacer_add(conn->options.pacer, &conn->paced, clock_monotonic_ns());
 }
 
-static void replace_buffer(GByteArray **buffer)
-{
-	g_byte_array_unref(*buffer);
-	*buffer = g_byte_array_new();
-}
-
 /* Counts and removes sent bytes from the front of the output. */
 static void remove_sent(struct net_conn *conn, size_t bytes)
 {
-	conn->output_sent += bytes;
+	size_t copied = 0;
+
+	conn->unsent -= bytes;
 	count_sent(conn, bytes);
-	if (!unsent_bytes(conn)) {
-		if (conn->output_long)
-			replace_buffer(&conn->output);
-		g_byte_array_set_size(conn->output, 0);
-		conn->output_sent = 0;
-		conn->output_long = false;
-	} else if (conn->output_sent >= OUTPUT_COMPACT_BYTES) {
-		g_byte_array_remove_range(conn->output, 0,
-					  (guint)conn->output_sent);
-		conn->output_sent = 0;
+	while (bytes) {
+		struct output_part *part =
+			cds_list_first_entry(&conn->output, struct output_part,
+					     node);
+		size_t left = g_bytes_get_size(part->bytes) - part->done;
+		size_t n = MIN(left, bytes);
+
+		part->done += n;
+		bytes -= n;
+		copied += part->is_copy ? n : 0;
+		if (n == left)
+			free_part(part);
 	}
+	memory_hold_set(&conn->output_hold, conn->output_hold.bytes - copied);
+}
+
+/*
+ * Writes at most bytes_max of the output and removes what was written. Returns
+ * the bytes written, or -1.
+ */
+static ssize_t write_output(struct net_conn *conn, size_t bytes_max)
+{
+	size_t done = 0;
+
+	while (done < bytes_max) {
+		struct iovec parts[WRITE_PARTS];
+		struct msghdr message = { .msg_iov = parts };
+		size_t nr = 0, left = bytes_max - done;
+		struct output_part *part;
+		ssize_t n;
+
+		cds_list_for_each_entry (part, &conn->output, node) {
+			size_t len;
+			const char *data = g_bytes_get_data(part->bytes, &len);
+
+			if (nr == WRITE_PARTS || !left)
+				break;
+			parts[nr].iov_base = (char *)data + part->done;
+			parts[nr].iov_len = MIN(len - part->done, left);
+			left -= parts[nr++].iov_len;
+		}
+		message.msg_iovlen = nr;
+		n = sendmsg(conn->source.fd, &message,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			break;
+		if (n < 0)
+			return -1;
+		remove_sent(conn, (size_t)n);
+		done += (size_t)n;
+	}
+	return (ssize_t)done;
+}
+
+static void add_part(struct net_conn *conn, GBytes *bytes, size_t done,
+		     bool is_copy)
+{
+	struct output_part *part = g_new0(struct output_part, 1);
+
+	part->bytes = bytes;
+	part->done = done;
+	part->is_copy = is_copy;
+	cds_list_add_tail(&part->node, &conn->output);
+	conn->unsent += g_bytes_get_size(bytes) - done;
+	if (is_copy)
+		memory_hold_set(&conn->output_hold,
+				conn->output_hold.bytes +
+					g_bytes_get_size(bytes));
+}
+
+static void add_copy(struct net_conn *conn, const unsigned char *data,
+		     size_t len)
+{
+	if (len)
+		add_part(conn, g_bytes_new(data, len), 0, true);
+}
+
+/* Queues what follows the first bytes of a record, which were sent. */
+static void add_output(struct net_conn *conn, const struct net_record *record,
+		       size_t sent)
+{
+	size_t body_len = record->body ? g_bytes_get_size(record->body) : 0;
+	size_t body_at = record->body ? record->body_at : record->len;
+	size_t tail_at = body_at;
+
+	if (sent < body_at) {
+		add_copy(conn, record->data + sent, body_at - sent);
+		sent = 0;
+	} else {
+		sent -= body_at;
+	}
+	if (sent < body_len) {
+		add_part(conn, g_bytes_ref(record->body), sent, false);
+		sent = 0;
+	} else {
+		sent -= body_len;
+	}
+	tail_at += sent;
+	add_copy(conn, record->data + tail_at, record->len - tail_at);
+}
+
+/* Writes a record to an empty socket as far as that accepts it. */
+static ssize_t write_record(struct net_conn *conn,
+			    const struct net_record *record)
+{
+	size_t body_len = 0;
+	const unsigned char *body =
+		record->body ? g_bytes_get_data(record->body, &body_len) : NULL;
+	const struct {
+		const unsigned char *data;
+		size_t len;
+	} parts[] = {
+		{ record->data, body ? record->body_at : record->len },
+		{ body, body_len },
+		{ record->data + record->body_at,
+		  body ? record->len - record->body_at : 0 },
+	};
+	ssize_t sum = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		ssize_t n = write_some(conn->source.fd, parts[i].data,
+				       parts[i].len);
+
+		if (n < 0)
+			return -1;
+		sum += n;
+		if ((size_t)n < parts[i].len)
+			break;
+	}
+	return sum;
 }
 
 bool net_conn_send(struct net_conn *conn, const void *data, size_t len)
 {
+	const struct net_record record = { .data = data, .len = len };
+
+	return net_conn_send_record(conn, &record);
+}
+
+bool net_conn_send_record(struct net_conn *conn,
+			  const struct net_record *record)
+{
+	size_t len = record->len +
+		     (record->body ? g_bytes_get_size(record->body) : 0);
 	ssize_t sent = 0;
 	bool ok = false;
 
 	pthread_mutex_lock(&conn->lock);
 	if (conn->closed ||
-	    (unsent_bytes(conn) &&
+	    (unsent_bytes(conn) > NET_OUTPUT_SHORT_BYTES &&
 	     unsent_bytes(conn) + len > conn->options.output_max))
 		goto out;
 	if (!conn->connecting && !unsent_bytes(conn) && !is_paced(conn, len))
-		sent = write_some(conn->source.fd, data, len);
+		sent = write_record(conn, record);
 	/*
 	 * Before a write error the socket may have accepted a part of the
 	 * record. The return value stays true then, and on_closed() reports
@@ -251,9 +454,7 @@
 	if (sent > 0)
 		count_unpaced(conn, (size_t)sent);
 	if (sent >= 0 && (size_t)sent < len) {
-		g_byte_array_append(conn->output, (const guint8 *)data + sent,
-				    (guint)(len - (size_t)sent));
-		conn->output_long |= conn->output->len > BUFFER_KEEP_BYTES;
+		add_output(conn, record, (size_t)sent);
 		if (!conn->connecting && is_paced(conn, unsent_bytes(conn)))
 			queue_paced_output(conn);
 		else if (!conn->paced.queued)
@@ -278,11 +479,7 @@
 		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
 		goto out;
 	}
-	sent = write_some(conn->source.fd,
-			  conn->output->data + conn->output_sent,
-			  unsent_bytes(conn));
-	if (sent >= 0)
-		remove_sent(conn, (size_t)sent);
+	sent = write_output(conn, unsent_bytes(conn));
 	if (sent >= 0 && !unsent_bytes(conn))
 		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
 out:
@@ -298,10 +495,7 @@
 
 	pthread_mutex_lock(&conn->lock);
 	bytes_max = MIN(bytes_max, unsent_bytes(conn));
-	sent = write_some(conn->source.fd,
-			  conn->output->data + conn->output_sent, bytes_max);
-	if (sent > 0)
-		remove_sent(conn, (size_t)sent);
+	sent = write_output(conn, bytes_max);
 	if (sent >= 0 && (size_t)sent < bytes_max)
 		net_loop_modify(conn->options.loop, &conn->source,
 				EPOLLIN | EPOLLOUT);
@@ -329,6 +523,45 @@
 	return true;
 }
 
+static void count_record(struct net_conn *conn)
+{
+	if (conn->options.traffic)
+		counter_add(&conn->options.traffic->records_received, 1);
+}
+
+static void replace_buffer(GByteArray **buffer)
+{
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
+/*
+ * Begins a long record of which a part has arrived. It is dropped when it does
+ * not fit into the account and its receiver allows that.
+ */
+static void begin_long_record(struct net_conn *conn, const unsigned char *data,
+			      size_t have, size_t len)
+{
+	struct memory_account *account = conn->options.account;
+	struct long_record *record;
+
+	if (account && conn->options.ops->on_dropped &&
+	    !memory_account_make_room(account, 0, len, clock_monotonic_ns())) {
+		conn->drop_left = len - have;
+		conn->dropped_head_len = MIN(have, NET_DROPPED_HEAD_BYTES);
+		memcpy(conn->dropped_head, data, conn->dropped_head_len);
+		return;
+	}
+	record = g_new0(struct long_record, 1);
+	record->data = g_malloc(len);
+	record->len = len;
+	memory_hold_init(&record->hold, account, clock_monotonic_ns());
+	memory_hold_set(&record->hold, len);
+	memcpy(record->data, data, have);
+	conn->long_record = record;
+	conn->long_done = have;
+}
+
 /* Delivers the whole records of the input. False on a protocol violation. */
 static bool deliver_records(struct net_conn *conn)
 {
@@ -337,6 +570,7 @@
 
 	while (conn->input->len - used >= WIRE_MARK_BYTES) {
 		const unsigned char *mark = conn->input->data + used;
+		size_t have = conn->input->len - used - WIRE_MARK_BYTES;
 
 		if (!wire_read_mark(mark, &len)) {
 			close_now(conn, "record has several fragments");
@@ -346,12 +580,17 @@
 			close_now(conn, "record exceeds the size limit");
 			return false;
 		}
-		if (conn->input->len - used - WIRE_MARK_BYTES < len)
+		if (have < len && len >= NET_LONG_RECORD_BYTES &&
+		    have >= MIN(len, NET_DROPPED_HEAD_BYTES)) {
+			begin_long_record(conn, mark + WIRE_MARK_BYTES, have,
+					  len);
+			used = conn->input->len;
+			break;
+		}
+		if (have < len)
 			break;
 		used += WIRE_MARK_BYTES;
-		if (conn->options.traffic)
-			counter_add(&conn->options.traffic->records_received,
-				    1);
+		count_record(conn);
 		conn->options.ops->on_record(conn, conn->input->data + used,
 					     len);
 		used += len;
@@ -363,11 +602,64 @@
 	return true;
 }
 
+static void deliver_long_record(struct net_conn *conn)
+{
+	struct long_record *record = conn->long_record;
+
+	count_record(conn);
+	conn->options.ops->on_record(conn, record->data, record->len);
+	/* Unless the receiver has taken it, or closed the connection. */
+	if (conn->long_record)
+		free_long_record(conn->long_record);
+	conn->long_record = NULL;
+}
+
+GBytes *net_conn_take_record(struct net_conn *conn)
+{
+	struct long_record *record = conn->long_record;
+
+	if (!record || conn->long_done < record->len)
+		return NULL;
+	conn->long_record = NULL;
+	return g_bytes_new_with_free_func(record->data, record->len,
+					  free_long_record, record);
+}
+
+/* Handles bytes that were read; those of a long record are in its buffer. */
+static void take_input(struct net_conn *conn, const unsigned char *data,
+		       size_t len)
+{
+	if (conn->drop_left) {
+		conn->drop_left -= len;
+		if (conn->drop_left)
+			return;
+		conn->options.ops->on_dropped(conn, conn->dropped_head,
+					      conn->dropped_head_len);
+	} else if (conn->long_record) {
+		conn->long_done += len;
+		if (conn->long_done == conn->long_record->len)
+			deliver_long_record(conn);
+	} else {
+		g_byte_array_append(conn->input, data, (guint)len);
+		deliver_records(conn);
+	}
+}
+
 static void read_input(struct net_conn *conn)
 {
 	unsigned char buffer[READ_BYTES];
-	ssize_t n = recv(conn->source.fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-
+	unsigned char *place = buffer;
+	size_t room = sizeof(buffer);
+	ssize_t n;
+
+	/* A long record is read into its own buffer, and no further. */
+	if (conn->drop_left) {
+		room = MIN(room, conn->drop_left);
+	} else if (conn->long_record) {
+		place = conn->long_record->data + conn->long_done;
+		room = MIN(room, conn->long_record->len - conn->long_done);
+	}
+	n = recv(conn->source.fd, place, room, MSG_DONTWAIT);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n < 0) {
@@ -382,8 +674,7 @@
 			 __ATOMIC_RELAXED);
 	if (conn->options.traffic)
 		counter_add(&conn->options.traffic->bytes_received, (size_t)n);
-	g_byte_array_append(conn->input, buffer, (guint)n);
-	deliver_records(conn);
+	take_input(conn, place, (size_t)n);
 }
 
 static bool is_closed(struct net_conn *conn)
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/counters.h"
+#include "base/memory_account.h"
 #include "net/address.h"
 #include "net/loop.h"
 #include "net/pacer.h"
@@ -19,10 +20,39 @@
 
 struct net_conn;
 
+/*
+ * A record of at least this length has a buffer of its own, which its receiver
+ * can keep.
+ */
+#define NET_LONG_RECORD_BYTES 65536
+
+/* At this length of the unsent output, a record of any length is accepted. */
+#define NET_OUTPUT_SHORT_BYTES 4096
+
+/* Bytes of a dropped record that on_dropped() gets. */
+#define NET_DROPPED_HEAD_BYTES 64
+
+/*
+ * A record to send, with its mark. The body goes in at body_at of the data, and
+ * is not copied. NULL: the data are all.
+ */
+struct net_record {
+	const unsigned char *data;
+	size_t len;
+	GBytes *body;
+	size_t body_at;
+};
+
 struct net_conn_ops {
 	/* Receives a whole record without its mark, valid during the call. */
 	void (*on_record)(struct net_conn *conn, const unsigned char *data,
 			  size_t len);
+	/*
+	 * Receives the first bytes of a record that was dropped unread, because
+	 * the account had no room for it. NULL: none is dropped.
+	 */
+	void (*on_dropped)(struct net_conn *conn, const unsigned char *head,
+			   size_t len);
 	/* Called once, on the loop's thread, with the reason. */
 	void (*on_closed)(struct net_conn *conn, const char *reason);
 };
@@ -42,7 +72,8 @@
 	size_t record_max; /* longer records close the connection */
 	/*
 	 * A record is refused when it would raise the unsent output above this
-	 * number of bytes. Without unsent output any record is accepted.
+	 * number of bytes. With at most NET_OUTPUT_SHORT_BYTES of unsent output
+	 * any record is accepted.
 	 */
 	size_t output_max;
 	struct net_traffic *traffic; /* borrowed; NULL: not counted */
@@ -51,6 +82,12 @@
 	 * Only the loop's thread may send on a connection with a pacer.
 	 */
 	struct net_pacer *pacer;
+	/*
+	 * Accounts for long records and unsent output; borrowed. NULL: they are
+	 * not accounted for. Only the loop's thread may send on a connection
+	 * with an account.
+	 */
+	struct memory_account *account;
 	const struct net_conn_ops *ops;
 	void *ctx;
 	void (*free_ctx)(void *ctx); /* called when the last reference ends */
@@ -70,6 +107,17 @@
  */
 bool net_conn_send(struct net_conn *conn, const void *data, size_t len);
 
+/* The same for a record whose body is referred to until it is sent. */
+bool net_conn_send_record(struct net_conn *conn,
+			  const struct net_record *record);
+
+/*
+ * Returns the record that on_record() has received, which stays in the account
+ * until the last reference ends; NULL unless it is long. Called once for each
+ * record, from on_record().
+ */
+GBytes *net_conn_take_record(struct net_conn *conn);
+
 /*
  * Returns whether the connection has ever been established. Until then no byte
  * that was sent on it has reached the peer.
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -23,11 +23,20 @@
 		      size_t len);
 static void on_closed(struct net_conn *conn, const char *reason);
 
+static void on_dropped(struct net_conn *conn, const unsigned char *head,
+		       size_t len);
+
 static const struct net_conn_ops conn_ops = {
 	.on_record = on_record,
 	.on_closed = on_closed,
 };
 
+static const struct net_conn_ops dropping_ops = {
+	.on_record = on_record,
+	.on_dropped = on_dropped,
+	.on_closed = on_closed,
+};
+
 static void rpc_conn_free(struct rpc_conn *rpc)
 {
 	if (rpc->free_data)
@@ -57,7 +66,10 @@
 		.output_max = options->output_max,
 		.traffic = options->traffic,
 		.pacer = options->pacer,
-		.ops = &conn_ops,
+		.account = options->account,
+		.ops = options->service && options->service->dropped
+			       ? &dropping_ops
+			       : &conn_ops,
 		.ctx = rpc,
 		.free_ctx = free_from_conn,
 	};
@@ -200,11 +212,34 @@
 	return found;
 }
 
+static bool send_record(struct rpc_conn *rpc, const struct wire_record *record,
+			GBytes *body)
+{
+	const struct net_record out = {
+		.data = record->data,
+		.len = record->len,
+		.body = record->has_body ? body : NULL,
+		.body_at = record->body_at,
+	};
+
+	return net_conn_send_record(rpc->conn, &out);
+}
+
 void rpc_call_start(struct rpc_conn *rpc, struct rpc_call *call,
 		    uint32_t program, uint32_t version, uint32_t procedure,
 		    xdrproc_t xdr_args, void *args)
 {
-	struct wire_record record;
+	rpc_call_start_body(rpc, call, program, version, procedure, xdr_args,
+			    args, NULL);
+}
+
+void rpc_call_start_body(struct rpc_conn *rpc, struct rpc_call *call,
+			 uint32_t program, uint32_t version, uint32_t procedure,
+			 xdrproc_t xdr_args, void *args, GBytes *body)
+{
+	struct wire_record record = {
+		.body = body ? g_bytes_get_data(body, NULL) : NULL,
+	};
 	uint32_t xid;
 	bool sent;
 
@@ -219,7 +254,7 @@
 			call->done(call, RPC_NOT_SENT, NULL);
 		return;
 	}
-	sent = net_conn_send(rpc->conn, record.data, record.len);
+	sent = send_record(rpc, &record, body);
 	g_free(record.data);
 	/* The call may already be done, and its memory freed. */
 	if (!sent) {
@@ -258,7 +293,7 @@
 bool rpc_reply(struct rpc_conn *rpc, uint32_t xid, xdrproc_t xdr_result,
 	       void *result)
 {
-	struct wire_record record;
+	struct wire_record record = { 0 };
 	bool sent;
 
 	if (!wire_encode_reply(&record, xid, xdr_result, result))
@@ -270,7 +305,7 @@
 
 static void refuse(struct rpc_conn *rpc, uint32_t xid, enum accept_stat status)
 {
-	struct wire_record record;
+	struct wire_record record = { 0 };
 
 	if (!wire_encode_error(&record, xid, status))
 		return;
@@ -317,6 +352,28 @@
 	xdr_destroy(&xdr);
 }
 
+static void on_dropped(struct net_conn *conn, const unsigned char *head,
+		       size_t len)
+{
+	struct rpc_conn *rpc = net_conn_ctx(conn);
+	const struct rpc_service *service = rpc->service;
+	struct wire_header header;
+	XDR xdr;
+
+	if (!wire_decode(&xdr, head, len, &header) ||
+	    header.kind != WIRE_CALL || header.program != service->program) {
+		net_conn_close(conn);
+		return;
+	}
+	xdr_destroy(&xdr);
+	service->dropped(rpc, service->ctx, header.xid, header.procedure);
+}
+
+GBytes *rpc_conn_take_record(struct rpc_conn *rpc)
+{
+	return net_conn_take_record(rpc->conn);
+}
+
 /* Removes and returns any outstanding call, or returns NULL. */
 static struct rpc_call *remove_any_call(struct rpc_conn *rpc)
 {
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -46,6 +46,12 @@
 	 */
 	bool (*handle)(struct rpc_conn *rpc, void *ctx, uint32_t xid,
 		       uint32_t procedure, XDR *args, enum accept_stat *error);
+	/*
+	 * Refuses a call whose long arguments were dropped, because the account
+	 * had no room for them. NULL: no call is dropped.
+	 */
+	void (*dropped)(struct rpc_conn *rpc, void *ctx, uint32_t xid,
+			uint32_t procedure);
 	/* Called when the connection has closed; may be NULL. */
 	void (*closed)(struct rpc_conn *rpc, void *ctx, const char *reason);
 	void *ctx;
@@ -57,6 +63,7 @@
 	size_t output_max;
 	struct net_traffic *traffic;	   /* borrowed; NULL: not counted */
 	struct net_pacer *pacer;	   /* see struct net_conn_options */
+	struct memory_account *account;	   /* see struct net_conn_options */
 	const struct rpc_service *service; /* NULL: calls are refused */
 };
 
@@ -103,6 +110,14 @@
 		    uint32_t program, uint32_t version, uint32_t procedure,
 		    xdrproc_t xdr_args, void *args);
 
+/*
+ * The same for arguments that contain the bytes of body, which are referred to
+ * until they are sent.
+ */
+void rpc_call_start_body(struct rpc_conn *rpc, struct rpc_call *call,
+			 uint32_t program, uint32_t version, uint32_t procedure,
+			 xdrproc_t xdr_args, void *args, GBytes *body);
+
 /*
  * Abandons an outstanding call without notifying the peer. Returns true when
  * call->done will never run, and false when it has run or is running.
@@ -119,6 +134,9 @@
 bool rpc_reply(struct rpc_conn *rpc, uint32_t xid, xdrproc_t xdr_result,
 	       void *result);
 
+/* As net_conn_take_record(), while a call is handled. */
+GBytes *rpc_conn_take_record(struct rpc_conn *rpc);
+
 /* Accepts connections on a listening socket and serves them. */
 struct rpc_listener;
 struct rpc_listener *rpc_listen(const struct rpc_options *options,
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "wire/wire.h"
@@ -30,6 +31,62 @@
 	return value & LAST_FRAGMENT;
 }
 
+/* Skips the body of a record in encoding or decoding; see wire.h. */
+struct body_skip {
+	const struct xdr_ops *ops; /* of the stream without the skip */
+	const char *body;	   /* encoding: the body's address */
+	char *place;		   /* decoding: where it is; NULL: nowhere */
+	size_t len_min;
+	size_t at;  /* encoding: its position in the stream */
+	size_t len; /* encoding: its length; 0: none was found */
+};
+
+static bool_t put_bytes(XDR *xdr, const char *from, u_int len)
+{
+	struct body_skip *skip = (struct body_skip *)(void *)xdr->x_public;
+
+	if (from != skip->body || !len)
+		return skip->ops->x_putbytes(xdr, from, len);
+	skip->at = xdr_getpos(xdr);
+	skip->len = len;
+	return TRUE;
+}
+
+static bool_t get_bytes(XDR *xdr, char *to, u_int len)
+{
+	struct body_skip *skip = (struct body_skip *)(void *)xdr->x_public;
+	u_int at = xdr_getpos(xdr);
+
+	if (len < skip->len_min)
+		return skip->ops->x_getbytes(xdr, to, len);
+	if (len > xdr->x_handy)
+		return FALSE;
+	skip->place = xdr->x_base + at;
+	return skip->ops->x_setpostn(xdr, at + len);
+}
+
+bool wire_decode_in_place(XDR *xdr, xdrproc_t proc, void *object, char **body,
+			  size_t len_min, bool *in_place)
+{
+	struct body_skip skip = { .ops = xdr->x_ops, .len_min = len_min };
+	struct xdr_ops ops = *xdr->x_ops;
+	bool ok;
+
+	ops.x_getbytes = get_bytes;
+	xdr->x_ops = &ops;
+	xdr->x_public = (char *)&skip;
+	ok = proc(xdr, object);
+	xdr->x_ops = skip.ops;
+	xdr->x_public = NULL;
+	*in_place = ok && skip.place;
+	if (*in_place) {
+		/* The codec has allocated it, but nothing was written there. */
+		free(*body);
+		*body = skip.place;
+	}
+	return ok;
+}
+
 static bool encode(struct wire_record *record, struct rpc_msg *message,
 		   xdrproc_t body_proc, void *body)
 {
@@ -38,14 +95,24 @@
 	size_t body_len = body_proc ? xdr_sizeof(body_proc, body) : 0;
 	size_t capacity = WIRE_MARK_BYTES + header_max + body_len;
 	bool is_call = message->rm_direction == CALL;
+	struct body_skip skip = { .body = record->body };
+	struct xdr_ops ops;
 	bool ok;
 	XDR xdr;
 
 	if (body_proc && !body_len)
 		return false;
+	/* Pages that are not written do not become resident. */
 	record->data = g_malloc(capacity);
 	xdrmem_create(&xdr, (char *)record->data + WIRE_MARK_BYTES,
 		      (u_int)(capacity - WIRE_MARK_BYTES), XDR_ENCODE);
+	skip.ops = xdr.x_ops;
+	ops = *xdr.x_ops;
+	ops.x_putbytes = put_bytes;
+	if (record->body) {
+		xdr.x_ops = &ops;
+		xdr.x_public = (char *)&skip;
+	}
 	ok = is_call ? xdr_callmsg(&xdr, message) : xdr_replymsg(&xdr, message);
 	ok = ok && (!body_proc || body_proc(&xdr, body));
 	record->len = WIRE_MARK_BYTES + xdr_getpos(&xdr);
@@ -55,7 +122,9 @@
 		record->data = NULL;
 		return false;
 	}
-	write_mark(record->data, record->len - WIRE_MARK_BYTES);
+	record->has_body = skip.len;
+	record->body_at = WIRE_MARK_BYTES + skip.at;
+	write_mark(record->data, record->len - WIRE_MARK_BYTES + skip.len);
 	return true;
 }
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -37,10 +37,17 @@
 	enum accept_stat status; /* replies only */
 };
 
-/* An encoded record with its mark; the caller frees data with g_free(). */
+/*
+ * An encoded record with its mark; the caller frees data with g_free(). Bytes
+ * at the address `body`, set before encoding, are not copied: they belong at
+ * body_at of the data when has_body is true.
+ */
 struct wire_record {
 	unsigned char *data;
 	size_t len;
+	const void *body; /* NULL: everything is copied */
+	size_t body_at;
+	bool has_body;
 };
 
 /* Encodes a call. Returns false when the arguments exceed their limits. */
@@ -64,6 +71,14 @@
 bool wire_decode(XDR *xdr, const unsigned char *data, size_t len,
 		 struct wire_header *header);
 
+/*
+ * Decodes like proc(xdr, object), but sets the last opaque field, whose pointer
+ * is *body, to its place in the record if it has at least len_min bytes. Sets
+ * *in_place accordingly; the field must not be freed then.
+ */
+bool wire_decode_in_place(XDR *xdr, xdrproc_t proc, void *object, char **body,
+			  size_t len_min, bool *in_place);
+
 /*
  * Reads the length from a record mark. Returns false when the record has
  * several fragments.
--- a/relay/call.c
+++ b/relay/call.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/call.h"
+#include "relay/memory_limits.h"
 
 /*
  * Most daemons that a request is sent to while none of them passes it to its
@@ -421,6 +422,20 @@
 		hedge(attempt->call);
 }
 
+/* The body if it is long enough to be sent without a copy; else NULL. */
+static GBytes *share_body(struct call *call)
+{
+	GByteArray *body = call->message->body;
+
+	if (!call->body && body->len >= NET_LONG_RECORD_BYTES) {
+		call->body =
+			memory_limits_share_body(call->side->context->account,
+						 body);
+		http_server_disown(call->conn, body->len);
+	}
+	return call->body;
+}
+
 static void start_attempt(struct call *call,
 			  const struct balance_choice *choice)
 {
@@ -444,6 +459,7 @@
 	if (attempt->is_local) {
 		backend_side_submit(side->backend_side, &attempt->job);
 	} else {
+		attempt->peer.body = share_body(call);
 		peer_links_send(side->links, choice->traffic, get_lane(call),
 				&attempt->job.request, &attempt->peer);
 	}
--- a/relay/call.h
+++ b/relay/call.h
@@ -72,6 +72,7 @@
 	struct caller_side *side;
 	struct http_server_conn *conn;
 	struct http_message *message;
+	GBytes *body; /* of the message, once it was sent to a daemon */
 	struct mesh_view *view; /* in force when it arrived */
 	const struct mesh_route *route;
 	const char *service; /* borrowed from the view */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -89,6 +89,8 @@
 			 (char *)call->failed_answer);
 		g_free(call->failed_answer);
 	}
+	if (call->body)
+		g_bytes_unref(call->body);
 	mesh_view_unref(call->view);
 	http_message_free(call->message);
 	g_free(call);
--- a/relay/memory_limits.c
+++ b/relay/memory_limits.c
@@ -66,6 +66,32 @@
 		    "Callers' connections closed for new ones.");
 }
 
+struct shared_body {
+	GByteArray *bytes;
+	struct memory_hold hold;
+};
+
+static void free_shared_body(void *arg)
+{
+	struct shared_body *shared = arg;
+
+	memory_hold_release(&shared->hold);
+	g_byte_array_unref(shared->bytes);
+	g_free(shared);
+}
+
+GBytes *memory_limits_share_body(struct memory_account *account,
+				 GByteArray *body)
+{
+	struct shared_body *shared = g_new0(struct shared_body, 1);
+
+	shared->bytes = g_byte_array_ref(body);
+	memory_hold_init(&shared->hold, account, 0);
+	memory_hold_set(&shared->hold, body->len);
+	return g_bytes_new_with_free_func(body->data, body->len,
+					  free_shared_body, shared);
+}
+
 unsigned memory_limits_callers_max(const struct mesh_host *host)
 {
 	if (!host->descriptors_max)
--- a/relay/memory_limits.h
+++ b/relay/memory_limits.h
@@ -17,6 +17,12 @@
 void memory_limits_add_counters(struct metrics *metrics,
 				struct http_server_counters *counters);
 
+/*
+ * Refers to a body, which stays in the account until the last reference ends.
+ */
+GBytes *memory_limits_share_body(struct memory_account *account,
+				 GByteArray *body);
+
 /* Most connections of callers and of the admin server; 0: any number. */
 unsigned memory_limits_callers_max(const struct mesh_host *host);
 unsigned memory_limits_admin_max(const struct mesh_host *host);
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -214,8 +214,9 @@
 		link->busy_since = now;
 	cds_list_add_tail(&call->node, &link->calls);
 	start_link_timer(link, now);
-	rpc_call_start(call->conn, &call->rpc, RELAY_PROGRAM, RELAY_VERSION,
-		       RELAY_REQUEST, (xdrproc_t)xdr_relay_request, request);
+	rpc_call_start_body(call->conn, &call->rpc, RELAY_PROGRAM,
+			    RELAY_VERSION, RELAY_REQUEST,
+			    (xdrproc_t)xdr_relay_request, request, call->body);
 }
 
 /* Subtracts the time that a request was held from its remaining times. */
@@ -467,6 +468,7 @@
 		.record_max = WIRE_TRAFFIC_RECORD_MAX,
 		.output_max = PEERS_OUTPUT_MAX,
 		.pacer = link->links->context->pacer,
+		.account = link->links->context->account,
 	};
 	int64_t now = clock_monotonic_ns();
 	struct net_address address;
--- a/relay/peer_links.h
+++ b/relay/peer_links.h
@@ -40,6 +40,11 @@
 	 * The request stays in progress.
 	 */
 	void (*silent)(struct peer_call *call);
+	/*
+	 * The body of the request, which is referred to until it is sent.
+	 * NULL: the body is copied.
+	 */
+	GBytes *body;
 
 	/* Private to peer_links.c. */
 	struct cds_list_head node; /* in one of the link's lists */
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/peers.h"
+#include "retry/retry.h"
 
 /* A request from another daemon. */
 struct remote_job {
@@ -10,12 +11,15 @@
 	struct peers *peers;
 	struct rpc_conn *conn;
 	uint32_t xid;
+	GBytes *record;		   /* contains the body; NULL: a copy is held */
 	bool arrived;		   /* not submitted to the backend side yet */
 	struct cds_list_head node; /* in arrivals, while arrived is set */
 };
 
 struct peers {
 	struct backend_side *backend_side;
+	const struct memory_account *account;
+	struct counter nr_dropped;
 	struct rpc_service service;
 	struct rpc_listener *listener;
 	GHashTable *conns; /* set of open struct rpc_conn, with references */
@@ -32,6 +36,11 @@
 {
 	g_hash_table_remove(remote->peers->jobs, remote);
 	rpc_conn_unref(remote->conn);
+	if (remote->record) {
+		remote->job.request.body.body_val = NULL;
+		remote->job.request.body.body_len = 0;
+		g_bytes_unref(remote->record);
+	}
 	xdr_free((xdrproc_t)xdr_relay_request, (char *)&remote->job.request);
 	g_free(remote);
 }
@@ -48,12 +57,37 @@
 	free_remote(remote);
 }
 
+/* Decodes a request, in place if its record is long. */
+static bool decode_request(struct remote_job *remote, struct rpc_conn *conn,
+			   XDR *args)
+{
+	struct relay_request *request = &remote->job.request;
+	GBytes *record = rpc_conn_take_record(conn);
+	bool in_place = false;
+	bool ok;
+
+	if (!record)
+		return xdr_relay_request(args, request);
+	ok = wire_decode_in_place(args, (xdrproc_t)xdr_relay_request, request,
+				  &request->body.body_val,
+				  NET_LONG_RECORD_BYTES / 2, &in_place);
+	/*
+	 * The data stay valid until the record is handled: without the body in
+	 * it, only the rest of this call uses them.
+	 */
+	if (in_place)
+		remote->record = record;
+	else
+		g_bytes_unref(record);
+	return ok;
+}
+
 static bool serve_request(struct peers *peers, struct rpc_conn *conn,
 			  uint32_t xid, XDR *args)
 {
 	struct remote_job *remote = g_new0(struct remote_job, 1);
 
-	if (!xdr_relay_request(args, &remote->job.request)) {
+	if (!decode_request(remote, conn, args)) {
 		xdr_free((xdrproc_t)xdr_relay_request,
 			 (char *)&remote->job.request);
 		g_free(remote);
@@ -139,6 +173,23 @@
 	}
 }
 
+/* Refuses a request that was dropped unread for lack of memory. */
+static void on_dropped(struct rpc_conn *conn, void *ctx, uint32_t xid,
+		       uint32_t procedure)
+{
+	struct relay_answer answer = { .reason = FAILURE_QUEUE_FULL,
+				       .fields = "" };
+	struct peers *peers = ctx;
+
+	counter_add(&peers->nr_dropped, 1);
+	log_event(LOG_INFO, "memory_refused",
+		  "xid=%u procedure=%u reason=no-room used=%zu limit=%zu", xid,
+		  procedure, peers->account->used, peers->account->limit);
+	if (procedure != RELAY_REQUEST ||
+	    !rpc_reply(conn, xid, (xdrproc_t)xdr_relay_answer, &answer))
+		rpc_conn_close(conn);
+}
+
 /* Cancels the requests of a closed connection: their answers are not awaited.
  */
 static void on_closed(struct rpc_conn *conn, void *ctx, const char *reason)
@@ -188,10 +239,16 @@
 		.record_max = WIRE_TRAFFIC_RECORD_MAX,
 		.output_max = PEERS_OUTPUT_MAX,
 		.pacer = context->pacer,
+		.account = context->account,
 		.service = &peers->service,
 	};
 
 	peers->backend_side = backend_side;
+	peers->account = context->account;
+	peers->nr_dropped.name = "godwitspur_memory_dropped_total";
+	peers->nr_dropped.help =
+		"Requests of daemons refused unread for lack of memory.";
+	metrics_add_counter(context->metrics, &peers->nr_dropped);
 	peers->conns =
 		g_hash_table_new_full(NULL, NULL,
 				      (GDestroyNotify)rpc_conn_unref, NULL);
@@ -200,6 +257,8 @@
 	peers->service.program = RELAY_PROGRAM;
 	peers->service.version = RELAY_VERSION;
 	peers->service.handle = handle;
+	if (context->account)
+		peers->service.dropped = on_dropped;
 	peers->service.closed = on_closed;
 	peers->service.ctx = peers;
 	peers->listener = rpc_listen(&options, &context->host->peers, error);
--- a/standins/target.c
+++ b/standins/target.c
@@ -11,7 +11,7 @@
 #include "base/clock.h"
 #include "standin.h"
 
-#define BODY_MAX_BYTES (16 * 1024 * 1024)
+#define BODY_MAX_BYTES (64 * 1024 * 1024)
 
 enum {
 	FAULT_NONE,
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -190,6 +190,12 @@
 "phase":")" + phase + R"(","warmup_left":"0ms","sequence":1,"born":5})");
 }
 
+void Platform::set(int index, const std::string &line)
+{
+	std::ofstream(hosts[(size_t)index].settings, std::ios::app)
+		<< line << "\n";
+}
+
 void Platform::start_daemon(int index)
 {
 	PlatformHost &host = hosts[(size_t)index];
@@ -206,9 +212,9 @@
 	process_kill(&hosts[(size_t)index].server);
 }
 
-void Platform::start_all()
+void Platform::start_all(const std::string &rows, int body_max_bytes)
 {
-	publish_config(1);
+	publish_config(1, rows, body_max_bytes);
 	for (size_t i = 0; i < hosts.size(); i++) {
 		publish_entry((int)i);
 		start_daemon((int)i);
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -54,6 +54,8 @@
 	void put_item(const std::string &key, const std::string &value);
 	json_int_t store_calls();
 
+	/* Adds a line to a host's settings; the last value of a key counts. */
+	void set(int host, const std::string &line);
 	void start_daemon(int host);
 	void stop_server(int host);
 	/* Starts the server of a host, which has ended, as its next boot. */
@@ -63,7 +65,8 @@
 	 * waits until each is ready, its server in service, and it has the
 	 * other daemons as peers.
 	 */
-	void start_all();
+	void start_all(const std::string &rows = "",
+		       int body_max_bytes = 1000000);
 
 	CallerAnswer send_request(int host, const char *method,
 				  const std::string &path,
