Let records give way that other daemons do not complete

A record that stopped just short of its end kept its room in the account until its connection closed.

--- a/lib/base/memory_account.c
+++ b/lib/base/memory_account.c
@@ -42,7 +42,7 @@
 		int64_t stalled = now - hold->progressed;
 		double cost = (double)hold->bytes * (double)stalled;
 
-		if (stalled < MEMORY_STALLED_NS || cost <= worst_cost)
+		if (stalled < hold->stalled_ns || cost <= worst_cost)
 			continue;
 		worst = hold;
 		worst_cost = cost;
@@ -74,6 +74,7 @@
 	hold->bytes = 0;
 	hold->moved = 0;
 	hold->progressed = now;
+	hold->stalled_ns = MEMORY_STALLED_NS;
 	hold->may_yield = false;
 }
 
--- a/lib/base/memory_account.h
+++ b/lib/base/memory_account.h
@@ -33,7 +33,11 @@
  */
 #define MEMORY_PROGRESS_BYTES 16384
 
-/* A holder without progress for this long gives way when room is short. */
+/*
+ * A holder without progress for this long gives way when room is short, unless
+ * its owner sets another time. It is above the pauses of a caller that gets no
+ * processor for a while.
+ */
 #define MEMORY_STALLED_NS (250 * INT64_C(1000000))
 
 struct memory_account {
@@ -51,6 +55,7 @@
 	size_t bytes;
 	size_t moved; /* bytes since the last progress */
 	int64_t progressed;
+	int64_t stalled_ns; /* without progress for this long, it gives way */
 	bool may_yield;
 	/* Frees what the holder has; called by memory_account_make_room(). */
 	void (*yield)(struct memory_hold *hold);
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -4,12 +4,13 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/uio.h>
 #include <arpa/inet.h>
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "net/conn.h"
+#include "net/output.h"
 #include "wire/wire.h"
 
 #define READ_BYTES 65536
@@ -23,9 +24,6 @@
 /* Unsent output of at least this length is paced. */
 #define PACED_MIN_BYTES 16384
 
-/* Most parts of the output that are passed to the socket at once. */
-#define WRITE_PARTS 16
-
 /*
  * A host that vanished is noticed by these times of TCP, so that a record which
  * it has sent in part does not stay in the account. They are above the times
@@ -35,16 +33,16 @@
 #define KEEPALIVE_INTERVAL_S 5
 #define KEEPALIVE_PROBES 3
 
-/* Bytes to send: a copy of unsent bytes, or the body of a record. */
-struct output_part {
-	struct cds_list_head node;
-	GBytes *bytes;
-	size_t done;
-	bool is_copy;
-};
+/*
+ * A record without progress for this long closes its connection when room is
+ * short. The connection may carry requests that run; no request is still
+ * awaited on one that has been silent for so long.
+ */
+#define RECORD_STALLED_NS (5 * NS_PER_SEC)
 
 /* A long record and its place in the account. */
 struct long_record {
+	struct net_conn *conn; /* valid while it is not complete */
 	unsigned char *data;
 	size_t len;
 	struct memory_hold hold;
@@ -54,9 +52,8 @@
 	struct net_source source; /* first member, cast by on_ready() */
 	struct net_conn_options options;
 	gint refs;
-	pthread_mutex_t lock;	     /* guards output, connecting and closed */
-	struct cds_list_head output; /* struct output_part */
-	size_t unsent;
+	pthread_mutex_t lock; /* guards output, connecting and closed */
+	struct net_output output;
 	struct net_paced paced; /* loop's thread only */
 	bool connecting;
 	bool closed;
@@ -69,7 +66,6 @@
 	size_t drop_left;
 	unsigned char dropped_head[NET_DROPPED_HEAD_BYTES];
 	size_t dropped_head_len;
-	struct memory_hold output_hold; /* copied output */
 };
 
 static void on_ready(struct net_source *source, uint32_t events);
@@ -95,22 +91,6 @@
 	g_free(record);
 }
 
-static void free_part(struct output_part *part)
-{
-	cds_list_del(&part->node);
-	g_bytes_unref(part->bytes);
-	g_free(part);
-}
-
-static void free_output(struct net_conn *conn)
-{
-	while (!cds_list_empty(&conn->output))
-		free_part(cds_list_first_entry(&conn->output,
-					       struct output_part, node));
-	conn->unsent = 0;
-	memory_hold_set(&conn->output_hold, 0);
-}
-
 struct net_conn *net_conn_new(const struct net_conn_options *options)
 {
 	struct net_conn *conn = g_new0(struct net_conn, 1);
@@ -122,8 +102,7 @@
 	conn->paced.write = write_paced;
 	conn->refs = 2; /* held by the caller and by the loop */
 	conn->connecting = options->connecting;
-	CDS_INIT_LIST_HEAD(&conn->output);
-	memory_hold_init(&conn->output_hold, options->account, 0);
+	net_output_init(&conn->output, options->account);
 	conn->input = g_byte_array_new();
 	pthread_mutex_init(&conn->lock, NULL);
 	setsockopt(options->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -147,7 +126,7 @@
 	close(conn->source.fd);
 	if (conn->options.free_ctx)
 		conn->options.free_ctx(conn->options.ctx);
-	free_output(conn);
+	net_output_clear(&conn->output);
 	g_byte_array_unref(conn->input);
 	pthread_mutex_destroy(&conn->lock);
 	g_free(conn);
@@ -193,7 +172,7 @@
 	if (conn->options.pacer)
 		net_pacer_remove(conn->options.pacer, &conn->paced);
 	shutdown(conn->source.fd, SHUT_RDWR);
-	free_output(conn);
+	net_output_clear(&conn->output);
 	if (conn->long_record)
 		free_long_record(conn->long_record);
 	conn->long_record = NULL;
@@ -216,7 +195,7 @@
 
 static size_t unsent_bytes(const struct net_conn *conn)
 {
-	return conn->unsent;
+	return conn->output.unsent;
 }
 
 bool net_conn_is_transferring(struct net_conn *conn)
@@ -231,26 +210,6 @@
 	return transferring;
 }
 
-/* Writes until the socket is full. Returns the bytes written, or -1. */
-static ssize_t write_some(int fd, const unsigned char *data, size_t len)
-{
-	size_t done = 0;
-
-	while (done < len) {
-		ssize_t n = send(fd, data + done, len - done,
-				 MSG_NOSIGNAL | MSG_DONTWAIT);
-
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			break;
-		if (n < 0)
-			return -1;
-		done += (size_t)n;
-	}
-	return (ssize_t)done;
-}
-
 static void count_sent(struct net_conn *conn, size_t bytes)
 {
 	if (conn->options.traffic)
@@ -280,147 +239,6 @@
 	net_pacer_add(conn->options.pacer, &conn->paced, clock_monotonic_ns());
 }
 
-/* Counts and removes sent bytes from the front of the output. */
-static void remove_sent(struct net_conn *conn, size_t bytes)
-{
-	size_t copied = 0;
-
-	conn->unsent -= bytes;
-	count_sent(conn, bytes);
-	while (bytes) {
-		struct output_part *part =
-			cds_list_first_entry(&conn->output, struct output_part,
-					     node);
-		size_t left = g_bytes_get_size(part->bytes) - part->done;
-		size_t n = MIN(left, bytes);
-
-		part->done += n;
-		bytes -= n;
-		copied += part->is_copy ? n : 0;
-		if (n == left)
-			free_part(part);
-	}
-	memory_hold_set(&conn->output_hold, conn->output_hold.bytes - copied);
-}
-
-/*
- * Writes at most bytes_max of the output and removes what was written. Returns
- * the bytes written, or -1.
- */
-static ssize_t write_output(struct net_conn *conn, size_t bytes_max)
-{
-	size_t done = 0;
-
-	while (done < bytes_max) {
-		struct iovec parts[WRITE_PARTS];
-		struct msghdr message = { .msg_iov = parts };
-		size_t nr = 0, left = bytes_max - done;
-		struct output_part *part;
-		ssize_t n;
-
-		cds_list_for_each_entry (part, &conn->output, node) {
-			size_t len;
-			const char *data = g_bytes_get_data(part->bytes, &len);
-
-			if (nr == WRITE_PARTS || !left)
-				break;
-			parts[nr].iov_base = (char *)data + part->done;
-			parts[nr].iov_len = MIN(len - part->done, left);
-			left -= parts[nr++].iov_len;
-		}
-		message.msg_iovlen = nr;
-		n = sendmsg(conn->source.fd, &message,
-			    MSG_NOSIGNAL | MSG_DONTWAIT);
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			break;
-		if (n < 0)
-			return -1;
-		remove_sent(conn, (size_t)n);
-		done += (size_t)n;
-	}
-	return (ssize_t)done;
-}
-
-static void add_part(struct net_conn *conn, GBytes *bytes, size_t done,
-		     bool is_copy)
-{
-	struct output_part *part = g_new0(struct output_part, 1);
-
-	part->bytes = bytes;
-	part->done = done;
-	part->is_copy = is_copy;
-	cds_list_add_tail(&part->node, &conn->output);
-	conn->unsent += g_bytes_get_size(bytes) - done;
-	if (is_copy)
-		memory_hold_set(&conn->output_hold,
-				conn->output_hold.bytes +
-					g_bytes_get_size(bytes));
-}
-
-static void add_copy(struct net_conn *conn, const unsigned char *data,
-		     size_t len)
-{
-	if (len)
-		add_part(conn, g_bytes_new(data, len), 0, true);
-}
-
-/* Queues what follows the first bytes of a record, which were sent. */
-static void add_output(struct net_conn *conn, const struct net_record *record,
-		       size_t sent)
-{
-	size_t body_len = record->body ? g_bytes_get_size(record->body) : 0;
-	size_t body_at = record->body ? record->body_at : record->len;
-	size_t tail_at = body_at;
-
-	if (sent < body_at) {
-		add_copy(conn, record->data + sent, body_at - sent);
-		sent = 0;
-	} else {
-		sent -= body_at;
-	}
-	if (sent < body_len) {
-		add_part(conn, g_bytes_ref(record->body), sent, false);
-		sent = 0;
-	} else {
-		sent -= body_len;
-	}
-	tail_at += sent;
-	add_copy(conn, record->data + tail_at, record->len - tail_at);
-}
-
-/* Writes a record to an empty socket as far as that accepts it. */
-static ssize_t write_record(struct net_conn *conn,
-			    const struct net_record *record)
-{
-	size_t body_len = 0;
-	const unsigned char *body =
-		record->body ? g_bytes_get_data(record->body, &body_len) : NULL;
-	const struct {
-		const unsigned char *data;
-		size_t len;
-	} parts[] = {
-		{ record->data, body ? record->body_at : record->len },
-		{ body, body_len },
-		{ record->data + record->body_at,
-		  body ? record->len - record->body_at : 0 },
-	};
-	ssize_t sum = 0;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
-		ssize_t n = write_some(conn->source.fd, parts[i].data,
-				       parts[i].len);
-
-		if (n < 0)
-			return -1;
-		sum += n;
-		if ((size_t)n < parts[i].len)
-			break;
-	}
-	return sum;
-}
-
 bool net_conn_send(struct net_conn *conn, const void *data, size_t len)
 {
 	const struct net_record record = { .data = data, .len = len };
@@ -442,7 +260,7 @@
 	     unsent_bytes(conn) + len > conn->options.output_max))
 		goto out;
 	if (!conn->connecting && !unsent_bytes(conn) && !is_paced(conn, len))
-		sent = write_record(conn, record);
+		sent = net_output_write_record(conn->source.fd, record);
 	/*
 	 * Before a write error the socket may have accepted a part of the
 	 * record. The return value stays true then, and on_closed() reports
@@ -454,7 +272,7 @@
 	if (sent > 0)
 		count_unpaced(conn, (size_t)sent);
 	if (sent >= 0 && (size_t)sent < len) {
-		add_output(conn, record, (size_t)sent);
+		net_output_add(&conn->output, record, (size_t)sent);
 		if (!conn->connecting && is_paced(conn, unsent_bytes(conn)))
 			queue_paced_output(conn);
 		else if (!conn->paced.queued)
@@ -468,6 +286,17 @@
 	return ok;
 }
 
+/* Writes at most bytes_max of the output and counts them; -1 on an error. */
+static ssize_t write_output(struct net_conn *conn, size_t bytes_max)
+{
+	ssize_t sent =
+		net_output_write(&conn->output, conn->source.fd, bytes_max);
+
+	if (sent > 0)
+		count_sent(conn, (size_t)sent);
+	return sent;
+}
+
 /* Writes unsent output, or queues it for pacing. False on a write error. */
 static bool flush_output(struct net_conn *conn)
 {
@@ -535,6 +364,15 @@
 	*buffer = g_byte_array_new();
 }
 
+static void on_record_stalled(struct memory_hold *hold)
+{
+	struct long_record *record =
+		caa_container_of(hold, struct long_record, hold);
+
+	log_event(LOG_WARNING, "record_stalled", "held=%zu", record->len);
+	close_now(record->conn, "record is stalled");
+}
+
 /*
  * Begins a long record of which a part has arrived. It is dropped when it does
  * not fit into the account and its receiver allows that.
@@ -557,6 +395,10 @@
 	record->len = len;
 	memory_hold_init(&record->hold, account, clock_monotonic_ns());
 	memory_hold_set(&record->hold, len);
+	record->conn = conn;
+	record->hold.yield = on_record_stalled;
+	record->hold.stalled_ns = RECORD_STALLED_NS;
+	memory_hold_set_yield(&record->hold, true, clock_monotonic_ns());
 	memcpy(record->data, data, have);
 	conn->long_record = record;
 	conn->long_done = have;
@@ -607,6 +449,7 @@
 	struct long_record *record = conn->long_record;
 
 	count_record(conn);
+	memory_hold_set_yield(&record->hold, false, 0);
 	conn->options.ops->on_record(conn, record->data, record->len);
 	/* Unless the receiver has taken it, or closed the connection. */
 	if (conn->long_record)
@@ -637,6 +480,8 @@
 					      conn->dropped_head_len);
 	} else if (conn->long_record) {
 		conn->long_done += len;
+		memory_hold_moved(&conn->long_record->hold, len,
+				  clock_monotonic_ns());
 		if (conn->long_done == conn->long_record->len)
 			deliver_long_record(conn);
 	} else {
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -9,6 +9,7 @@
 #include "base/memory_account.h"
 #include "net/address.h"
 #include "net/loop.h"
+#include "net/output.h"
 #include "net/pacer.h"
 
 /*
@@ -32,17 +33,6 @@
 /* Bytes of a dropped record that on_dropped() gets. */
 #define NET_DROPPED_HEAD_BYTES 64
 
-/*
- * A record to send, with its mark. The body goes in at body_at of the data, and
- * is not copied. NULL: the data are all.
- */
-struct net_record {
-	const unsigned char *data;
-	size_t len;
-	GBytes *body;
-	size_t body_at;
-};
-
 struct net_conn_ops {
 	/* Receives a whole record without its mark, valid during the call. */
 	void (*on_record)(struct net_conn *conn, const unsigned char *data,
--- a/tests/relay/test_memory.cc
+++ b/tests/relay/test_memory.cc
@@ -6,6 +6,8 @@
 #include "crowd.h"
 #include "platform.h"
 
+#include <arpa/inet.h>
+
 #define MEMORY_MAX 64000000
 #define CROWD 250
 #define BODY_BYTES 1000000
@@ -179,6 +181,33 @@
 	expect_served(in, usage, MEMORY_MAX);
 }
 
+/* Requests from other daemons of which the last byte never comes. */
+TEST(Memory, HoldsWithRecordsOneByteShort)
+{
+	const uint32_t words[] = { htonl(0x80000000U | BODY_BYTES), /* mark */
+				   htonl(1),	      /* transaction */
+				   htonl(0),	      /* call */
+				   htonl(2),	      /* version of ONC RPC */
+				   htonl(0x20474f46), /* RELAY_PROGRAM */
+				   htonl(1),	      /* RELAY_VERSION */
+				   htonl(1),	      /* RELAY_REQUEST */
+				   0,
+				   0,
+				   0,
+				   0 };
+	Platform in(1);
+
+	start(in, "limits.memory_mb=64", BODY_BYTES);
+	Usage usage = usage_of(in.hosts[0]);
+	Crowd crowd(in.hosts[0].peers,
+		    std::string((const char *)words, sizeof(words)) +
+			    std::string(BODY_BYTES + 4 - 1 - sizeof(words),
+					'x'),
+		    CROWD);
+	run({ &crowd }, usage);
+	expect_served(in, usage, MEMORY_MAX);
+}
+
 TEST(Memory, HoldsWithBodiesFromCallersAndOtherDaemons)
 {
 	Platform in(4, { "--service-ms", "100", "--slots", "4" });
