--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -8,7 +8,9 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "net/conn.h"
+#include "net/output.h"
 #include "wire/wire.h"
 
 #define READ_BYTES 65536
@@ -22,27 +24,73 @@
 /* Unsent output of at least this length is paced. */
 #define PACED_MIN_BYTES 16384
 
-/* Sent bytes are removed from the output buffer in steps of this size. */
-#define OUTPUT_COMPACT_BYTES 65536
+/*
+ * A host that vanished is noticed by these times of TCP, so that a record which
+ * it has sent in part does not stay in the account. They are above the times
+ * after which other daemons give such a connection up.
+ */
+#define KEEPALIVE_IDLE_S 10
+#define KEEPALIVE_INTERVAL_S 5
+#define KEEPALIVE_PROBES 3
+
+/*
+ * A record without progress for this long closes its connection when room is
+ * short. The connection may carry requests that run; no request is still
+ * awaited on one that has been silent for so long.
+ */
+#define RECORD_STALLED_NS (5 * NS_PER_SEC)
+
+/* A long record and its place in the account. */
+struct long_record {
+	struct net_conn *conn; /* valid while it is not complete */
+	unsigned char *data;
+	size_t len;
+	struct memory_hold hold;
+};
 
 struct net_conn {
 	struct net_source source; /* first member, cast by on_ready() */
 	struct net_conn_options options;
 	gint refs;
 	pthread_mutex_t lock; /* guards output, connecting and closed */
-	GByteArray *output;
-	size_t output_sent;
-	bool output_long;	/* output held more than BUFFER_KEEP_BYTES */
+	struct net_output output;
 	struct net_paced paced; /* loop's thread only */
 	bool connecting;
 	bool closed;
 	int64_t last_read; /* atomic */
 	GByteArray *input; /* loop's thread only */
+	/* A long record that has arrived in part; loop's thread only. */
+	struct long_record *long_record;
+	size_t long_done;
+	/* Bytes of a record that are still to be dropped. */
+	size_t drop_left;
+	unsigned char dropped_head[NET_DROPPED_HEAD_BYTES];
+	size_t dropped_head_len;
 };
 
 static void on_ready(struct net_source *source, uint32_t events);
 static size_t write_paced(struct net_paced *paced, size_t bytes_max);
 
+static void set_keepalive(int fd)
+{
+	int on = 1, idle = KEEPALIVE_IDLE_S, interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void free_long_record(void *arg)
+{
+	struct long_record *record = arg;
+
+	memory_hold_release(&record->hold);
+	g_free(record->data);
+	g_free(record);
+}
+
 struct net_conn *net_conn_new(const struct net_conn_options *options)
 {
 	struct net_conn *conn = g_new0(struct net_conn, 1);
@@ -54,10 +102,12 @@
 	conn->paced.write = write_paced;
 	conn->refs = 2; /* held by the caller and by the loop */
 	conn->connecting = options->connecting;
-	conn->output = g_byte_array_new();
+	net_output_init(&conn->output, options->account);
 	conn->input = g_byte_array_new();
 	pthread_mutex_init(&conn->lock, NULL);
 	setsockopt(options->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (options->account)
+		set_keepalive(options->fd);
 	net_loop_add(options->loop, &conn->source,
 		     EPOLLIN | (conn->connecting ? EPOLLOUT : 0));
 	return conn;
@@ -76,7 +126,7 @@
 	close(conn->source.fd);
 	if (conn->options.free_ctx)
 		conn->options.free_ctx(conn->options.ctx);
-	g_byte_array_unref(conn->output);
+	net_output_clear(&conn->output);
 	g_byte_array_unref(conn->input);
 	pthread_mutex_destroy(&conn->lock);
 	g_free(conn);
@@ -122,6 +172,10 @@
 	if (conn->options.pacer)
 		net_pacer_remove(conn->options.pacer, &conn->paced);
 	shutdown(conn->source.fd, SHUT_RDWR);
+	net_output_clear(&conn->output);
+	if (conn->long_record)
+		free_long_record(conn->long_record);
+	conn->long_record = NULL;
 	conn->options.ops->on_closed(conn, reason);
 	net_loop_defer(conn->options.loop, drop_loop_reference, conn);
 }
@@ -141,7 +195,7 @@
 
 static size_t unsent_bytes(const struct net_conn *conn)
 {
-	return conn->output->len - conn->output_sent;
+	return conn->output.unsent;
 }
 
 bool net_conn_is_transferring(struct net_conn *conn)
@@ -150,31 +204,12 @@
 
 	pthread_mutex_lock(&conn->lock);
 	transferring =
-		!conn->closed && (conn->input->len || unsent_bytes(conn));
+		!conn->closed && (conn->input->len || conn->long_record ||
+				  conn->drop_left || unsent_bytes(conn));
 	pthread_mutex_unlock(&conn->lock);
 	return transferring;
 }
 
-/* Writes until the socket is full. Returns the bytes written, or -1. */
-static ssize_t write_some(int fd, const unsigned char *data, size_t len)
-{
-	size_t done = 0;
-
-	while (done < len) {
-		ssize_t n = send(fd, data + done, len - done,
-				 MSG_NOSIGNAL | MSG_DONTWAIT);
-
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			break;
-		if (n < 0)
-			return -1;
-		done += (size_t)n;
-	}
-	return (ssize_t)done;
-}
-
 static void count_sent(struct net_conn *conn, size_t bytes)
 {
 	if (conn->options.traffic)
@@ -204,42 +239,28 @@
 	net_pacer_add(conn->options.pacer, &conn->paced, clock_monotonic_ns());
 }
 
-static void replace_buffer(GByteArray **buffer)
+bool net_conn_send(struct net_conn *conn, const void *data, size_t len)
 {
-	g_byte_array_unref(*buffer);
-	*buffer = g_byte_array_new();
-}
+	const struct net_record record = { .data = data, .len = len };
 
-/* Counts and removes sent bytes from the front of the output. */
-static void remove_sent(struct net_conn *conn, size_t bytes)
-{
-	conn->output_sent += bytes;
-	count_sent(conn, bytes);
-	if (!unsent_bytes(conn)) {
-		if (conn->output_long)
-			replace_buffer(&conn->output);
-		g_byte_array_set_size(conn->output, 0);
-		conn->output_sent = 0;
-		conn->output_long = false;
-	} else if (conn->output_sent >= OUTPUT_COMPACT_BYTES) {
-		g_byte_array_remove_range(conn->output, 0,
-					  (guint)conn->output_sent);
-		conn->output_sent = 0;
-	}
+	return net_conn_send_record(conn, &record);
 }
 
-bool net_conn_send(struct net_conn *conn, const void *data, size_t len)
+bool net_conn_send_record(struct net_conn *conn,
+			  const struct net_record *record)
 {
+	size_t len = record->len +
+		     (record->body ? g_bytes_get_size(record->body) : 0);
 	ssize_t sent = 0;
 	bool ok = false;
 
 	pthread_mutex_lock(&conn->lock);
 	if (conn->closed ||
-	    (unsent_bytes(conn) &&
+	    (unsent_bytes(conn) > NET_OUTPUT_SHORT_BYTES &&
 	     unsent_bytes(conn) + len > conn->options.output_max))
 		goto out;
 	if (!conn->connecting && !unsent_bytes(conn) && !is_paced(conn, len))
-		sent = write_some(conn->source.fd, data, len);
+		sent = net_output_write_record(conn->source.fd, record);
 	/*
 	 * Before a write error the socket may have accepted a part of the
 	 * record. The return value stays true then, and on_closed() reports
@@ -251,9 +272,7 @@
 	if (sent > 0)
 		count_unpaced(conn, (size_t)sent);
 	if (sent >= 0 && (size_t)sent < len) {
-		g_byte_array_append(conn->output, (const guint8 *)data + sent,
-				    (guint)(len - (size_t)sent));
-		conn->output_long |= conn->output->len > BUFFER_KEEP_BYTES;
+		net_output_add(&conn->output, record, (size_t)sent);
 		if (!conn->connecting && is_paced(conn, unsent_bytes(conn)))
 			queue_paced_output(conn);
 		else if (!conn->paced.queued)
@@ -267,6 +286,17 @@
 	return ok;
 }
 
+/* Writes at most bytes_max of the output and counts them; -1 on an error. */
+static ssize_t write_output(struct net_conn *conn, size_t bytes_max)
+{
+	ssize_t sent =
+		net_output_write(&conn->output, conn->source.fd, bytes_max);
+
+	if (sent > 0)
+		count_sent(conn, (size_t)sent);
+	return sent;
+}
+
 /* Writes unsent output, or queues it for pacing. False on a write error. */
 static bool flush_output(struct net_conn *conn)
 {
@@ -278,11 +308,7 @@
 		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
 		goto out;
 	}
-	sent = write_some(conn->source.fd,
-			  conn->output->data + conn->output_sent,
-			  unsent_bytes(conn));
-	if (sent >= 0)
-		remove_sent(conn, (size_t)sent);
+	sent = write_output(conn, unsent_bytes(conn));
 	if (sent >= 0 && !unsent_bytes(conn))
 		net_loop_modify(conn->options.loop, &conn->source, EPOLLIN);
 out:
@@ -298,10 +324,7 @@
 
 	pthread_mutex_lock(&conn->lock);
 	bytes_max = MIN(bytes_max, unsent_bytes(conn));
-	sent = write_some(conn->source.fd,
-			  conn->output->data + conn->output_sent, bytes_max);
-	if (sent > 0)
-		remove_sent(conn, (size_t)sent);
+	sent = write_output(conn, bytes_max);
 	if (sent >= 0 && (size_t)sent < bytes_max)
 		net_loop_modify(conn->options.loop, &conn->source,
 				EPOLLIN | EPOLLOUT);
@@ -329,6 +352,58 @@
 	return true;
 }
 
+static void count_record(struct net_conn *conn)
+{
+	if (conn->options.traffic)
+		counter_add(&conn->options.traffic->records_received, 1);
+}
+
+static void replace_buffer(GByteArray **buffer)
+{
+	g_byte_array_unref(*buffer);
+	*buffer = g_byte_array_new();
+}
+
+static void on_record_stalled(struct memory_hold *hold)
+{
+	struct long_record *record =
+		caa_container_of(hold, struct long_record, hold);
+
+	log_event(LOG_WARNING, "record_stalled", "held=%zu", record->len);
+	close_now(record->conn, "record is stalled");
+}
+
+/*
+ * Begins a long record of which a part has arrived. It is dropped when it does
+ * not fit into the account and its receiver allows that.
+ */
+static void begin_long_record(struct net_conn *conn, const unsigned char *data,
+			      size_t have, size_t len)
+{
+	struct memory_account *account = conn->options.account;
+	struct long_record *record;
+
+	if (account && conn->options.ops->on_dropped &&
+	    !memory_account_make_room(account, 0, len, clock_monotonic_ns())) {
+		conn->drop_left = len - have;
+		conn->dropped_head_len = MIN(have, NET_DROPPED_HEAD_BYTES);
+		memcpy(conn->dropped_head, data, conn->dropped_head_len);
+		return;
+	}
+	record = g_new0(struct long_record, 1);
+	record->data = g_malloc(len);
+	record->len = len;
+	memory_hold_init(&record->hold, account, clock_monotonic_ns());
+	memory_hold_set(&record->hold, len);
+	record->conn = conn;
+	record->hold.yield = on_record_stalled;
+	record->hold.stalled_ns = RECORD_STALLED_NS;
+	memory_hold_set_yield(&record->hold, true, clock_monotonic_ns());
+	memcpy(record->data, data, have);
+	conn->long_record = record;
+	conn->long_done = have;
+}
+
 /* Delivers the whole records of the input. False on a protocol violation. */
 static bool deliver_records(struct net_conn *conn)
 {
@@ -337,6 +412,7 @@
 
 	while (conn->input->len - used >= WIRE_MARK_BYTES) {
 		const unsigned char *mark = conn->input->data + used;
+		size_t have = conn->input->len - used - WIRE_MARK_BYTES;
 
 		if (!wire_read_mark(mark, &len)) {
 			close_now(conn, "record has several fragments");
@@ -346,12 +422,17 @@
 			close_now(conn, "record exceeds the size limit");
 			return false;
 		}
-		if (conn->input->len - used - WIRE_MARK_BYTES < len)
+		if (have < len && len >= NET_LONG_RECORD_BYTES &&
+		    have >= MIN(len, NET_DROPPED_HEAD_BYTES)) {
+			begin_long_record(conn, mark + WIRE_MARK_BYTES, have,
+					  len);
+			used = conn->input->len;
+			break;
+		}
+		if (have < len)
 			break;
 		used += WIRE_MARK_BYTES;
-		if (conn->options.traffic)
-			counter_add(&conn->options.traffic->records_received,
-				    1);
+		count_record(conn);
 		conn->options.ops->on_record(conn, conn->input->data + used,
 					     len);
 		used += len;
@@ -363,11 +444,67 @@
 	return true;
 }
 
+static void deliver_long_record(struct net_conn *conn)
+{
+	struct long_record *record = conn->long_record;
+
+	count_record(conn);
+	memory_hold_set_yield(&record->hold, false, 0);
+	conn->options.ops->on_record(conn, record->data, record->len);
+	/* Unless the receiver has taken it, or closed the connection. */
+	if (conn->long_record)
+		free_long_record(conn->long_record);
+	conn->long_record = NULL;
+}
+
+GBytes *net_conn_take_record(struct net_conn *conn)
+{
+	struct long_record *record = conn->long_record;
+
+	if (!record || conn->long_done < record->len)
+		return NULL;
+	conn->long_record = NULL;
+	return g_bytes_new_with_free_func(record->data, record->len,
+					  free_long_record, record);
+}
+
+/* Handles bytes that were read; those of a long record are in its buffer. */
+static void take_input(struct net_conn *conn, const unsigned char *data,
+		       size_t len)
+{
+	if (conn->drop_left) {
+		conn->drop_left -= len;
+		if (conn->drop_left)
+			return;
+		conn->options.ops->on_dropped(conn, conn->dropped_head,
+					      conn->dropped_head_len);
+	} else if (conn->long_record) {
+		conn->long_done += len;
+		memory_hold_moved(&conn->long_record->hold, len,
+				  clock_monotonic_ns());
+		if (conn->long_done == conn->long_record->len)
+			deliver_long_record(conn);
+	} else {
+		g_byte_array_append(conn->input, data, (guint)len);
+		deliver_records(conn);
+	}
+}
+
 static void read_input(struct net_conn *conn)
 {
 	unsigned char buffer[READ_BYTES];
-	ssize_t n = recv(conn->source.fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-
+	unsigned char *place = buffer;
+	size_t room = sizeof(buffer);
+	ssize_t n;
+
+	/* A long record is read into its own buffer, and no further. */
+	if (conn->drop_left) {
+		room = MIN(room, conn->drop_left);
+	} else if (conn->long_record) {
+		place = conn->long_record->data + conn->long_done;
+		room = MIN(room, conn->long_record->len - conn->long_done);
+	}
+	n = recv(conn->source.fd, place, room, MSG_DONTWAIT);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n < 0) {
@@ -382,8 +519,7 @@
 			 __ATOMIC_RELAXED);
 	if (conn->options.traffic)
 		counter_add(&conn->options.traffic->bytes_received, (size_t)n);
-	g_byte_array_append(conn->input, buffer, (guint)n);
-	deliver_records(conn);
+	take_input(conn, place, (size_t)n);
 }
 
 static bool is_closed(struct net_conn *conn)
--- a/relay/call.h
+++ b/relay/call.h
@@ -65,6 +65,7 @@
 	char *failure_names[FAILURE_REASONS];
 	struct route_metrics_set route_metrics;
 	struct counter nr_retries;
+	struct http_server_counters http_counters;
 	struct histogram added_time;
 	struct placement placement;
 };
@@ -74,6 +75,7 @@
 	struct caller_side *side;
 	struct http_server_conn *conn;
 	struct http_message *message;
+	GBytes *body; /* of the message, once it was sent to a daemon */
 	struct mesh_view *view; /* in force when it arrived */
 	const struct mesh_route *route;
 	const char *service; /* borrowed from the view */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "platform/platform.h"
 #include "relay/call.h"
+#include "relay/memory_limits.h"
 
 /* Limits before the first configuration is received. */
 #define HEAD_MAX_BYTES_START 16384
@@ -88,6 +89,8 @@
 			 (char *)call->failed_answer);
 		g_free(call->failed_answer);
 	}
+	if (call->body)
+		g_bytes_unref(call->body);
 	mesh_view_unref(call->view);
 	http_message_free(call->message);
 	g_free(call);
@@ -514,6 +517,9 @@
 					 .body_max = BODY_MAX_BYTES_START },
 			    .request_read_max_ns = HEAD_WAIT_NS_START,
 			    .idle_max_ns = IDLE_WAIT_NS_START },
+		.account = context->account,
+		.conns_max = memory_limits_callers_max(context->host),
+		.counters = &side->http_counters,
 		.ops = &server_ops,
 		.ctx = side,
 	};
@@ -532,6 +538,7 @@
 					     free_state);
 	add_metrics(side);
 	placement_add_metrics(&side->placement, context->metrics);
+	memory_limits_add_counters(context->metrics, &side->http_counters);
 	side->http = http_server_new(&http, error);
 	return side->http ? side : NULL;
 }
