Check the HTTP lines that daemons forward, and count malformed messages

Cause: the request line, the fields and the calling service of a relay_request, and the status and the fields of a relay_answer, were used as another daemon sent them; a line end or a framing field in them would change the message. Malformed messages were not visible to operators.

Change: peer_message checks them: a request is refused as garbage arguments, an answer is lost. godwitspur_malformed_total counts malformed messages by kind. Tests with real processes for what reaches a caller, beside the server and over a second hop.

HttpGrammar.ChecksForwardedLines covers the checks of forwarded lines; there was no code for them before.

--- a/lib/http/grammar.c
+++ b/lib/http/grammar.c
@@ -195,7 +195,7 @@
 	*defect = HTTP_DEFECT_NONE;
 	if (len && (*line == ' ' || *line == '\t'))
 		*defect = HTTP_DEFECT_FOLDED_LINE;
-	else if (!is_token(line, name_len))
+	else if (!colon || !is_token(line, name_len))
 		*defect = HTTP_DEFECT_FIELD_NAME;
 	else if (!is_text(colon + 1, len - name_len - 1))
 		*defect = HTTP_DEFECT_FIELD_VALUE;
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -1,4 +1,5 @@
 #include <http_parser.h>
+#include <string.h>
 
 #include "http/message.h"
 
@@ -42,6 +43,19 @@
 	return number;
 }
 
+char *http_message_field(const struct http_message *message, const char *name)
+{
+	const char *line = message->fields->str;
+	size_t len = strlen(name);
+	const char *end;
+
+	for (; (end = strstr(line, "\r\n")); line = end + 2)
+		if (!g_ascii_strncasecmp(line, name, len) && line[len] == ':')
+			return g_strndup(line + len + 2,
+					 (gsize)(end - line) - len - 2);
+	return NULL;
+}
+
 void http_field_append(GString *fields, const char *name, const char *value)
 {
 	g_string_append(fields, name);
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -66,6 +66,12 @@
 int64_t http_message_number(const struct http_message *message,
 			    enum http_field_role role, int64_t fallback);
 
+/*
+ * Returns the value of the first forwarded field with a name, or NULL; letter
+ * case is ignored. The caller frees it.
+ */
+char *http_message_field(const struct http_message *message, const char *name);
+
 /* Appends the line "NAME: VALUE" with its CRLF. */
 void http_field_append(GString *fields, const char *name, const char *value);
 
--- a/relay/admin_server.c
+++ b/relay/admin_server.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "http/defect_metrics.h"
 #include "http/server.h"
 #include "platform/platform.h"
 #include "relay/admin_server.h"
@@ -18,6 +19,7 @@
 	void *ctx;
 	struct http_server *ready;
 	struct http_server *operators;
+	struct http_defect_metrics *defects;
 };
 
 static void reply_text(struct http_server_conn *conn, int status,
@@ -83,6 +85,7 @@
 		reply_explanation(server, conn,
 				  message->target->str + strlen(EXPLAIN_PATH));
 	} else if (!strcmp(message->target->str, "/metrics")) {
+		http_defect_metrics_update(server->defects);
 		metrics_render(server->context->metrics, metrics);
 		reply_text(conn, 200, "text/plain; version=0.0.4",
 			   metrics->str);
@@ -138,6 +141,7 @@
 	server->context = context;
 	server->ops = ops;
 	server->ctx = ctx;
+	server->defects = http_defect_metrics_new(context->metrics);
 	server->ready = listen_at(server, &host->ready, &ready_ops, error);
 	if (!server->ready)
 		return NULL;
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "mesh/liveness.h"
+#include "relay/peer_message.h"
 #include "relay/peers.h"
 
 /* Least time between two attempts to connect to a daemon. */
@@ -200,7 +201,8 @@
 	if (status == RPC_DONE)
 		call->link->liveness.received_at = clock_monotonic_ns();
 	end_call(call);
-	if (status == RPC_DONE && !xdr_relay_answer(xdr, &answer)) {
+	if (status == RPC_DONE && (!xdr_relay_answer(xdr, &answer) ||
+				   !peer_answer_is_valid(&answer))) {
 		xdr_free((xdrproc_t)xdr_relay_answer, (char *)&answer);
 		status = RPC_LOST;
 	}
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "relay/peer_message.h"
 #include "relay/peers.h"
 
 /* A request from another daemon. */
@@ -53,7 +54,8 @@
 {
 	struct remote_job *remote = g_new0(struct remote_job, 1);
 
-	if (!xdr_relay_request(args, &remote->job.request)) {
+	if (!xdr_relay_request(args, &remote->job.request) ||
+	    !peer_request_is_valid(&remote->job.request)) {
 		xdr_free((xdrproc_t)xdr_relay_request,
 			 (char *)&remote->job.request);
 		g_free(remote);
