Read the responses of the product's own mode by the same rules

Cause: neon accepted responses of the backend server with status 000 or 600, another version, folded lines, a blank or a control byte in a field name, a blank before the colon, a sign in a length and a blank in a chunk size. What another daemon sent as method, path and headers was written to the backend server as it came.

Change: lib/http/session runs the relay's client on a loop of its own, for threads that block; the slot workers and the reads of the source and the host list use it. The request line and the headers from other daemons are checked before they are sent, and the status and headers of their answers. neon is left to the commands and the tests.

Measured: BackendSession.InvalidResponseIsLost failed before for at least 11 of its 14 cases and BackendSession.InvalidForwardedLinesAreNotSent for its three; they pass now. BackendSession.EarlyResponseThatBreaksOffIsLost passed before: neon reports a reset as an error. test_process_once, _config, _crash, _hostile, _service, _chaos and _cold pass; test_backend_session and test_http pass under ASan, too.

--- a/godwitspur/backend.c
+++ b/godwitspur/backend.c
@@ -1,6 +1,5 @@
 #include <errno.h>
-#include <ne_request.h>
-#include <ne_session.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,9 +8,12 @@
 
 #include "backend.h"
 #include "base/clock.h"
+#include "http/session.h"
 
-#define CONNECT_TIMEOUT_SEC 1
-#define READ_BYTES 16384
+#define CONNECT_WAIT_NS (1 * NS_PER_SEC)
+
+/* Bytes of the fields of a response. */
+#define HEAD_MAX_BYTES 65536
 
 /*
  * An exiting process closes its sockets one after another in no particular
@@ -21,11 +23,10 @@
 #define REFUSAL_ATTEMPT_MS 2
 
 /*
- * neon fixes its read timeout, in whole seconds, when it connects. Timeouts are
- * rounded up to a multiple of this, so that requests with different deadlines
- * share a connection.
+ * The time for a response is rounded up to a multiple of this: the answer to a
+ * request with a ticket is recorded also when its deadline has passed.
  */
-#define TIMEOUT_STEP_SEC 10
+#define WAIT_STEP_NS (10 * NS_PER_SEC)
 
 /*
  * A kept connection that was idle for longer is not reused. If the backend
@@ -36,57 +37,48 @@
 
 struct backend_session {
 	struct net_address address;
-	ne_session *neon;
-	int read_timeout_sec;
-	bool kept;	    /* neon may hold an open connection */
+	struct http_session *http;
 	uint64_t life;	    /* backend_call.life of the last request */
 	int64_t idle_since; /* end of the last request */
 };
 
+static enum http_field_role find_role(const char *name)
+{
+	return header_is_hop_by_hop(name) ? HTTP_ROLE_HOP_BY_HOP
+					  : HTTP_ROLE_NONE;
+}
+
+static bool is_forwarded(enum http_field_role role)
+{
+	return role == HTTP_ROLE_NONE;
+}
+
+static const struct http_field_roles roles = {
+	.find = find_role,
+	.is_forwarded = is_forwarded,
+};
+
 struct backend_session *backend_session_new(const struct net_address *address)
 {
 	struct backend_session *session = g_new0(struct backend_session, 1);
+	struct http_session_options options = {
+		.address = *address,
+		.roles = &roles,
+		.head_max = HEAD_MAX_BYTES,
+		.connect_wait_ns = CONNECT_WAIT_NS,
+	};
 
 	session->address = *address;
+	session->http = http_session_new(&options);
 	return session;
 }
 
-static void close_neon(struct backend_session *session)
-{
-	if (session->neon)
-		ne_session_destroy(session->neon);
-	session->neon = NULL;
-	session->kept = false;
-}
-
 void backend_session_free(struct backend_session *session)
 {
-	close_neon(session);
+	http_session_free(session->http);
 	g_free(session);
 }
 
-static ne_session *open_neon(struct backend_session *session,
-			     const struct backend_call *call)
-{
-	int64_t now = clock_monotonic_ns();
-	int64_t left = call->deadline - now;
-	int steps = (int)(MAX(left, 0) / (TIMEOUT_STEP_SEC * NS_PER_SEC)) + 1;
-	int seconds = steps * TIMEOUT_STEP_SEC;
-
-	if (session->kept && (session->life != call->life ||
-			      now - session->idle_since > KEEP_ALIVE_IDLE_NS))
-		close_neon(session);
-	if (session->neon && session->read_timeout_sec == seconds)
-		return session->neon;
-	close_neon(session);
-	session->read_timeout_sec = seconds;
-	session->neon = ne_session_create("http", session->address.host,
-					  session->address.port);
-	ne_set_connect_timeout(session->neon, CONNECT_TIMEOUT_SEC);
-	ne_set_read_timeout(session->neon, seconds);
-	return session->neon;
-}
-
 bool header_is_hop_by_hop(const char *name)
 {
 	static const char *const names[] = {
@@ -130,8 +122,8 @@
 	answer->headers.headers_len = n + 1;
 }
 
-static void add_request_headers(ne_request *neon,
-				const struct backend_call *call)
+/* Appends the fields of the request, also those of the caller. */
+static void add_request_fields(GString *fields, const struct backend_call *call)
 {
 	const struct traffic_request *request = call->request;
 	int64_t left = call->deadline - clock_monotonic_ns();
@@ -141,15 +133,44 @@
 		struct traffic_header *h = &request->headers.headers_val[i];
 
 		if (!header_is_hop_by_hop(h->name))
-			ne_add_request_header(neon, h->name, h->value);
+			http_field_append(fields, h->name, h->value);
 	}
 	request_context_format(&call->context, context);
-	ne_add_request_header(neon, CONTEXT_HEADER, context);
-	ne_print_request_header(neon, "Deadline-Ms", "%lld",
-				(long long)(MAX(left, 0) / NS_PER_MS));
-	ne_add_request_header(neon, "Request-Id", call->request_id);
+	http_field_append(fields, CONTEXT_HEADER, context);
+	g_string_append_printf(fields, "Deadline-Ms: %" PRId64 "\r\n",
+			       MAX(left, 0) / NS_PER_MS);
+	http_field_append(fields, "Request-Id", call->request_id);
 	if (*request->ticket)
-		ne_add_request_header(neon, "Idempotency-Key", request->ticket);
+		http_field_append(fields, "Idempotency-Key", request->ticket);
+}
+
+/*
+ * Returns the head of the request, or NULL when the lines that another daemon
+ * sent are not valid: a line end in one of them would add a field or a request.
+ */
+static GString *build_head(const struct backend_session *session,
+			   const struct backend_call *call)
+{
+	const struct traffic_request *request = call->request;
+	g_autoptr(GString) fields = g_string_new(NULL);
+	GString *head;
+
+	add_request_fields(fields, call);
+	if (!http_request_line_is_valid(request->method, request->path) ||
+	    !http_fields_are_valid(fields->str)) {
+		http_defect_count(true, HTTP_DEFECT_FORWARDED);
+		return NULL;
+	}
+	head = g_string_new(NULL);
+	g_string_printf(head, "%s %s HTTP/1.1\r\n", request->method,
+			request->path);
+	http_host_append(head, &session->address);
+	g_string_append(head, fields->str);
+	if (request->body.body_len || strcmp(request->method, "GET") != 0)
+		g_string_append_printf(head, "Content-Length: %u\r\n",
+				       request->body.body_len);
+	g_string_append(head, "\r\n");
+	return head;
 }
 
 /* Headers that only the daemon may set. */
@@ -158,120 +179,102 @@
 	return !g_ascii_strncasecmp(name, "Godwitspur-", strlen("Godwitspur-"));
 }
 
-static void copy_response_headers(ne_request *neon,
+static void copy_response_headers(const struct http_message *response,
 				  struct traffic_answer *answer)
 {
-	const char *name, *value;
-	void *cursor = NULL;
+	const char *line = response->fields->str;
+	const char *end;
 
-	while ((cursor = ne_response_header_iterate(neon, cursor, &name,
-						    &value)))
-		if (!header_is_hop_by_hop(name) && !is_reserved_name(name))
+	for (; (end = strstr(line, "\r\n")); line = end + 2) {
+		const char *colon = strchr(line, ':');
+		g_autofree char *name =
+			g_ascii_strdown(line, (gssize)(colon - line));
+		g_autofree char *value =
+			g_strndup(colon + 2, (gsize)(end - colon - 2));
+
+		if (!is_reserved_name(name))
 			answer_add_header(answer, name, value);
+	}
 }
 
-/* Reads the whole body. Returns false when it is truncated or too long. */
-static bool read_body(ne_request *neon, int64_t body_max,
+static void copy_body(const struct http_message *response,
 		      struct traffic_answer *answer)
 {
-	g_autoptr(GByteArray) body = g_byte_array_new();
-	char buffer[READ_BYTES];
-	ssize_t n;
+	const GByteArray *body = response->body;
 
-	while ((n = ne_read_response_block(neon, buffer, sizeof(buffer))) > 0) {
-		if (body->len + n > body_max)
-			return false;
-		g_byte_array_append(body, (guint8 *)buffer, (guint)n);
-	}
-	if (n < 0)
-		return false;
 	answer->body.body_len = body->len;
 	answer->body.body_val = malloc(body->len ? body->len : 1);
 	if (!answer->body.body_val)
 		abort();
 	if (body->len) /* the data of an empty array are NULL */
 		memcpy(answer->body.body_val, body->data, body->len);
-	return true;
 }
 
-/*
- * The failure reason when ne_begin_request() failed. A request that neon may
- * have sent on a kept connection before the new one was refused may have run.
- */
-static enum failure_reason begin_failure(int code, int64_t deadline,
-					 bool may_be_sent)
+static bool has_flag(const struct http_message *response, const char *name)
 {
-	if (code == NE_CONNECT || code == NE_LOOKUP)
-		return may_be_sent ? FAILURE_BACKEND_LOST
-				   : FAILURE_BACKEND_REFUSED;
-	if (clock_monotonic_ns() >= deadline)
-		return FAILURE_DEADLINE;
-	return FAILURE_BACKEND_LOST;
+	g_autofree char *value = http_message_field(response, name);
+
+	return value && !strcmp(value, "1");
 }
 
-static bool has_flag(ne_request *neon, const char *name)
+static enum failure_reason failure_of(enum http_end end, int64_t deadline)
 {
-	const char *value = ne_get_response_header(neon, name);
-
-	return value && !strcmp(value, "1");
+	if (end == HTTP_END_NOT_SENT)
+		return FAILURE_BACKEND_REFUSED;
+	if (end == HTTP_END_LOST && clock_monotonic_ns() >= deadline)
+		return FAILURE_DEADLINE;
+	return FAILURE_BACKEND_LOST;
 }
 
-static enum failure_reason exchange(ne_request *neon,
-				    const struct backend_call *call,
-				    bool is_kept, struct traffic_answer *answer,
-				    bool *draining)
+/* Sends the request, on the kept connection if that is fresh. */
+static enum http_end exchange(struct backend_session *session,
+			      const struct backend_call *call,
+			      const GString *head,
+			      struct http_message **response)
 {
-	int code = ne_begin_request(neon);
-
-	if (code != NE_OK)
-		return begin_failure(code, call->deadline,
-				     is_kept && call->may_resend);
-	answer->status = ne_get_status(neon)->code;
-	if (!read_body(neon, call->body_max, answer) ||
-	    ne_end_request(neon) != NE_OK)
-		return FAILURE_TRUNCATED;
-	*draining = has_flag(neon, "Backend-Draining");
-	if (answer->status == 503 && has_flag(neon, "Backend-Shed"))
-		return FAILURE_BACKEND_SHED;
-	copy_response_headers(neon, answer);
-	return FAILURE_NONE;
+	const struct traffic_request *request = call->request;
+	int64_t now = clock_monotonic_ns();
+	int64_t left = MAX(call->deadline - now, 0);
+	struct http_session_call http_call = {
+		.head = head,
+		.body = request->body.body_val,
+		.body_len = request->body.body_len,
+		.body_max = (size_t)call->body_max,
+		.deadline = now + (left / WAIT_STEP_NS + 1) * WAIT_STEP_NS,
+		.may_resend = call->may_resend,
+	};
+	enum http_end end;
+
+	if (session->life != call->life ||
+	    now - session->idle_since > KEEP_ALIVE_IDLE_NS)
+		http_session_close(session->http);
+	end = http_session_run(session->http, &http_call, response);
+	session->life = call->life;
+	session->idle_since = clock_monotonic_ns();
+	return end;
 }
 
 enum failure_reason backend_run(struct backend_session *session,
 				const struct backend_call *call,
 				struct traffic_answer *answer, bool *draining)
 {
-	const struct traffic_request *request = call->request;
-	ne_session *neon_session = open_neon(session, call);
-	ne_request *neon =
-		ne_request_create(neon_session, request->method, request->path);
-	enum failure_reason reason;
-
-	/*
-	 * With this flag neon reuses a kept connection and resends the request
-	 * if that turns out to be closed; without it neon opens a new one. neon
-	 * does not report whether the connection was closed before or after
-	 * the first send, so such a request counts as sent.
-	 */
-	ne_set_request_flag(neon, NE_REQFLAG_IDEMPOTENT, call->may_resend);
-	/* neon doesn't accept NULL, which XDR decodes an empty body to. */
-	ne_set_request_body_buffer(neon,
-				   request->body.body_len
-					   ? request->body.body_val
-					   : "",
-				   request->body.body_len);
-	add_request_headers(neon, call);
+	CLEANUP(http_message_freep) struct http_message *response = NULL;
+	g_autoptr(GString) head = build_head(session, call);
+	enum http_end end;
+
 	*draining = false;
-	reason = exchange(neon, call, session->kept, answer, draining);
-	ne_request_destroy(neon);
-	if (reason != FAILURE_NONE && reason != FAILURE_BACKEND_SHED) {
-		close_neon(session);
-		return reason;
-	}
-	session->kept = true;
-	session->life = call->life;
-	session->idle_since = clock_monotonic_ns();
-	return reason;
+	if (!head)
+		return FAILURE_BAD_REQUEST;
+	end = exchange(session, call, head, &response);
+	if (end != HTTP_END_ANSWERED)
+		return failure_of(end, call->deadline);
+	answer->status = response->status;
+	*draining = has_flag(response, "Backend-Draining");
+	if (answer->status == 503 && has_flag(response, "Backend-Shed"))
+		return FAILURE_BACKEND_SHED;
+	copy_body(response, answer);
+	copy_response_headers(response, answer);
+	return FAILURE_NONE;
 }
 
 static bool refuses_now(const struct net_address *address)
--- a/godwitspur/backend.h
+++ b/godwitspur/backend.h
@@ -6,7 +6,7 @@
 #include "wire/wire.h"
 
 /*
- * HTTP client for the local backend server, based on neon. Each slot worker has
+ * HTTP client for the local backend server, which blocks. Each slot worker has
  * a session of its own, which keeps its connection open.
  */
 
@@ -20,7 +20,7 @@
 	const char *request_id;
 	int64_t deadline;		/* monotonic ns */
 	struct request_context context; /* sent to the backend server */
-	bool may_resend; /* neon may resend it if the connection was stale */
+	bool may_resend; /* it is sent again if the connection was stale */
 	/*
 	 * Number of losses of the backend server so far. A connection opened
 	 * under another number is not reused.
--- a/godwitspur/fetch.c
+++ b/godwitspur/fetch.c
@@ -1,12 +1,14 @@
-#include <ne_request.h>
-#include <ne_session.h>
 #include <pthread.h>
 #include <stdlib.h>
 
+#include "base/clock.h"
 #include "fetch.h"
+#include "http/session.h"
 
-#define CONNECT_TIMEOUT_SEC 2
-#define READ_BYTES 16384
+#define CONNECT_WAIT_NS (2 * NS_PER_SEC)
+
+/* Bytes of the fields of a response. */
+#define HEAD_MAX_BYTES 65536
 
 struct fetch_pool {
 	struct net_loop *loop;
@@ -26,45 +28,60 @@
 	g_free(fetch);
 }
 
-/* Returns NE_OK, or NE_ERROR when a read fails or the body is too long. */
-static int read_body(ne_request *request, struct fetch *fetch)
+/* No field is forwarded; all are kept as lines to be looked up. */
+static enum http_field_role find_role(const char *name)
 {
-	char buffer[READ_BYTES];
-	ssize_t n;
-
-	fetch->body = g_byte_array_new();
-	while ((n = ne_read_response_block(request, buffer, sizeof(buffer))) >
-	       0) {
-		if (fetch->body->len + (size_t)n > FETCH_BODY_MAX) {
-			fetch->status = FETCH_TOO_LONG;
-			return NE_ERROR;
-		}
-		g_byte_array_append(fetch->body, (guint8 *)buffer, (guint)n);
-	}
-	return n < 0 ? NE_ERROR : NE_OK;
+	(void)name;
+	return HTTP_ROLE_NONE;
+}
+
+static bool is_forwarded(enum http_field_role role)
+{
+	(void)role;
+	return true;
+}
+
+static const struct http_field_roles roles = {
+	.find = find_role,
+	.is_forwarded = is_forwarded,
+};
+
+static void take_response(struct fetch *fetch, struct http_message *response)
+{
+	g_autofree char *revision = http_message_field(response, "Revision");
+
+	fetch->status = response->status;
+	fetch->revision = revision ? atoll(revision) : 0;
+	fetch->body = g_byte_array_ref(response->body);
 }
 
 static void perform(struct fetch *fetch)
 {
-	ne_session *session = ne_session_create("http", fetch->address.host,
-						fetch->address.port);
-	ne_request *request;
-	const char *revision;
-
-	ne_set_connect_timeout(session, CONNECT_TIMEOUT_SEC);
-	ne_set_read_timeout(session, fetch->read_timeout_sec);
-	ne_set_useragent(session, "godwitspur");
-	request = ne_request_create(session, "GET", fetch->path);
+	CLEANUP(http_message_freep) struct http_message *response = NULL;
+	g_autoptr(GString) head = g_string_new(NULL);
+	struct http_session_options options = {
+		.address = fetch->address,
+		.roles = &roles,
+		.head_max = HEAD_MAX_BYTES,
+		.connect_wait_ns = CONNECT_WAIT_NS,
+	};
+	struct http_session *session = http_session_new(&options);
+	struct http_session_call call = {
+		.head = head,
+		.body = "",
+		.body_max = FETCH_BODY_MAX,
+		.deadline = clock_monotonic_ns() + CONNECT_WAIT_NS +
+			    fetch->read_timeout_sec * NS_PER_SEC,
+	};
+
+	g_string_printf(head, "GET %s HTTP/1.1\r\n", fetch->path);
+	http_host_append(head, &fetch->address);
+	g_string_append(head, "User-Agent: godwitspur\r\n"
+			      "Connection: close\r\n\r\n");
 	fetch->status = FETCH_FAILED;
-	if (ne_begin_request(request) == NE_OK &&
-	    read_body(request, fetch) == NE_OK) {
-		revision = ne_get_response_header(request, "Revision");
-		fetch->revision = revision ? atoll(revision) : 0;
-		if (ne_end_request(request) == NE_OK)
-			fetch->status = ne_get_status(request)->code;
-	}
-	ne_request_destroy(request);
-	ne_session_destroy(session);
+	if (http_session_run(session, &call, &response) == HTTP_END_ANSWERED)
+		take_response(fetch, response);
+	http_session_free(session);
 }
 
 static void deliver(void *arg)
--- a/godwitspur/links.c
+++ b/godwitspur/links.c
@@ -5,7 +5,10 @@
 #include "base/clock.h"
 #include "base/completion.h"
 #include "base/log.h"
+#include "http/grammar.h"
+#include "http/message.h"
 #include "links.h"
+#include "retry/retry.h"
 
 #define OUTPUT_MAX (2 * (size_t)WIRE_TRAFFIC_RECORD_MAX)
 
@@ -172,6 +175,20 @@
 	return conn;
 }
 
+/* Whether the status and the headers of an answer are those of a response. */
+static bool is_valid_answer(const struct traffic_answer *answer)
+{
+	g_autoptr(GString) fields = g_string_new(NULL);
+
+	if (answer->reason != FAILURE_NONE)
+		return true;
+	for (u_int i = 0; i < answer->headers.headers_len; i++)
+		http_field_append(fields, answer->headers.headers_val[i].name,
+				  answer->headers.headers_val[i].value);
+	return answer->status >= 200 && answer->status <= 599 &&
+	       http_fields_are_valid(fields->str);
+}
+
 enum rpc_status links_request(struct links *links, const char *address,
 			      struct traffic_request *request, int64_t deadline,
 			      struct traffic_answer *answer)
@@ -186,6 +203,12 @@
 			       (xdrproc_t)xdr_traffic_request, request,
 			       deadline, (xdrproc_t)xdr_traffic_answer, answer);
 	rpc_conn_unref(conn);
+	if (status == RPC_DONE && !is_valid_answer(answer)) {
+		http_defect_count(false, HTTP_DEFECT_FORWARDED);
+		xdr_free((xdrproc_t)xdr_traffic_answer, answer);
+		memset(answer, 0, sizeof(*answer));
+		return RPC_LOST;
+	}
 	return status;
 }
 
--- a/godwitspur/operator.c
+++ b/godwitspur/operator.c
@@ -1,10 +1,12 @@
 #include <microhttpd.h>
 #include <string.h>
 
+#include "http/defect_metrics.h"
 #include "operator.h"
 
 struct operator_server {
 	struct operator_options options;
+	struct http_defect_metrics *defects;
 	struct MHD_Daemon *http;
 };
 
@@ -41,6 +43,7 @@
 	struct reply reply = { 200, "text/plain; version=0.0.4", NULL };
 	GString *text = g_string_new(NULL);
 
+	http_defect_metrics_update(server->defects);
 	metrics_render(server->options.metrics, text);
 	reply.text = strdup(text->str);
 	g_string_free(text, TRUE);
@@ -143,6 +146,7 @@
 	unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
 
 	server->options = *options;
+	server->defects = http_defect_metrics_new(options->metrics);
 	if (options->listen.storage.ss_family == AF_INET6)
 		flags |= MHD_USE_IPv6;
 	server->http = MHD_start_daemon(
--- a/lib/net/loop.c
+++ b/lib/net/loop.c
@@ -105,25 +105,30 @@
 	return (int)MIN((deadline - now + NS_PER_MS - 1) / NS_PER_MS, 60000);
 }
 
-void net_loop_run(struct net_loop *loop)
+void net_loop_step(struct net_loop *loop)
 {
 	struct epoll_event events[EVENTS_PER_ITERATION];
+	int n;
 
 	__atomic_store_n(&loop->thread, pthread_self(), __ATOMIC_RELEASE);
-	while (!__atomic_load_n(&loop->stopped, __ATOMIC_ACQUIRE)) {
-		int n = epoll_wait(loop->epoll_fd, events, EVENTS_PER_ITERATION,
-				   wait_ms(loop));
-
-		for (int i = 0; i < n; i++) {
-			struct net_source *source = events[i].data.ptr;
-
-			source->ready(source, events[i].events);
-		}
-		run_deferred(loop);
-		if (loop->options.on_iteration)
-			loop->options.on_iteration(loop->options.ctx,
-						   clock_monotonic_ns());
+	n = epoll_wait(loop->epoll_fd, events, EVENTS_PER_ITERATION,
+		       wait_ms(loop));
+	for (int i = 0; i < n; i++) {
+		struct net_source *source = events[i].data.ptr;
+
+		source->ready(source, events[i].events);
 	}
+	run_deferred(loop);
+	if (loop->options.on_iteration)
+		loop->options.on_iteration(loop->options.ctx,
+					   clock_monotonic_ns());
+}
+
+void net_loop_run(struct net_loop *loop)
+{
+	__atomic_store_n(&loop->thread, pthread_self(), __ATOMIC_RELEASE);
+	while (!__atomic_load_n(&loop->stopped, __ATOMIC_ACQUIRE))
+		net_loop_step(loop);
 }
 
 void net_loop_wake(struct net_loop *loop)
--- a/lib/net/loop.h
+++ b/lib/net/loop.h
@@ -36,6 +36,9 @@
 /* Runs until net_loop_stop() is called. */
 void net_loop_run(struct net_loop *loop);
 
+/* Runs one iteration, for a thread that waits for single events. */
+void net_loop_step(struct net_loop *loop);
+
 /* Stops the loop after its current iteration; any thread. */
 void net_loop_stop(struct net_loop *loop);
 
--- a/tests/backend/test_backend_session.cc
+++ b/tests/backend/test_backend_session.cc
@@ -39,7 +39,8 @@
 		backend_session_free(session);
 	}
 
-	enum failure_reason run(const char *method, const char *path)
+	enum failure_reason run(const char *method, const char *path,
+				const std::string &body = "")
 	{
 		struct traffic_request request = {};
 		struct traffic_answer answer = {};
@@ -51,6 +52,8 @@
 		request.method = const_cast<char *>(method);
 		request.path = const_cast<char *>(path);
 		request.ticket = empty;
+		request.body.body_val = const_cast<char *>(body.data());
+		request.body.body_len = (u_int)body.size();
 		call.request = &request;
 		call.request_id = "r1";
 		call.deadline = clock_monotonic_ns() + 5 * NS_PER_SEC;
@@ -228,3 +231,101 @@
 	close(fd);
 	EXPECT_EQ(session.headers, std::vector<std::string>{ "x-own" });
 }
+
+/* Sends one request to a server that responds with bytes of the test. */
+static enum failure_reason run_once(const std::string &bytes,
+				    const std::string &upload, bool reset)
+{
+	struct net_address address;
+	char listen[ADDRESS_CHARS];
+	enum failure_reason reason;
+	int fd;
+
+	free_address(listen);
+	EXPECT_TRUE(net_address_parse(&address, listen, nullptr));
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	EXPECT_EQ(bind(fd, (const struct sockaddr *)&address.storage,
+		       address.len),
+		  0);
+	EXPECT_EQ(::listen(fd, 1), 0);
+	std::thread server([&] {
+		struct linger linger = { 1, 0 };
+		char request[4096];
+		int client = accept(fd, nullptr, nullptr);
+
+		EXPECT_GT(recv(client, request, sizeof(request), 0), 0);
+		EXPECT_EQ(send(client, bytes.data(), bytes.size(), 0),
+			  (ssize_t)bytes.size());
+		usleep(10000);
+		if (reset)
+			setsockopt(client, SOL_SOCKET, SO_LINGER, &linger,
+				   sizeof(linger));
+		close(client);
+	});
+	{
+		Session session(listen);
+
+		reason = session.run("POST", "/a", upload);
+	}
+	server.join();
+	close(fd);
+	return reason;
+}
+
+/* Guards against an invalid response being delivered to the caller. */
+TEST(BackendSession, InvalidResponseIsLost)
+{
+	const std::string cases[] = {
+		"HTTP/1.1 000 No\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 101 No\r\n\r\n",
+		"HTTP/1.1 600 No\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/2.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\n A: x\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nA: x\r\n y\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nA b: x\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nA\x01: x\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nxy",
+		"HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nxy",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"1 \r\nx\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx",
+	};
+
+	for (const std::string &bytes : cases)
+		EXPECT_EQ(run_once(bytes, "", false), FAILURE_BACKEND_LOST)
+			<< bytes;
+}
+
+/*
+ * Guards against a part of an early response being delivered as a whole one
+ * when the server breaks the connection while the upload is being written.
+ */
+TEST(BackendSession, EarlyResponseThatBreaksOffIsLost)
+{
+	const std::string upload(32 * 1024 * 1024, 'u');
+
+	for (const char *start :
+	     { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+	       "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" })
+		for (const char *part : { "", "part" })
+			for (bool reset : { false, true })
+				EXPECT_EQ(run_once(std::string(start) + part,
+						   upload, reset),
+					  FAILURE_BACKEND_LOST)
+					<< start << part << reset;
+}
+
+/* Guards against a line end of another daemon's text in the request. */
+TEST(BackendSession, InvalidForwardedLinesAreNotSent)
+{
+	Standin backend(STANDIN_BACKEND);
+	Session session(backend);
+
+	EXPECT_EQ(session.run("GET", "/a b"), FAILURE_BAD_REQUEST);
+	EXPECT_EQ(session.run("GET", "/a HTTP/1.1\r\nX: y\r\n\r\n"),
+		  FAILURE_BAD_REQUEST);
+	EXPECT_EQ(session.run("GET /a", "/a"), FAILURE_BAD_REQUEST);
+	EXPECT_EQ(session.run("GET", "/a"), FAILURE_NONE);
+}
