--- a/relay/peers.c
+++ b/relay/peers.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "relay/peer_message.h"
 #include "relay/peers.h"
 #include "retry/retry.h"
 
@@ -32,16 +33,22 @@
 	struct cds_list_head arrivals;
 };
 
-static void free_remote(struct remote_job *remote)
+/* Frees a decoded request; a body in its record is not allocated itself. */
+static void release_request(struct remote_job *remote)
 {
-	g_hash_table_remove(remote->peers->jobs, remote);
-	rpc_conn_unref(remote->conn);
 	if (remote->record) {
 		remote->job.request.body.body_val = NULL;
 		remote->job.request.body.body_len = 0;
 		g_bytes_unref(remote->record);
 	}
 	xdr_free((xdrproc_t)xdr_relay_request, (char *)&remote->job.request);
+}
+
+static void free_remote(struct remote_job *remote)
+{
+	g_hash_table_remove(remote->peers->jobs, remote);
+	rpc_conn_unref(remote->conn);
+	release_request(remote);
 	g_free(remote);
 }
 
@@ -87,9 +94,9 @@
 {
 	struct remote_job *remote = g_new0(struct remote_job, 1);
 
-	if (!decode_request(remote, conn, args)) {
-		xdr_free((xdrproc_t)xdr_relay_request,
-			 (char *)&remote->job.request);
+	if (!decode_request(remote, conn, args) ||
+	    !peer_request_is_valid(&remote->job.request)) {
+		release_request(remote);
 		g_free(remote);
 		return false;
 	}
