Bound responses that callers do not read and describe the limits

A whole request was served also when responses that nobody reads had taken all room, and each such response left up to 4 MB more in its socket's send buffer. A request is now refused as not run when there is no room even in the reserve, stalled responses give way first, and send buffers of callers are 128 KB. The admin server stays outside the account, with 32 connections for each address.

Whether a record is encoded around a body is an argument now, as a field of the record was not initialised by all callers.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -195,7 +195,10 @@
 
 	timers_cancel(server->options.timers, &conn->timer);
 	conn->state = CONN_SERVING;
-	server_conn_serving(conn, message);
+	if (!server_conn_serving(conn, message)) {
+		http_message_free(message);
+		return;
+	}
 	conn->close_after = !message->keep_alive;
 	conn->is_head = !strcmp(message->method, "HEAD");
 	server->options.ops->request(conn, message, server->options.ctx);
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -70,7 +70,8 @@
 
 /* Called in each state that a connection enters. */
 void server_conn_idle(struct http_server_conn *conn);
-void server_conn_serving(struct http_server_conn *conn,
+/* Returns false when the whole request was refused for lack of room. */
+bool server_conn_serving(struct http_server_conn *conn,
 			 const struct http_message *message);
 void server_conn_writing(struct http_server_conn *conn);
 
--- a/lib/http/server_memory.c
+++ b/lib/http/server_memory.c
@@ -14,6 +14,12 @@
  */
 #define RECEIVE_BUFFER_BYTES 32768
 
+/*
+ * Send buffer, doubled by the kernel. By default it grows to 4 MB, for each
+ * caller that does not read.
+ */
+#define SEND_BUFFER_BYTES 65536
+
 /*
  * A body makes progress when this many bytes of it arrive in this time, and a
  * response when as many are taken. A rate of 5.5 KB/s is a thousandth of what
@@ -112,11 +118,14 @@
 
 void server_init_memory(struct http_server *server)
 {
-	int bytes = RECEIVE_BUFFER_BYTES;
+	int receive = RECEIVE_BUFFER_BYTES, send = SEND_BUFFER_BYTES;
 
-	if (server->options.account)
-		setsockopt(server->listener.fd, SOL_SOCKET, SO_RCVBUF, &bytes,
-			   sizeof(bytes));
+	if (!server->options.account)
+		return;
+	setsockopt(server->listener.fd, SOL_SOCKET, SO_RCVBUF, &receive,
+		   sizeof(receive));
+	setsockopt(server->listener.fd, SOL_SOCKET, SO_SNDBUF, &send,
+		   sizeof(send));
 }
 
 void server_conn_init_memory(struct http_server_conn *conn)
@@ -149,14 +158,21 @@
 	trim(&conn->reader.value);
 }
 
-void server_conn_serving(struct http_server_conn *conn,
+bool server_conn_serving(struct http_server_conn *conn,
 			 const struct http_message *message)
 {
+	int64_t now = clock_monotonic_ns();
+
 	if (!get_account(conn))
-		return;
-	memory_hold_set_yield(&conn->hold, false, clock_monotonic_ns());
+		return true;
+	memory_hold_set_yield(&conn->hold, false, now);
 	memory_hold_set(&conn->hold,
 			message_bytes(message) + conn->pipelined->len);
+	/* Responses that nobody reads may have taken all room. */
+	if (memory_account_make_room(get_account(conn), 0, 0, now))
+		return true;
+	refuse_for_room(conn, "no-room");
+	return false;
 }
 
 void http_server_disown(struct http_server_conn *conn, size_t bytes)
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -237,9 +237,8 @@
 			 uint32_t program, uint32_t version, uint32_t procedure,
 			 xdrproc_t xdr_args, void *args, GBytes *body)
 {
-	struct wire_record record = {
-		.body = body ? g_bytes_get_data(body, NULL) : NULL,
-	};
+	const void *around = body ? g_bytes_get_data(body, NULL) : NULL;
+	struct wire_record record;
 	uint32_t xid;
 	bool sent;
 
@@ -248,8 +247,8 @@
 		return;
 	}
 	xid = call->xid;
-	if (!wire_encode_call(&record, xid, program, version, procedure,
-			      xdr_args, args)) {
+	if (!wire_encode_call_around(&record, xid, program, version, procedure,
+				     xdr_args, args, around)) {
 		if (remove_call(rpc, xid))
 			call->done(call, RPC_NOT_SENT, NULL);
 		return;
@@ -293,7 +292,7 @@
 bool rpc_reply(struct rpc_conn *rpc, uint32_t xid, xdrproc_t xdr_result,
 	       void *result)
 {
-	struct wire_record record = { 0 };
+	struct wire_record record;
 	bool sent;
 
 	if (!wire_encode_reply(&record, xid, xdr_result, result))
@@ -305,7 +304,7 @@
 
 static void refuse(struct rpc_conn *rpc, uint32_t xid, enum accept_stat status)
 {
-	struct wire_record record = { 0 };
+	struct wire_record record;
 
 	if (!wire_encode_error(&record, xid, status))
 		return;
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -88,14 +88,14 @@
 }
 
 static bool encode(struct wire_record *record, struct rpc_msg *message,
-		   xdrproc_t body_proc, void *body)
+		   xdrproc_t body_proc, void *body, const void *around)
 {
 	/* Bytes; call and reply headers with AUTH_NONE are at most as long. */
 	const size_t header_max = 64;
 	size_t body_len = body_proc ? xdr_sizeof(body_proc, body) : 0;
 	size_t capacity = WIRE_MARK_BYTES + header_max + body_len;
 	bool is_call = message->rm_direction == CALL;
-	struct body_skip skip = { .body = record->body };
+	struct body_skip skip = { .body = around };
 	struct xdr_ops ops;
 	bool ok;
 	XDR xdr;
@@ -109,7 +109,7 @@
 	skip.ops = xdr.x_ops;
 	ops = *xdr.x_ops;
 	ops.x_putbytes = put_bytes;
-	if (record->body) {
+	if (around) {
 		xdr.x_ops = &ops;
 		xdr.x_public = (char *)&skip;
 	}
@@ -131,6 +131,15 @@
 bool wire_encode_call(struct wire_record *record, uint32_t xid,
 		      uint32_t program, uint32_t version, uint32_t procedure,
 		      xdrproc_t xdr_args, void *args)
+{
+	return wire_encode_call_around(record, xid, program, version, procedure,
+				       xdr_args, args, NULL);
+}
+
+bool wire_encode_call_around(struct wire_record *record, uint32_t xid,
+			     uint32_t program, uint32_t version,
+			     uint32_t procedure, xdrproc_t xdr_args, void *args,
+			     const void *body)
 {
 	struct rpc_msg message = { 0 };
 
@@ -142,7 +151,7 @@
 	message.rm_call.cb_proc = procedure;
 	message.rm_call.cb_cred = _null_auth;
 	message.rm_call.cb_verf = _null_auth;
-	return encode(record, &message, xdr_args, args);
+	return encode(record, &message, xdr_args, args, body);
 }
 
 static bool encode_reply(struct wire_record *record, uint32_t xid,
@@ -156,7 +165,7 @@
 	message.acpted_rply.ar_verf = _null_auth;
 	message.acpted_rply.ar_stat = status;
 	message.acpted_rply.ar_results.proc = (xdrproc_t)xdr_empty;
-	return encode(record, &message, proc, result);
+	return encode(record, &message, proc, result, NULL);
 }
 
 bool wire_encode_reply(struct wire_record *record, uint32_t xid,
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -38,14 +38,12 @@
 };
 
 /*
- * An encoded record with its mark; the caller frees data with g_free(). Bytes
- * at the address `body`, set before encoding, are not copied: they belong at
- * body_at of the data when has_body is true.
+ * An encoded record with its mark; the caller frees data with g_free(). When
+ * has_body is true, a body that was not copied belongs at body_at of the data.
  */
 struct wire_record {
 	unsigned char *data;
 	size_t len;
-	const void *body; /* NULL: everything is copied */
 	size_t body_at;
 	bool has_body;
 };
@@ -55,6 +53,15 @@
 		      uint32_t program, uint32_t version, uint32_t procedure,
 		      xdrproc_t xdr_args, void *args);
 
+/*
+ * The same, but the bytes that the arguments have at the address `body` are not
+ * copied. NULL: everything is copied.
+ */
+bool wire_encode_call_around(struct wire_record *record, uint32_t xid,
+			     uint32_t program, uint32_t version,
+			     uint32_t procedure, xdrproc_t xdr_args, void *args,
+			     const void *body);
+
 /* Encodes a reply. Returns false when the result exceeds its limits. */
 bool wire_encode_reply(struct wire_record *record, uint32_t xid,
 		       xdrproc_t xdr_result, void *result);
--- a/relay/admin_server.c
+++ b/relay/admin_server.c
@@ -122,7 +122,7 @@
 		.limits = { .message = { .head_max = HEAD_MAX_BYTES },
 			    .request_read_max_ns = HEAD_WAIT_NS,
 			    .idle_max_ns = IDLE_WAIT_NS },
-		.account = server->context->account,
+		/* Outside the account, so that a shortage does not hide it. */
 		.conns_max = memory_limits_admin_max(server->context->host),
 		.ops = ops,
 		.ctx = server,
--- a/relay/memory_limits.c
+++ b/relay/memory_limits.c
@@ -11,7 +11,10 @@
  */
 #define CALLERS_SHARE 3
 
-/* Connections of each of the two addresses of the admin server. */
+/*
+ * Connections of each of the two addresses of the admin server. A head has at
+ * most 8 KB and a body none, so these need no account.
+ */
 #define ADMIN_CONNS 32
 
 /*
@@ -102,5 +105,5 @@
 
 unsigned memory_limits_admin_max(const struct mesh_host *host)
 {
-	return host->descriptors_max ? ADMIN_CONNS : 0;
+	return host->descriptors_max || host->memory_bytes ? ADMIN_CONNS : 0;
 }
--- a/tests/net/test_wire.cc
+++ b/tests/net/test_wire.cc
@@ -34,6 +34,51 @@
 	return text;
 }
 
+/* A body that is not copied must not change the bytes of a record. */
+TEST(Wire, EncodesAroundABodyAndDecodesInPlace)
+{
+	std::string body(100001, 'b');
+	std::string text = "text";
+	struct relay_request request = {}, decoded = {};
+	struct wire_record plain, around;
+	struct wire_header header;
+	bool in_place = false;
+	XDR xdr;
+
+	request.service = request.method = request.target = request.fields =
+		request.caller_service = request.request_id = text.data();
+	request.body.body_val = body.data();
+	request.body.body_len = (u_int)body.size();
+	ASSERT_TRUE(wire_encode_call(&plain, 9, RELAY_PROGRAM, RELAY_VERSION,
+				     RELAY_REQUEST,
+				     (xdrproc_t)xdr_relay_request, &request));
+	ASSERT_TRUE(wire_encode_call_around(&around, 9, RELAY_PROGRAM,
+					    RELAY_VERSION, RELAY_REQUEST,
+					    (xdrproc_t)xdr_relay_request,
+					    &request, body.data()));
+	EXPECT_FALSE(plain.has_body);
+	ASSERT_TRUE(around.has_body);
+	std::string first((char *)plain.data, plain.len);
+	std::string second((char *)around.data, around.len);
+	second.insert(around.body_at, body);
+	EXPECT_TRUE(first == second);
+	ASSERT_TRUE(wire_decode(&xdr, plain.data + WIRE_MARK_BYTES,
+				plain.len - WIRE_MARK_BYTES, &header));
+	ASSERT_TRUE(wire_decode_in_place(&xdr, (xdrproc_t)xdr_relay_request,
+					 &decoded, &decoded.body.body_val,
+					 body.size(), &in_place));
+	EXPECT_TRUE(in_place);
+	EXPECT_EQ(decoded.body.body_len, body.size());
+	EXPECT_EQ(decoded.body.body_val, (char *)plain.data + around.body_at);
+	EXPECT_STREQ(decoded.request_id, "text");
+	decoded.body.body_val = nullptr;
+	decoded.body.body_len = 0;
+	xdr_free((xdrproc_t)xdr_relay_request, (char *)&decoded);
+	xdr_destroy(&xdr);
+	g_free(plain.data);
+	g_free(around.data);
+}
+
 bool decodes(const std::string &text)
 {
 	struct control_announce announce = {};
--- a/tests/relay/test_memory.cc
+++ b/tests/relay/test_memory.cc
@@ -222,6 +222,23 @@
 	expect_served(in, usage, MEMORY_MAX);
 }
 
+/* Callers that send requests one after the other and read no response. */
+TEST(Memory, HoldsWithResponsesThatAreNotRead)
+{
+	Platform in(1, { "--service-ms", "2", "--slots", "4", "--body-bytes",
+			 std::to_string(BODY_BYTES) });
+	std::string payload;
+
+	start(in, "limits.memory_mb=64", BODY_BYTES);
+	Usage usage = usage_of(in.hosts[0]);
+	for (int i = 0; i < 100; i++)
+		payload += "GET /docs/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+			   "X-Request-Id: crowd\r\n\r\n";
+	Crowd crowd(in.hosts[0].callers, payload, CROWD);
+	run({ &crowd }, usage);
+	expect_served(in, usage, MEMORY_MAX);
+}
+
 TEST(Memory, HoldsDescriptorsWithIdleConnections)
 {
 	Platform in(1);
