Forget work that ends without a report, and name the link's backlog

The expected work of requests that were sent to a server which answers without a load report was never taken off, so in a service where only some servers report, the others would have got no requests any more. It is taken off now when the request ends.

A refused request with a long answer gets the backlog of the host's link as the time to come back, if that is longer than the wait for the server.

--- a/lib/balance/expected.c
+++ b/lib/balance/expected.c
@@ -84,6 +84,8 @@
 		service->backlog_ns +=
 			((double)result->backlog_ns - service->backlog_ns) /
 			BACKLOG_SMOOTHING;
+	} else {
+		cost_server_ended(&target->cost, result->work_ns);
 	}
 	if (result->reason == FAILURE_NONE && result->run_ns > 0 &&
 	    result->work_ns > 0) {
--- a/lib/cost/server.c
+++ b/lib/cost/server.c
@@ -70,6 +70,11 @@
 	server->unreported_ns += (double)work_ns;
 }
 
+void cost_server_ended(struct cost_server *server, int64_t work_ns)
+{
+	server->unreported_ns = MAX(server->unreported_ns - (double)work_ns, 0);
+}
+
 void cost_server_ran(struct cost_server *server, int64_t run_ns,
 		     int64_t work_ns, int pace_percent, int64_t now)
 {
--- a/lib/cost/server.h
+++ b/lib/cost/server.h
@@ -33,6 +33,9 @@
 /* Counts a request as sent to the server. */
 void cost_server_sent(struct cost_server *server, int64_t work_ns);
 
+/* Counts a request as ended whose answer, if any, had no report. */
+void cost_server_ended(struct cost_server *server, int64_t work_ns);
+
 /*
  * Applies the run time of a request whose expected work is known. The pace is
  * the one of that run, in percent; 0: unknown.
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -47,6 +47,22 @@
 		       : 0;
 }
 
+/*
+ * The time that a long answer needs on the host's link, behind the answers that
+ * wait for the link and those of the jobs present. The server has to finish
+ * that much earlier. Short answers are sent at once, so they need none.
+ */
+static int64_t send_time(const struct backend_side *side,
+			 const struct relay_job *job)
+{
+	const struct net_pacer *pacer = side->context->pacer;
+
+	if (!pacer || !long_answer_bytes(job))
+		return 0;
+	return net_pacer_transfer_time(pacer, net_pacer_backlog(pacer) +
+						      side->long_bytes);
+}
+
 static void track_job(struct backend_side *side, struct relay_job *job)
 {
 	side->nr_jobs++;
@@ -67,6 +83,9 @@
 {
 	untrack_job(side, job);
 	fill_load(side, job, answer);
+	/* A long answer that was refused can be sent once the link is free. */
+	answer->wait_ms =
+		MAX(answer->wait_ms, send_time(side, job) / NS_PER_MS);
 	if (!answer->fields)
 		answer->fields = strdup("");
 	job->done(job, answer);
@@ -353,22 +372,6 @@
 	return blocked_reason(side);
 }
 
-/*
- * The time that a long answer needs on the host's link, behind the answers that
- * wait for the link and those of the jobs present. The server has to finish
- * that much earlier. Short answers are sent at once, so they need none.
- */
-static int64_t send_time(const struct backend_side *side,
-			 const struct relay_job *job)
-{
-	const struct net_pacer *pacer = side->context->pacer;
-
-	if (!pacer || !long_answer_bytes(job))
-		return 0;
-	return net_pacer_transfer_time(pacer, net_pacer_backlog(pacer) +
-						      side->long_bytes);
-}
-
 void backend_side_submit(struct backend_side *side, struct relay_job *job)
 {
 	int64_t now = clock_monotonic_ns();
--- a/tests/cost/test_cost.cc
+++ b/tests/cost/test_cost.cc
@@ -95,6 +95,22 @@
 		    3 * kWork, NS_PER_MS);
 }
 
+/* Guards against lost requests that count as outstanding for ever. */
+TEST(CostServer, ForgetsRequestsThatEndWithoutAReport)
+{
+	struct cost_server server = {};
+
+	for (int i = 0; i < 100; i++) {
+		cost_server_sent(&server, kWork);
+		cost_server_ended(&server, kWork);
+	}
+	EXPECT_EQ(cost_server_wait_ns(&server, 4, 0, NS_PER_SEC), 0);
+	cost_server_sent(&server, kWork);
+	cost_server_report(&server, 100, 0, NS_PER_SEC);
+	cost_server_ended(&server, kWork);
+	EXPECT_EQ(cost_server_wait_ns(&server, 4, 0, NS_PER_SEC), 0);
+}
+
 /* Guards against a server that says it is idle and refuses everything. */
 TEST(CostServer, BelievesARefusalMoreThanAnEmptyReport)
 {
