--- a/tests/balance/replay.cc
+++ b/tests/balance/replay.cc
@@ -102,6 +102,7 @@
 	struct rng rng_ = {};
 	int64_t now_ = NS_PER_SEC;
 	uint64_t order_ = 0;
+	int unfinished_ = 0; /* requests */
 	std::priority_queue<Event> events_;
 	std::vector<std::unique_ptr<Sender>> senders_;
 	std::vector<std::unique_ptr<Server>> servers_;
@@ -179,6 +180,7 @@
 	request->due = now_ + (int64_t)(options_.objective_ms * NS_PER_MS);
 	request->deadline = now_ + 3 * (request->due - now_);
 	result_.requests++;
+	unfinished_++;
 	place(request);
 }
 
@@ -330,6 +332,7 @@
 void Replay::end(Request *request, bool served)
 {
 	result_.in_objective += served && now_ <= request->due;
+	unfinished_--;
 	delete request;
 }
 
@@ -377,12 +380,10 @@
 		case POLL:
 			for (auto &server : servers_)
 				startNext(*server);
-			if (now_ < stop || events_.size())
+			if (now_ < stop || unfinished_)
 				push(kPoll, POLL);
 			break;
 		}
-		if (now_ > stop + 10 * NS_PER_SEC)
-			break;
 	}
 	for (auto &server : servers_) {
 		sum += server->busy;
