Let the stand-in of the store restore a copy

The store of the platform may be restored from an older copy, and then states a higher era in the header field Store-Era of its responses. Entries of servers get a sequence that increases with each write, as on the platform.

--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -162,6 +162,24 @@
 	return atoll(call(store->control, "GET", "/calls").body.c_str());
 }
 
+void Platform::copy_store()
+{
+	ASSERT_EQ(call(store->control, "POST", "/copy").status, 200);
+}
+
+void Platform::restore_store()
+{
+	ASSERT_EQ(call(store->control, "POST", "/restore").status, 200);
+}
+
+void Platform::send_era(const std::string &text)
+{
+	ASSERT_EQ(call(store->control, "POST",
+		       text.empty() ? "/era" : "/era?text=" + text)
+			  .status,
+		  200);
+}
+
 void Platform::publish_config(int version, const std::string &rows,
 			      int body_max_bytes)
 {
@@ -181,13 +199,14 @@
 
 void Platform::publish_entry(int index, const std::string &phase)
 {
-	const PlatformHost &host = hosts[(size_t)index];
+	PlatformHost &host = hosts[(size_t)index];
 
 	put_item("servers/" + host.id,
 		 R"({"service":")" + host.service + R"(","address":")" +
 			 host.backend + R"(","zone":")" + host.zone +
 			 R"(","resource_version":"v1","max_concurrency":4,
-"phase":")" + phase + R"(","warmup_left":"0ms","sequence":1,"born":5})");
+"phase":")" + phase + R"(","warmup_left":"0ms","sequence":)" +
+			 std::to_string(++host.sequence) + R"(,"born":5})");
 }
 
 void Platform::start_daemon(int index)
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -20,6 +20,7 @@
 	std::string callers, ready, operators;
 	std::string settings, log;
 	std::string peers; /* where daemons send requests */
+	int sequence = 0;  /* of the server's last entry */
 	std::string backend, backend_control;
 	struct process daemon = {}, server = {};
 	/* Between other daemons and this one; between it and the store. */
@@ -53,6 +54,11 @@
 	void delete_item(const std::string &key);
 	void put_item(const std::string &key, const std::string &value);
 	json_int_t store_calls();
+	/* Takes a copy of the store; the next restore returns to it. */
+	void copy_store();
+	void restore_store();
+	/* The store sends its era from now on, or the text instead of it. */
+	void send_era(const std::string &text = "");
 
 	void start_daemon(int host);
 	void stop_server(int host);
