Order published items by the era of the store

The store numbers its changes with one counter. Restored from an older copy, it uses revisions again, and daemons that compared revisions only kept the configuration of the former numbering for ever.

A position packs the era of the header field Store-Era above the revision, so all comparisons hold as they are. A reader that sees a higher era reads all items again and drops responses of a lower one. Daemons compare a digest of the held items with each push, so that one that starts or was away gets them. A store without the field is served as before.

The items of the control thread move to a file of their own.

--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -30,6 +30,7 @@
 	HTTP_ROLE_KEEP_ALIVE,	    /* idle timeout of the connection */
 	HTTP_ROLE_ENCODING,	    /* content coding of the body */
 	HTTP_ROLE_EXPECT,	    /* requests a 100 Continue response */
+	HTTP_ROLE_STORE_ERA,	    /* number of restores of the store */
 	HTTP_NR_ROLES
 };
 
--- a/lib/mesh/feed.c
+++ b/lib/mesh/feed.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/rng.h"
 #include "mesh/feed.h"
 
 /*
@@ -13,6 +14,7 @@
 	GHashTable *items; /* key -> struct feed_item */
 	int64_t revision;
 	guint nr_deleted;
+	uint64_t held_digest; /* XOR of held_mark() of all items */
 };
 
 static void free_item(void *arg)
@@ -21,6 +23,7 @@
 
 	g_free(item->key);
 	g_clear_pointer(&item->value, g_bytes_unref);
+	g_clear_pointer(&item->last, g_bytes_unref);
 	g_free(item);
 }
 
@@ -62,11 +65,47 @@
 	return item;
 }
 
-bool feed_is_newer(const struct feed *feed, const char *key, int64_t revision)
+static uint64_t held_mark(const struct feed_item *item)
+{
+	if (!item->held)
+		return 0;
+	return hash_mix(hash_string(item->key),
+			hash_mix((uint64_t)item->revision,
+				 (uint64_t)item->held));
+}
+
+static void set_order(struct feed *feed, struct feed_item *item,
+		      int64_t revision, int64_t held)
+{
+	feed->held_digest ^= held_mark(item);
+	item->revision = revision;
+	item->held = held;
+	feed->held_digest ^= held_mark(item);
+}
+
+static bool is_newer(const struct feed_item *item, int64_t revision,
+		     int64_t held)
+{
+	return revision > item->revision ||
+	       (revision == item->revision && held > item->held);
+}
+
+bool feed_is_newer_held(const struct feed *feed, const char *key,
+			int64_t revision, int64_t rank)
 {
 	const struct feed_item *item = feed_find(feed, key);
 
-	return !item || revision > item->revision;
+	return !item || is_newer(item, revision, rank);
+}
+
+bool feed_is_newer(const struct feed *feed, const char *key, int64_t revision)
+{
+	return feed_is_newer_held(feed, key, revision, 0);
+}
+
+uint64_t feed_held_digest(const struct feed *feed)
+{
+	return feed->held_digest;
 }
 
 bool feed_has_value(const struct feed *feed, const char *key)
@@ -76,18 +115,31 @@
 	return item && item->value && item->delete_deadline == DEADLINE_NEVER;
 }
 
+/* An empty value counts as a deletion, so the one before it is kept. */
+static void set_value(struct feed *feed, struct feed_item *item, GBytes *value)
+{
+	g_autoptr(GBytes) former = g_steal_pointer(&item->value);
+
+	if (!former && item->revision)
+		feed->nr_deleted--;
+	item->value = g_bytes_ref(value);
+	if (g_bytes_get_size(value)) {
+		g_clear_pointer(&item->last, g_bytes_unref);
+	} else if (former && g_bytes_get_size(former)) {
+		g_clear_pointer(&item->last, g_bytes_unref);
+		item->last = g_steal_pointer(&former);
+	}
+}
+
 bool feed_write(struct feed *feed, const char *key, GBytes *value,
 		int64_t revision, bool is_change)
 {
 	struct feed_item *item = get_item(feed, key);
 
-	if (revision <= item->revision)
+	if (!is_newer(item, revision, 0))
 		return false;
-	if (!item->value && item->revision)
-		feed->nr_deleted--;
-	g_clear_pointer(&item->value, g_bytes_unref);
-	item->value = g_bytes_ref(value);
-	item->revision = revision;
+	set_value(feed, item, value);
+	set_order(feed, item, revision, 0);
 	if (is_change)
 		item->changed = revision;
 	item->delete_deadline = DEADLINE_NEVER;
@@ -105,13 +157,19 @@
 		    (!oldest || item->revision < oldest->revision))
 			oldest = item;
 	}
-	if (oldest)
+	if (oldest) {
+		feed->held_digest ^= held_mark(oldest);
 		g_hash_table_remove(feed->items, oldest->key);
+	}
 	feed->nr_deleted--;
 }
 
 static void drop_value(struct feed *feed, struct feed_item *item)
 {
+	if (item->value && g_bytes_get_size(item->value)) {
+		g_clear_pointer(&item->last, g_bytes_unref);
+		item->last = g_steal_pointer(&item->value);
+	}
 	g_clear_pointer(&item->value, g_bytes_unref);
 	item->delete_deadline = DEADLINE_NEVER;
 	if (++feed->nr_deleted > DELETED_MAX)
@@ -124,9 +182,9 @@
 	struct feed_item *item = get_item(feed, key);
 	bool is_new = !item->revision;
 
-	if (revision <= item->revision)
+	if (!is_newer(item, revision, 0))
 		return false;
-	item->revision = revision;
+	set_order(feed, item, revision, 0);
 	item->changed = revision;
 	if (item->value)
 		item->delete_deadline = MIN(item->delete_deadline, deadline);
@@ -135,6 +193,31 @@
 	return true;
 }
 
+bool feed_hold_value(struct feed *feed, const char *key, GBytes *value,
+		     int64_t revision, int64_t rank, int64_t deadline)
+{
+	struct feed_item *item = get_item(feed, key);
+	bool is_new = !item->revision;
+
+	if (!is_newer(item, revision, rank))
+		return false;
+	if (value)
+		set_value(feed, item, value);
+	set_order(feed, item, revision, rank);
+	item->changed = revision;
+	if (item->value)
+		item->delete_deadline = deadline;
+	else if (is_new)
+		drop_value(feed, item);
+	return true;
+}
+
+bool feed_hold(struct feed *feed, const char *key, int64_t revision,
+	       int64_t rank, int64_t deadline)
+{
+	return feed_hold_value(feed, key, NULL, revision, rank, deadline);
+}
+
 bool feed_delete_missing(struct feed *feed, const char *prefix,
 			 GHashTable *keys, int64_t revision, int64_t deadline)
 {
@@ -149,7 +232,7 @@
 		    !g_str_has_prefix(item->key, prefix) ||
 		    g_hash_table_contains(keys, item->key))
 			continue;
-		item->revision = revision;
+		set_order(feed, item, revision, 0);
 		item->changed = revision;
 		item->delete_deadline = deadline;
 		any_deleted = true;
--- a/lib/mesh/feed.h
+++ b/lib/mesh/feed.h
@@ -8,10 +8,15 @@
 #include "base/cleanup.h"
 
 /*
- * One daemon's replica of the items published in the platform's store. The
- * store numbers all changes with a single revision counter, so changes from the
- * store and from peers can be merged in any order: an item is replaced only by
- * a higher revision. Pure: no I/O, no clock.
+ * One daemon's replica of the items published in the platform's store. All
+ * changes have a position (mesh/position.h), so changes from the store and from
+ * peers can be merged in any order: an item is replaced only by one with a
+ * higher position. Revisions below are positions.
+ *
+ * After the store was restored from an older copy, an item of the copy may be
+ * overridden by what was known before: it is held. A held item replaces the
+ * store's one at the same revision, and a held item of a higher rank replaces
+ * one of a lower rank. Pure: no I/O, no clock.
  */
 
 struct feed_item {
@@ -19,8 +24,11 @@
 	GBytes *value; /* NULL: the item was deleted */
 	int64_t revision;
 	int64_t changed; /* revision of the last write that daemons need */
+	int64_t held;	 /* rank of a held item; 0: as the store has it */
 	/* When a pending deletion takes effect; value is kept until then. */
 	int64_t delete_deadline;
+	/* The value before the item was deleted or emptied, or NULL. */
+	GBytes *last;
 };
 
 struct feed;
@@ -65,6 +73,28 @@
 bool feed_delete_missing(struct feed *feed, const char *prefix,
 			 GHashTable *keys, int64_t revision, int64_t deadline);
 
+/*
+ * Holds what is known of the key, also that it was deleted, at a revision with
+ * a rank above 0. The value ends at the deadline. Returns false, without
+ * effect, when this is not newer than what is known.
+ */
+bool feed_hold(struct feed *feed, const char *key, int64_t revision,
+	       int64_t rank, int64_t deadline);
+
+/*
+ * The same with a value from another daemon, or NULL for a deletion at the
+ * deadline.
+ */
+bool feed_hold_value(struct feed *feed, const char *key, GBytes *value,
+		     int64_t revision, int64_t rank, int64_t deadline);
+
+/* Whether a held item would be newer than what is known of the key. */
+bool feed_is_newer_held(const struct feed *feed, const char *key,
+			int64_t revision, int64_t rank);
+
+/* A hash of all held items and their revisions; 0 when there are none. */
+uint64_t feed_held_digest(const struct feed *feed);
+
 /* Carries out the deletions that are due; returns whether there were any. */
 bool feed_expire(struct feed *feed, int64_t now);
 
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -187,10 +187,13 @@
  * An item of the store. A deleted item has no value; hold_ms is the time for
  * which its last value is still used. When plain_bytes is not 0, the value is
  * compressed in the zlib format, and plain_bytes is its uncompressed length.
+ * revision is a position (mesh/position.h). held is not 0 when the item
+ * overrides that of a restored copy (mesh/feed.h).
  */
 struct feed_entry {
 	string key<FEED_KEY_MAX>;
 	hyper revision;
+	hyper held;
 	bool deleted;
 	hyper hold_ms;
 	unsigned int plain_bytes;
@@ -207,11 +210,18 @@
 	hyper read_age_ms;
 };
 
-/* All items that changed after revision `from`, up to revision `to`. */
+/*
+ * All items that changed after position `from`, up to position `to`. `before`
+ * is the highest position of an older era that the sender has replaced by what
+ * is known of its era. held_digest is that of its held items; these are sent
+ * also without a change when the digests of two daemons differ.
+ */
 struct feed_push {
 	string ip<PEER_NAME_MAX>;
 	hyper from;
 	hyper to;
+	hyper before;
+	unsigned hyper held_digest;
 	feed_root roots<FEED_ROOTS_MAX>;
 	peer_crash crashes<PEER_CRASHES_MAX>;
 	feed_entry entries<FEED_ITEMS_MAX>;
@@ -219,4 +229,5 @@
 
 struct feed_reply {
 	hyper revision;
+	unsigned hyper held_digest;
 };
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -528,6 +528,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->held))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->hold_ms))
@@ -562,6 +564,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->to))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->before))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_digest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->roots.roots_val, (u_int *) &objp->roots.roots_len, FEED_ROOTS_MAX,
 		sizeof (struct feed_root), (xdrproc_t) xdr_feed_root))
 		 return FALSE;
@@ -581,5 +587,7 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_digest))
+		 return FALSE;
 	return TRUE;
 }
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -203,6 +203,7 @@
 struct feed_entry {
 	char *key;
 	quad_t revision;
+	quad_t held;
 	bool_t deleted;
 	quad_t hold_ms;
 	u_int plain_bytes;
@@ -221,6 +222,8 @@
 	char *ip;
 	quad_t from;
 	quad_t to;
+	quad_t before;
+	u_quad_t held_digest;
 	struct {
 		u_int roots_len;
 		struct feed_root *roots_val;
@@ -237,6 +240,7 @@
 
 struct feed_reply {
 	quad_t revision;
+	u_quad_t held_digest;
 };
 
 /* the xdr functions */
--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -18,6 +18,12 @@
 /* How often a daemon announces itself while readers_should_publish() holds. */
 #define FEED_ANNOUNCE_INTERVAL_NS (READERS_REPORT_INTERVAL_MS * NS_PER_MS)
 
+/*
+ * Minimum time between two pushes of the held items to one daemon. Two daemons
+ * that cannot agree on them would otherwise push without end.
+ */
+#define FEED_HELD_INTERVAL_NS (500 * NS_PER_MS)
+
 /* The daemon has not confirmed a revision yet. */
 #define FEED_ACKED_UNKNOWN (-1)
 
@@ -51,6 +57,9 @@
 	uint32_t pending_roots; /* bit set of the roots to be sent, by slot */
 	uint32_t sent_roots;	/* the same for the push in progress */
 	bool failed;		/* the last push was not answered */
+	bool lacks_held;	/* its held items differ from those here */
+	bool sent_held;		/* the push in progress has the held items */
+	int64_t next_held;	/* held items are not sent before */
 	int64_t next_push;
 	/* When it was last announced as reading the store; 0: never. */
 	int64_t reader_seen_at;
@@ -75,6 +84,7 @@
 	bool own_listed;	   /* this daemon, in the present view */
 	struct timer timer;
 	bool is_reader; /* this daemon reads the store */
+	int64_t before; /* struct feed_push, in lib/wire/peer.x */
 	/*
 	 * Crashes of backend servers, as known to this daemon. Each other
 	 * daemon gets those that it has not confirmed, and after a restart all
@@ -109,6 +119,12 @@
 /* Sends a push, unless one to this daemon is in progress. */
 void feed_push_to(struct peer *peer, int64_t now);
 
+/*
+ * Notes the digest of the held items of a daemon. Returns whether they differ
+ * from those here, and may be sent now.
+ */
+bool feed_note_digest(struct peer *peer, uint64_t digest, int64_t now);
+
 /* Sends the pushes due, and ends those whose answer is overdue. */
 void feed_push_due(struct feed_peers *peers, int64_t now);
 
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "mesh/position.h"
 #include "relay/feed_internal.h"
 #include "relay/relay.h"
 
@@ -125,6 +126,11 @@
 	feed_update(peers, now);
 }
 
+void feed_peers_enter_era(struct feed_peers *peers, int64_t before)
+{
+	peers->before = before;
+}
+
 void feed_peers_store_lost(struct feed_peers *peers)
 {
 	int64_t now = clock_monotonic_ns();
@@ -313,6 +319,18 @@
 	peers->state.covered_at = covered_at(peers);
 }
 
+/* Whether the sender waits for what this daemon holds. */
+static bool must_send_held(struct peer *peer, const struct feed_push *push,
+			   int64_t now)
+{
+	/* One that holds items sends its own first, after the reply. */
+	bool has_sent = !push->held_digest;
+
+	for (u_int i = 0; i < push->entries.entries_len; i++)
+		has_sent |= push->entries.entries_val[i].held != 0;
+	return feed_note_digest(peer, push->held_digest, now) && has_sent;
+}
+
 static void receive_push(struct feed_peers *peers, const struct feed_push *push)
 {
 	struct feed *feed = peers->options.feed;
@@ -326,7 +344,8 @@
 			peers->options.ops->entry(
 				peers->options.ctx,
 				&push->entries.entries_val[i]);
-		feed_advance(feed, push->to);
+		peers->options.ops->advanced(peers->options.ctx, push->to,
+					     push->before);
 	}
 	receive_crashes(peers, push);
 	if (push->roots.roots_len)
@@ -338,6 +357,8 @@
 			peer->acked = push->to;
 		feed_push_to(peer, now);
 	}
+	if (must_send_held(peer, push, now))
+		feed_push_to(peer, now);
 	feed_update(peers, now);
 }
 
@@ -383,6 +404,7 @@
 	receive_push(peers, &push);
 	xdr_free((xdrproc_t)xdr_feed_push, (char *)&push);
 	reply.revision = feed_revision(peers->options.feed);
+	reply.held_digest = feed_held_digest(peers->options.feed);
 	rpc_reply(conn, xid, (xdrproc_t)xdr_feed_reply, &reply);
 	return true;
 }
@@ -512,10 +534,16 @@
 	GHashTableIter iter;
 
 	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		json_array_append_new(array,
-				      json_pack("{s:s, s:I}", "ip", peer->ip,
-						"revision",
-						(json_int_t)peer->acked));
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		bool is_known = peer->acked != FEED_ACKED_UNKNOWN;
+		int64_t acked = peer->acked;
+
+		json_array_append_new(
+			array,
+			json_pack("{s:s, s:I, s:I}", "ip", peer->ip, "era",
+				  is_known ? position_era(acked) : 0,
+				  "revision",
+				  is_known ? position_revision(acked) : acked));
+	}
 	return array;
 }
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -22,6 +22,11 @@
 struct feed_peers_ops {
 	/* Another daemon pushed an item. */
 	void (*entry)(void *ctx, const struct feed_entry *entry);
+	/*
+	 * Another daemon pushed all items up to a revision. before is that of
+	 * struct feed_push.
+	 */
+	void (*advanced)(void *ctx, int64_t revision, int64_t before);
 	/* Another daemon pushed crashes of backend servers. */
 	void (*crashes)(void *ctx, const struct quarantine_entry *entries,
 			size_t nr);
@@ -60,6 +65,12 @@
  */
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed);
 
+/*
+ * The items up to a revision of an older era were replaced by what is known in
+ * the present era.
+ */
+void feed_peers_enter_era(struct feed_peers *peers, int64_t before);
+
 /*
  * The store does not answer this daemon. Announces it, so that the daemons next
  * in the ranking read the store instead.
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -19,6 +19,7 @@
 	struct feed_peers *peers;
 	struct feed_push push;
 	GArray *entries; /* struct feed_entry */
+	int64_t from;	 /* the items that changed after it */
 	int64_t now;
 };
 
@@ -54,13 +55,16 @@
 	struct feed_entry entry = {
 		.key = item->key,
 		.revision = item->revision,
-		.deleted =
-			!item->value || item->delete_deadline != DEADLINE_NEVER,
+		.held = item->held,
+		/* Others may not know the value of a held item yet. */
+		.deleted = !item->value ||
+			   (!item->held &&
+			    item->delete_deadline != DEADLINE_NEVER),
 	};
 
 	if (batch->entries->len == FEED_ITEMS_MAX)
 		return;
-	if (entry.deleted && item->value)
+	if (item->value && item->delete_deadline != DEADLINE_NEVER)
 		entry.hold_ms =
 			MAX(0, item->delete_deadline - batch->now) / NS_PER_MS;
 	if (!entry.deleted)
@@ -68,6 +72,34 @@
 	g_array_append_val(batch->entries, entry);
 }
 
+/* Held items that are not sent as changes. */
+static void add_held_entry(const struct feed_item *item, void *ctx)
+{
+	const struct batch *batch = ctx;
+
+	if (item->held && item->changed <= batch->from)
+		add_entry(item, ctx);
+}
+
+bool feed_note_digest(struct peer *peer, uint64_t digest, int64_t now)
+{
+	const struct feed *feed = peer->peers->options.feed;
+
+	peer->lacks_held = digest != feed_held_digest(feed);
+	return peer->lacks_held && now >= peer->next_held;
+}
+
+/* Adds all held items, unless that is too soon after the last time. */
+static void add_held(struct peer *peer, struct batch *batch)
+{
+	peer->sent_held = peer->lacks_held && batch->now >= peer->next_held;
+	if (!peer->sent_held)
+		return;
+	peer->lacks_held = false;
+	peer->next_held = batch->now + FEED_HELD_INTERVAL_NS;
+	feed_each_after(peer->peers->options.feed, 0, add_held_entry, batch);
+}
+
 /* Roots. */
 
 bool feed_is_own(const struct feed_peers *peers, const char *ip)
@@ -195,6 +227,8 @@
 		peer->crashes_acked = peer->crashes_sent;
 		if (peer->crashes_left)
 			peer->next_push = now;
+		if (feed_note_digest(peer, reply.held_digest, now))
+			peer->next_push = now;
 		if (peer->acked < peer->sent_to) {
 			peer->pending_roots |= peer->sent_roots;
 			peer->next_push = now;
@@ -261,6 +295,8 @@
 	push->ip = peers->options.host->ip;
 	push->from = from;
 	push->to = feed_revision(peers->options.feed);
+	push->before = peers->before;
+	push->held_digest = feed_held_digest(peers->options.feed);
 	push->roots.roots_val = roots;
 	push->roots.roots_len = fill_roots(peer, roots, batch->now);
 	push->entries.entries_len = batch->entries->len;
@@ -314,10 +350,12 @@
 	}
 	if (peer->acked == FEED_ACKED_UNKNOWN)
 		from = peer->peers->recent.revision;
+	batch.from = from;
 	batch.entries = g_array_new(FALSE, TRUE, sizeof(struct feed_entry));
 	if (from < feed_revision(peer->peers->options.feed))
 		feed_each_after(peer->peers->options.feed, from, add_entry,
 				&batch);
+	add_held(peer, &batch);
 	batch.push.crashes.crashes_len = fill_crashes(peer, crashes, now);
 	batch.push.crashes.crashes_val = crashes;
 	send_push(peer, &batch, from);
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -5,20 +5,11 @@
 #include "base/log.h"
 #include "base/pack.h"
 #include "base/timer.h"
-#include "mesh/boots.h"
-#include "mesh/feed.h"
+#include "mesh/position.h"
 #include "mesh/readers.h"
 #include "net/rpc.h"
 #include "platform/platform.h"
-#include "relay/mesh_control.h"
-#include "relay/feed_peers.h"
-#include "relay/store_reader.h"
-
-/*
- * Server entries that expired in the store during an outage are kept for this
- * time after it. A server that is still running registers again within it.
- */
-#define EXPIRY_HOLD_NS (2 * NS_PER_SEC)
+#include "relay/mesh_control_internal.h"
 
 /* No entry expires in an outage that is shorter than this. */
 #define EXPIRY_HOLD_OUTAGE_NS (2 * NS_PER_SEC)
@@ -32,29 +23,6 @@
  */
 #define BOOTSTRAP_MAX_NS (7 * NS_PER_SEC)
 
-struct mesh_control {
-	const struct mesh_host *host;
-	const struct mesh_control_ops *ops;
-	void *ctx;
-	struct net_loop *loop;
-	struct timers timers;
-	struct feed *feed;
-	struct store_reader *reader;
-	struct feed_peers *peers;
-	struct mesh_config *config;
-	GHashTable *targets; /* key -> struct mesh_target */
-	struct boots *boots;
-	bool own_registered; /* the local server has, at least once */
-	int64_t bootstrap_deadline;
-	struct timer build_timer;
-	struct timer expiry_timer;
-	int64_t built_at;
-	int64_t hold_deadline; /* server entries are not deleted before it */
-	pthread_mutex_t lock;  /* guards crashes and dump */
-	GArray *crashes;       /* struct quarantine_entry to report */
-	char *dump;
-};
-
 /* Views. */
 
 static void add_target(const struct feed_item *item, const char *id,
@@ -103,10 +71,12 @@
 	control->built_at = now;
 	log_event(LOG_INFO, "view",
 		  "version=%" PRId64 " revision=%" PRId64
-		  " targets=%u zones_out=%u former=%u",
+		  " targets=%u zones_out=%u former=%u era=%" PRId64,
 		  control->config ? control->config->version : 0,
-		  feed_revision(control->feed), build.view->targets->len,
-		  g_hash_table_size(build.view->evacuated_zones), nr_former);
+		  position_revision(feed_revision(control->feed)),
+		  build.view->targets->len,
+		  g_hash_table_size(build.view->evacuated_zones), nr_former,
+		  position_era(feed_revision(control->feed)));
 	feed_peers_set_view(control->peers, build.view);
 	control->ops->apply(control->ctx, build.view);
 }
@@ -124,8 +94,7 @@
 		build_view(control, now);
 }
 
-/* The first change after a quiet period is applied at once. */
-static void schedule_build(struct mesh_control *control)
+void mesh_schedule_build(struct mesh_control *control)
 {
 	if (!control->build_timer.position)
 		timers_set(&control->timers, &control->build_timer,
@@ -138,134 +107,12 @@
 		caa_container_of(timer, struct mesh_control, expiry_timer);
 
 	if (feed_expire(control->feed, now))
-		schedule_build(control);
+		mesh_schedule_build(control);
 	if (feed_next_expiry(control->feed) != DEADLINE_NEVER)
 		timers_set(&control->timers, timer,
 			   feed_next_expiry(control->feed));
 }
 
-/* Items. */
-
-static void apply_config(struct mesh_control *control, GBytes *value)
-{
-	g_autofree char *reason = NULL;
-	struct mesh_config *config = platform_decode_config(value, &reason);
-
-	if (!config) {
-		log_event(LOG_ERR, "config_refused", "reason=%s",
-			  log_quote(reason));
-		return;
-	}
-	if (control->config && config->version <= control->config->version) {
-		if (config->version < control->config->version)
-			log_event(LOG_ERR, "config_refused",
-				  "reason=older version=%" PRId64
-				  " in_force=%" PRId64,
-				  config->version, control->config->version);
-		mesh_config_unref(config);
-		return;
-	}
-	mesh_config_unref(control->config);
-	control->config = config;
-	schedule_build(control);
-}
-
-static bool same_target(const struct mesh_target *a,
-			const struct mesh_target *b)
-{
-	return a && b && !strcmp(a->service, b->service) &&
-	       !strcmp(a->address, b->address) && !strcmp(a->zone, b->zone) &&
-	       a->slots == b->slots && a->draining == b->draining &&
-	       a->started_ms == b->started_ms;
-}
-
-/*
- * Applies a server's entry; returns whether more than a heartbeat came. A
- * server that still writes its entry is no former boot of its address.
- */
-static bool apply_target(struct mesh_control *control, const char *key,
-			 const char *id, GBytes *value, int64_t revision)
-{
-	struct mesh_target *old = g_hash_table_lookup(control->targets, key);
-	struct mesh_target *target = platform_decode_target(id, value);
-
-	if (!target) {
-		/*
-		 * Another program may have written the entry, so it counts as
-		 * no server.
-		 */
-		if (old || !feed_has_value(control->feed, key))
-			log_event(LOG_WARNING, "entry_unreadable", "key=%s",
-				  log_quote(key));
-		return g_hash_table_remove(control->targets, key);
-	}
-	if (!strcmp(target->address, control->host->backend_text))
-		control->own_registered = true;
-	target->revision = revision;
-	if (same_target(old, target) && !boots_is_former(control->boots, old)) {
-		mesh_target_unref(target);
-		return false;
-	}
-	g_hash_table_insert(control->targets, g_strdup(key), target);
-	return true;
-}
-
-/*
- * Whether the item fits into a push to another daemon. One that does not would
- * keep all other items of the push from that daemon.
- */
-static bool fits_into_push(const char *key, GBytes *value)
-{
-	return strlen(key) <= FEED_KEY_MAX &&
-	       g_bytes_get_size(value) <= PEER_VALUE_MAX;
-}
-
-static void apply_write(struct mesh_control *control, const char *key,
-			GBytes *value, int64_t revision)
-{
-	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
-	bool changed = true;
-	const char *name;
-
-	if (!feed_is_newer(control->feed, key, revision))
-		return;
-	if (!fits_into_push(key, value)) {
-		log_event(LOG_ERR, "item_too_long", "key=%.*s bytes=%zu",
-			  FEED_KEY_MAX, log_quote(key),
-			  g_bytes_get_size(value));
-		if (strlen(key) > FEED_KEY_MAX)
-			return;
-		value = empty;
-	}
-	switch (platform_item_kind(key, &name)) {
-	case PLATFORM_ITEM_TARGET:
-		changed = apply_target(control, key, name, value, revision) ||
-			  !feed_has_value(control->feed, key);
-		/* What names no server is not passed on to the others. */
-		if (!g_hash_table_contains(control->targets, key))
-			value = empty;
-		break;
-	case PLATFORM_ITEM_CONFIG:
-		apply_config(control, value);
-		break;
-	case PLATFORM_ITEM_EVACUATED_ZONE:
-		break;
-	default:
-		return;
-	}
-	feed_write(control->feed, key, value, revision, changed);
-	if (changed)
-		schedule_build(control);
-}
-
-static void apply_delete(struct mesh_control *control, const char *key,
-			 int64_t revision, int64_t deadline)
-{
-	if (feed_delete(control->feed, key, revision, deadline))
-		timers_set(&control->timers, &control->expiry_timer,
-			   feed_next_expiry(control->feed));
-}
-
 /* When a deletion that is read now takes effect; 0: at once. */
 static int64_t delete_deadline(const struct mesh_control *control,
 			       const char *key)
@@ -289,11 +136,13 @@
 			g_ptr_array_index(page->changes, i);
 
 		if (change->value)
-			apply_write(control, change->key, change->value,
-				    change->revision);
+			mesh_apply_write(control, change->key, change->value,
+					 change->revision);
 		else
-			apply_delete(control, change->key, change->revision,
-				     delete_deadline(control, change->key));
+			mesh_apply_delete(control, change->key,
+					  change->revision,
+					  delete_deadline(control,
+							  change->key));
 	}
 	/*
 	 * During a full read deletions are still unknown, so the revision must
@@ -301,7 +150,7 @@
 	 */
 	if (!confirmed)
 		return;
-	feed_advance(control->feed, page->revision);
+	mesh_advance(control, page->revision, 0);
 	feed_peers_confirmed(control->peers, confirmed);
 }
 
@@ -309,8 +158,9 @@
 			int64_t confirmed)
 {
 	struct mesh_control *control = ctx;
-	bool any_deleted = false;
+	bool any_deleted = mesh_keep_missing(control, keys, 0, revision);
 
+	mesh_list_held(control, keys);
 	for (size_t i = 0; platform_prefixes[i]; i++)
 		any_deleted |= feed_delete_missing(
 			control->feed, platform_prefixes[i], keys, revision,
@@ -318,8 +168,8 @@
 	if (any_deleted)
 		timers_set(&control->timers, &control->expiry_timer,
 			   feed_next_expiry(control->feed));
-	feed_advance(control->feed, revision);
-	schedule_build(control);
+	mesh_advance(control, revision, 0);
+	mesh_schedule_build(control);
 	/* Other daemons push changes to hosts with a registered server only. */
 	if (control->own_registered)
 		feed_peers_read_all(control->peers);
@@ -332,7 +182,7 @@
 	struct mesh_control *control = ctx;
 
 	log_event(LOG_WARNING, "store_lost", "revision=%" PRId64,
-		  feed_revision(control->feed));
+		  position_revision(feed_revision(control->feed)));
 	feed_peers_store_lost(control->peers);
 }
 
@@ -348,6 +198,13 @@
 		control->hold_deadline = now + EXPIRY_HOLD_NS;
 }
 
+static int64_t on_known_era(void *ctx)
+{
+	const struct mesh_control *control = ctx;
+
+	return position_era(feed_revision(control->feed));
+}
+
 static bool on_is_bootstrapping(void *ctx)
 {
 	const struct mesh_control *control = ctx;
@@ -362,6 +219,7 @@
 	.lost = on_lost,
 	.recovered = on_recovered,
 	.is_bootstrapping = on_is_bootstrapping,
+	.known_era = on_known_era,
 };
 
 /* Other daemons. */
@@ -385,19 +243,44 @@
 
 	g_autoptr(GBytes) value = NULL;
 
-	if (entry->deleted) {
-		apply_delete(control, entry->key, entry->revision,
-			     now + entry->hold_ms * NS_PER_MS);
+	/* An item of an era that has ended, from a daemon behind a fault. */
+	if (position_era(entry->revision) <
+	    position_era(feed_revision(control->feed)))
+		return;
+	if (entry->deleted && !entry->held) {
+		mesh_apply_delete(control, entry->key, entry->revision,
+				  now + entry->hold_ms * NS_PER_MS);
 		return;
 	}
-	value = entry_value(entry);
-	if (value)
-		apply_write(control, entry->key, value, entry->revision);
+	value = entry->deleted ? NULL : entry_value(entry);
+	if (entry->held && (value || entry->deleted))
+		mesh_apply_held(control, entry->key, value, entry->revision,
+				entry->held,
+				entry->hold_ms
+					? now + entry->hold_ms * NS_PER_MS
+					: DEADLINE_NEVER);
+	else if (value)
+		mesh_apply_write(control, entry->key, value, entry->revision);
 	else
 		log_event(LOG_ERR, "entry_unpackable", "key=%s",
 			  log_quote(entry->key));
 }
 
+static void on_advanced(void *ctx, int64_t revision, int64_t before)
+{
+	struct mesh_control *control = ctx;
+	int64_t known = feed_revision(control->feed);
+
+	/*
+	 * What this daemon knows of the ended era and the sender did not know,
+	 * is as good as missing from the copy.
+	 */
+	if (known && position_era(revision) > position_era(known) &&
+	    mesh_keep_missing(control, NULL, before, revision))
+		mesh_schedule_build(control);
+	mesh_advance(control, revision, before);
+}
+
 static void on_crashes(void *ctx, const struct quarantine_entry *entries,
 		       size_t nr)
 {
@@ -419,6 +302,7 @@
 
 static const struct feed_peers_ops peers_ops = {
 	.entry = on_entry,
+	.advanced = on_advanced,
 	.crashes = on_crashes,
 	.role = on_role,
 };
@@ -427,14 +311,15 @@
 
 static void write_dump(struct mesh_control *control)
 {
-	json_t *dump =
-		json_pack("{s:I, s:b, s:I, s:o}", "revision",
-			  (json_int_t)feed_revision(control->feed),
-			  "reads_store",
-			  store_reader_is_running(control->reader),
-			  "store_calls",
-			  (json_int_t)store_reader_nr_calls(control->reader),
-			  "peers", feed_peers_dump(control->peers));
+	json_t *dump = json_pack(
+		"{s:I, s:I, s:b, s:I, s:o}", "era",
+		(json_int_t)position_era(feed_revision(control->feed)),
+		"revision",
+		(json_int_t)position_revision(feed_revision(control->feed)),
+		"reads_store", store_reader_is_running(control->reader),
+		"store_calls",
+		(json_int_t)store_reader_nr_calls(control->reader), "peers",
+		feed_peers_dump(control->peers));
 	char *text = json_dumps(dump, JSON_COMPACT | JSON_SORT_KEYS);
 
 	json_decref(dump);
--- /dev/null
+++ b/relay/mesh_control_internal.h
@@ -0,0 +1,104 @@
+#ifndef RELAY_MESH_CONTROL_INTERNAL_H
+#define RELAY_MESH_CONTROL_INTERNAL_H
+
+#include <pthread.h>
+
+#include "base/clock.h"
+#include "base/timer.h"
+#include "mesh/boots.h"
+#include "mesh/feed.h"
+#include "relay/feed_peers.h"
+#include "relay/mesh_control.h"
+#include "relay/store_reader.h"
+
+/*
+ * Internal to the files of the control thread: mesh_control.c runs it and
+ * builds views, mesh_items.c applies published items, and mesh_era.c keeps what
+ * a restored copy of the store lacks. All revisions are positions
+ * (mesh/position.h).
+ */
+
+/*
+ * Server entries that expired in the store during an outage are kept for this
+ * time after it. A server that is still running registers again within it.
+ */
+#define EXPIRY_HOLD_NS (2 * NS_PER_SEC)
+
+struct mesh_control {
+	const struct mesh_host *host;
+	const struct mesh_control_ops *ops;
+	void *ctx;
+	struct net_loop *loop;
+	struct timers timers;
+	struct feed *feed;
+	struct store_reader *reader;
+	struct feed_peers *peers;
+	struct mesh_config *config;
+	GBytes *config_value; /* that config was decoded from */
+	GHashTable *targets;  /* key -> struct mesh_target */
+	struct boots *boots;
+	bool own_registered; /* the local server has, at least once */
+	int64_t bootstrap_deadline;
+	struct timer build_timer;
+	struct timer expiry_timer;
+	int64_t built_at;
+	int64_t hold_deadline; /* server entries are not deleted before it */
+	pthread_mutex_t lock;  /* guards crashes and dump */
+	GArray *crashes;       /* struct quarantine_entry to report */
+	char *dump;
+};
+
+/* Builds a view soon; the first change after a quiet period at once. */
+void mesh_schedule_build(struct mesh_control *control);
+
+/* Applies an item of the store, unless a newer one is known. */
+void mesh_apply_write(struct mesh_control *control, const char *key,
+		      GBytes *value, int64_t revision);
+
+/* Applies a deletion, unless a newer item is known. */
+void mesh_apply_delete(struct mesh_control *control, const char *key,
+		       int64_t revision, int64_t deadline);
+
+/*
+ * Applies an item that another daemon holds; with value NULL, its deletion. The
+ * item ends at the deadline.
+ */
+void mesh_apply_held(struct mesh_control *control, const char *key,
+		     GBytes *value, int64_t revision, int64_t held,
+		     int64_t deadline);
+
+/* The rank of what is held in place of a server's entry. */
+int64_t mesh_entry_rank(const struct feed_item *item);
+
+/* Decodes a configuration; takes it if its version is the highest known. */
+bool mesh_apply_config(struct mesh_control *control, GBytes *value);
+
+/* Sets the timer that carries out pending deletions. */
+void mesh_set_expiry(struct mesh_control *control);
+
+/*
+ * Whether an entry of a server comes from the copy from which the store was
+ * restored, since what is known of that server is newer.
+ */
+bool mesh_is_from_copy(const struct mesh_control *control, const char *key,
+		       GBytes *value, int64_t revision);
+
+/*
+ * Keeps what was known in an older era, changed after a revision, and is not in
+ * the set of keys (NULL: no key is): servers and evacuations for a time, the
+ * configuration for good. Returns whether there was any.
+ */
+bool mesh_keep_missing(struct mesh_control *control, GHashTable *keys,
+		       int64_t after, int64_t revision);
+
+/* Adds the keys of held items that the store need not have. */
+void mesh_list_held(const struct mesh_control *control, GHashTable *keys);
+
+/*
+ * All items up to the revision are known. before is the same as in struct
+ * feed_push, 0 if they were read from the store.
+ */
+void mesh_advance(struct mesh_control *control, int64_t revision,
+		  int64_t before);
+
+#endif
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -1,6 +1,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "http/client.h"
+#include "mesh/position.h"
 #include "relay/store_reader.h"
 
 /* Minimum time from the start of one watch to the start of the next. */
@@ -48,6 +49,7 @@
 	int64_t full_read_started;
 	int64_t retry_delay;
 	int64_t lost_since;
+	int64_t era;	    /* in which the items are read */
 	int64_t revision;   /* the watch continues after it */
 	bool accepts_stale; /* the full read may be stale */
 	char *after_key;
@@ -109,6 +111,25 @@
 	g_hash_table_remove_all(reader->keys);
 }
 
+/*
+ * Continues in a higher era. What was read in the one before is no start for a
+ * watch, nor the first pages of a full read for its last ones. Returns whether
+ * the reading starts again.
+ */
+static bool enter_era(struct store_reader *reader, int64_t era)
+{
+	bool has_read =
+		reader->state == READER_WATCH ||
+		(reader->state == READER_FULL_READ && reader->after_key);
+
+	if (era <= reader->era)
+		return false;
+	reader->era = era;
+	if (has_read)
+		start_full_read(reader);
+	return has_read;
+}
+
 static void mark_reachable(struct store_reader *reader)
 {
 	reader->retry_delay = 0;
@@ -179,16 +200,49 @@
 		set_timer(reader, next_watch(reader));
 }
 
+/*
+ * Checks the era of a response; returns whether to go on with it. One that
+ * states none is taken as one of the era that this daemon knows.
+ */
+static bool check_era(struct store_reader *reader,
+		      const struct http_message *response)
+{
+	int64_t known =
+		MAX(reader->era,
+		    reader->options.ops->known_era(reader->options.ctx));
+	int64_t era = platform_response_era(response);
+
+	if (era < 0)
+		era = known;
+	if (era < known) {
+		fail_call(reader, "former-era", response->status);
+		return false;
+	}
+	if (!enter_era(reader, era))
+		return true;
+	if (response->status == 200 ||
+	    response->status == PLATFORM_STATUS_HISTORY_GONE) {
+		mark_reachable(reader);
+		send_call(reader, clock_monotonic_ns());
+	} else {
+		fail_call(reader, "status", response->status);
+	}
+	return false;
+}
+
 static void handle_response(struct store_reader *reader,
 			    const struct http_message *response)
 {
 	CLEANUP(platform_page_freep) struct platform_page *page = NULL;
 
 	reader->calling = false;
+	if (!check_era(reader, response))
+		return;
 	if (response->status == PLATFORM_STATUS_HISTORY_GONE &&
 	    reader->state == READER_WATCH) {
 		log_event(LOG_NOTICE, "store_history_gone",
-			  "revision=%" G_GINT64_FORMAT, reader->revision);
+			  "revision=%" G_GINT64_FORMAT,
+			  position_revision(reader->revision));
 		mark_reachable(reader);
 		start_full_read(reader);
 		send_call(reader, clock_monotonic_ns());
@@ -196,7 +250,7 @@
 	}
 	if (response->status == 200)
 		page = platform_parse_page(response->body);
-	if (!page) {
+	if (!page || !platform_page_set_era(page, reader->era)) {
 		fail_call(reader,
 			  response->status == 200 ? "unreadable" : "status",
 			  response->status);
@@ -256,6 +310,8 @@
 	int64_t wait = CALL_TIMEOUT_NS + reader->retry_delay;
 	GString *head;
 
+	/* Others may know of a restore before this daemon. */
+	enter_era(reader, reader->options.ops->known_era(reader->options.ctx));
 	reader->started = now;
 	if (!connect_store(reader)) {
 		fail_call(reader, "connect", 0);
@@ -268,8 +324,8 @@
 		head = platform_range_request("", reader->after_key,
 					      reader->accepts_stale);
 	} else {
-		head = platform_watch_request("", reader->revision,
-					      WATCH_WAIT_MS);
+		head = platform_watch_request(
+			"", position_revision(reader->revision), WATCH_WAIT_MS);
 		wait += WATCH_WAIT_MS * NS_PER_MS;
 	}
 	reader->nr_calls++;
@@ -306,7 +362,9 @@
 {
 	if (reader->state != READER_STOPPED)
 		return;
-	if (revision) {
+	/* A revision of an era that has ended is no start for a watch. */
+	if (revision && position_era(revision) >= reader->era) {
+		reader->era = position_era(revision);
 		reader->state = READER_WATCH;
 		reader->revision = revision;
 	} else {
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -9,7 +9,10 @@
 /*
  * Reads the platform's store: all items once, then the changes. Each call has a
  * price and all daemons share the store's rate limit, so changes are requested
- * at an interval instead of one by one. Runs on the control thread.
+ * at an interval instead of one by one. All revisions are positions
+ * (mesh/position.h). On a response of a higher era than the last one, all items
+ * are read again; a response of a lower era is dropped, and the call is
+ * repeated as after a failure. Runs on the control thread.
  */
 
 struct store_reader;
@@ -38,6 +41,8 @@
 	 * not registered yet. Full reads are then repeated and may be stale.
 	 */
 	bool (*is_bootstrapping)(void *ctx);
+	/* The highest era that this daemon knows from others; 0: none. */
+	int64_t (*known_era)(void *ctx);
 };
 
 struct store_reader_options {
--- a/tests/mesh/test_feed.cc
+++ b/tests/mesh/test_feed.cc
@@ -9,6 +9,7 @@
 extern "C" {
 #include "base/clock.h"
 #include "mesh/feed.h"
+#include "mesh/position.h"
 }
 
 namespace
@@ -32,6 +33,12 @@
 				  is_change);
 	}
 
+	bool hold(const std::string &key, int64_t revision, int64_t rank,
+		  int64_t deadline = DEADLINE_NEVER)
+	{
+		return feed_hold(feed, key.c_str(), revision, rank, deadline);
+	}
+
 	std::map<std::string, std::string> items(int64_t after = 0)
 	{
 		std::map<std::string, std::string> found;
@@ -144,6 +151,74 @@
 	EXPECT_EQ(in.items(1)["a"], "2");
 }
 
+/* Guards against an era that is compared after the revision. */
+TEST(Position, EraComesBeforeRevision)
+{
+	int64_t last = position_pack(1, POSITION_REVISION_MAX);
+
+	EXPECT_LT(last, position_pack(2, 0));
+	EXPECT_EQ(position_pack(0, 77), 77);
+	EXPECT_EQ(position_era(last), 1);
+	EXPECT_EQ(position_revision(last), POSITION_REVISION_MAX);
+	EXPECT_GT(position_pack(POSITION_ERA_MAX, POSITION_REVISION_MAX), 0);
+	EXPECT_FALSE(position_has_room(POSITION_REVISION_MAX + 1));
+	EXPECT_FALSE(position_has_room(-1));
+}
+
+/*
+ * Guards against an item of a restored copy that replaces what is held in its
+ * place, and against a held item that replaces what was written later.
+ */
+TEST(Feed, HeldItemReplacesThatOfTheSameRevisionOnly)
+{
+	Feed in;
+
+	in.write("a", "known", 5);
+	EXPECT_TRUE(in.hold("a", 7, 3));
+	EXPECT_FALSE(in.write("a", "copy", 7));
+	EXPECT_FALSE(in.hold("a", 7, 2));
+	EXPECT_TRUE(feed_is_newer_held(in.feed, "a", 7, 4));
+	EXPECT_EQ(in.items(6)["a"], "known");
+	EXPECT_TRUE(in.write("a", "written", 8));
+	EXPECT_FALSE(in.hold("a", 7, 9));
+	EXPECT_EQ(in.items()["a"], "written");
+}
+
+/* Guards against daemons that do not notice that they hold different items. */
+TEST(Feed, DigestTellsHeldItemsApart)
+{
+	Feed one, other;
+
+	one.write("a", "1", 1);
+	EXPECT_EQ(feed_held_digest(one.feed), 0u);
+	one.hold("a", 5, 1);
+	one.hold("b", 5, 2);
+	other.hold("b", 5, 2);
+	EXPECT_NE(feed_held_digest(one.feed), feed_held_digest(other.feed));
+	other.hold("a", 5, 1);
+	EXPECT_EQ(feed_held_digest(one.feed), feed_held_digest(other.feed));
+	one.write("a", "2", 6);
+	one.write("b", "2", 7);
+	EXPECT_EQ(feed_held_digest(one.feed), 0u);
+}
+
+/* Guards against a held item that never ends, or whose last value is lost. */
+TEST(Feed, HeldItemEndsAtItsDeadline)
+{
+	Feed in;
+
+	in.write("a", "1", 1);
+	EXPECT_TRUE(in.hold("a", 5, 1, 100));
+	EXPECT_FALSE(feed_expire(in.feed, 99));
+	EXPECT_TRUE(feed_expire(in.feed, 100));
+	EXPECT_EQ(in.items()["a"], "-");
+	ASSERT_NE(feed_find(in.feed, "a")->last, nullptr);
+	in.write("a", "2", 6);
+	EXPECT_EQ(feed_find(in.feed, "a")->last, nullptr);
+	in.write("a", "", 7);
+	ASSERT_NE(feed_find(in.feed, "a")->last, nullptr);
+}
+
 /*
  * Changes sent by several peers arrive twice and in any order. Guards against
  * replicas that differ afterwards.
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -353,6 +353,66 @@
 		EXPECT_EQ(parse(text), nullptr) << text;
 }
 
+/* Guards against an era that is taken from a value of another form. */
+TEST(PlatformStore, DecodesTheEra)
+{
+	struct http_message *response = http_message_new();
+	struct {
+		const char *text;
+		int64_t era;
+	} cases[] = { { nullptr, -1 },	{ "0", 0 },	{ "7", 7 },
+		      { "", -1 },	{ "+7", -1 },	{ "-1", -1 },
+		      { "7.0", -1 },	{ "7, 8", -1 }, { "8388607", 8388607 },
+		      { "8388608", -1 } };
+
+	EXPECT_EQ(platform_field_roles.find("store-era"), HTTP_ROLE_STORE_ERA);
+	EXPECT_TRUE(platform_field_roles.is_forwarded(HTTP_ROLE_STORE_ERA));
+	for (const auto &one : cases) {
+		g_free(response->values[HTTP_ROLE_STORE_ERA]);
+		response->values[HTTP_ROLE_STORE_ERA] = g_strdup(one.text);
+		EXPECT_EQ(platform_response_era(response), one.era) << one.text;
+	}
+	http_message_free(response);
+}
+
+/* Guards against revisions that reach into the era of a position. */
+TEST(PlatformStore, PageTakesItsEra)
+{
+	struct platform_page *page = parse(
+		R"({"events":[{"key":"a","value":"","revision":4}],"at":9})");
+	struct platform_page *far =
+		parse(R"({"events":[],"at":1099511627776})");
+
+	ASSERT_TRUE(platform_page_set_era(page, 3));
+	EXPECT_EQ(page->revision, (INT64_C(3) << 40) + 9);
+	EXPECT_EQ(((struct platform_change *)g_ptr_array_index(page->changes,
+							       0))
+			  ->revision,
+		  (INT64_C(3) << 40) + 4);
+	EXPECT_FALSE(platform_page_set_era(far, 0));
+	platform_page_free(page);
+	platform_page_free(far);
+}
+
+/* Guards against an entry of a copy that counts as one of its server. */
+TEST(PlatformStore, KnowsEntriesOfTheSameStart)
+{
+	auto is_known = [](const char *known, const char *value) {
+		g_autoptr(GBytes) a = g_bytes_new(known, strlen(known));
+		g_autoptr(GBytes) b = g_bytes_new(value, strlen(value));
+
+		return platform_entry_is_known(a, b);
+	};
+	const char *known = R"({"born":5,"sequence":7})";
+
+	EXPECT_TRUE(is_known(known, R"({"born":5,"sequence":7})"));
+	EXPECT_TRUE(is_known(known, R"({"born":5,"sequence":6})"));
+	EXPECT_FALSE(is_known(known, R"({"born":5,"sequence":8})"));
+	EXPECT_FALSE(is_known(known, R"({"born":6,"sequence":1})"));
+	EXPECT_FALSE(is_known(known, R"({"born":5})"));
+	EXPECT_FALSE(is_known("", known));
+}
+
 std::string write_settings(const std::string &text)
 {
 	char path[] = "/tmp/test-platform-XXXXXX";
--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -42,7 +42,9 @@
 		std::vector<std::thread> callers;
 		int64_t end;
 
+		platform.send_era();
 		platform.start_all();
+		platform.copy_store();
 		end = time(nullptr) + seconds;
 		for (int i = 0; i < CALLERS; i++)
 			callers.emplace_back([this, i] { call_loop(i); });
@@ -108,7 +110,7 @@
 						       "slow&ms=300", "none" };
 		int host = draw(0, HOSTS - 1);
 
-		switch (draw(0, 9)) {
+		switch (draw(0, 10)) {
 		case 0:
 			count_fault("daemon killed");
 			restart(host, SIGKILL);
@@ -153,15 +155,46 @@
 			inject_link_fault(
 				*platform.hosts[(size_t)host].store_proxy);
 			break;
+		case 9:
+			restore_store();
+			break;
 		default:
 			count_fault("configuration published");
-			platform.publish_config(
-				++version,
-				R"(,["new","mesh.example","/new/",)"
-				R"("idempotent","3s","1s",2,"shop",2])");
+			publish_config();
 		}
 	}
 
+	void publish_config()
+	{
+		platform.publish_config(
+			++version, R"(,["new","mesh.example","/new/",)"
+				   R"("idempotent","3s","1s",2,"shop",2])");
+	}
+
+	/* Restores the copy or takes another one. */
+	void restore_store()
+	{
+		if (draw(0, 2)) {
+			count_fault("store restored from a copy");
+			platform.restore_store();
+		} else {
+			count_fault("copy of the store taken");
+			platform.copy_store();
+		}
+	}
+
+	/* Whether a daemon has the configuration that was published last. */
+	bool has_newest_config(int host)
+	{
+		json_t *state = platform.dump(host);
+		json_int_t in_force = json_integer_value(
+			json_object_get(json_object_get(state, "callers"),
+					"version"));
+
+		json_decref(state);
+		return in_force == version;
+	}
+
 	void call_loop(int caller)
 	{
 		std::mt19937 own((unsigned)caller);
@@ -199,6 +232,9 @@
 	{
 		std::map<std::string, int> runs;
 		CheckResult serving = { "every daemon serves again", HOSTS, 0 };
+		CheckResult config = { "every daemon has the newest "
+				       "configuration",
+				       HOSTS, 0 };
 		std::vector<CheckResult> checks;
 		int violated = 0;
 
@@ -215,6 +251,10 @@
 							     "/stock/1")
 					       .status == 200;
 			});
+		publish_config();
+		for (int i = 0; i < HOSTS; i++)
+			config.violated += !eventually(
+				[&] { return has_newest_config(i); });
 		for (const auto &fault : faults)
 			printf("fault: %s: %d\n", fault.first.c_str(),
 			       fault.second);
@@ -228,6 +268,7 @@
 		for (const auto &status : results.by_status)
 			printf("answers %d: %d\n", status.first, status.second);
 		checks.push_back(serving);
+		checks.push_back(config);
 		for (const CheckResult &check : checks) {
 			printf("invariant: %s: checked %ld, violated %ld%s\n",
 			       check.invariant, check.checked, check.violated,
