Keep what only one daemon knew at the end of an era

A daemon that a push takes into a new era keeps, for a time, what it knows beyond the sender. Two faults in this: a daemon that skipped an era compared with the wrong one and kept such items for ever, and the deletions had the position of the push, so that they could replace the store's item on other daemons. A push now states for each of the last eight eras what the sender knew when it ended, and the deletions are placed at the start of the era, so that anything of the store replaces them. Found by reading; no test reaches either state with a skipped era.

--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -44,6 +44,7 @@
 const RELAY_ID_MAX = 1024;
 const FEED_KEY_MAX = 255;
 const FEED_ITEMS_MAX = 8192;
+const FEED_ERAS = 8;
 const FEED_ROOTS_MAX = 8;
 const FEED_NOT_READ = -1;
 const FEED_ENDED = -2;
@@ -212,15 +213,16 @@
 
 /*
  * All items that changed after position `from`, up to position `to`. `before`
- * is the highest position of an older era that the sender has replaced by what
- * is known of its era. held_digest is that of its held items; these are sent
+ * has, for each of the latest eras before the sender's, the highest position of
+ * which it knew all items when that era ended, at the index of the era modulo
+ * FEED_ERAS; 0: it knew none. held_digest is that of its held items; these are sent
  * also without a change when the digests of two daemons differ.
  */
 struct feed_push {
 	string ip<PEER_NAME_MAX>;
 	hyper from;
 	hyper to;
-	hyper before;
+	hyper before[FEED_ERAS];
 	unsigned hyper held_digest;
 	feed_root roots<FEED_ROOTS_MAX>;
 	peer_crash crashes<PEER_CRASHES_MAX>;
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -558,13 +558,15 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_string (xdrs, &objp->ip, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->from))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->to))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->before))
+	 if (!xdr_vector (xdrs, (char *)objp->before, FEED_ERAS,
+		sizeof (quad_t), (xdrproc_t) xdr_quad_t))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->held_digest))
 		 return FALSE;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -47,6 +47,7 @@
 #define RELAY_ID_MAX 1024
 #define FEED_KEY_MAX 255
 #define FEED_ITEMS_MAX 8192
+#define FEED_ERAS 8
 #define FEED_ROOTS_MAX 8
 #define FEED_NOT_READ -1
 #define FEED_ENDED -2
@@ -222,7 +223,7 @@
 	char *ip;
 	quad_t from;
 	quad_t to;
-	quad_t before;
+	quad_t before[FEED_ERAS];
 	u_quad_t held_digest;
 	struct {
 		u_int roots_len;
--- a/relay/feed_internal.h
+++ b/relay/feed_internal.h
@@ -84,7 +84,8 @@
 	bool own_listed;	   /* this daemon, in the present view */
 	struct timer timer;
 	bool is_reader; /* this daemon reads the store */
-	int64_t before; /* struct feed_push, in lib/wire/peer.x */
+	/* The same as in struct feed_push, in lib/wire/peer.x. */
+	int64_t before[FEED_ERAS];
 	/*
 	 * Crashes of backend servers, as known to this daemon. Each other
 	 * daemon gets those that it has not confirmed, and after a restart all
--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -126,9 +126,23 @@
 	feed_update(peers, now);
 }
 
-void feed_peers_enter_era(struct feed_peers *peers, int64_t before)
+void feed_peers_end_era(struct feed_peers *peers, int64_t revision)
 {
-	peers->before = before;
+	int64_t *before = &peers->before[position_era(revision) % FEED_ERAS];
+
+	*before = MAX(*before, revision);
+}
+
+/*
+ * What the sender of a push knew of this daemon's era when it ended; 0: none.
+ */
+static int64_t known_before(const struct feed_peers *peers,
+			    const struct feed_push *push)
+{
+	int64_t era = position_era(feed_revision(peers->options.feed));
+	int64_t before = push->before[era % FEED_ERAS];
+
+	return position_era(before) == era ? before : 0;
 }
 
 void feed_peers_store_lost(struct feed_peers *peers)
@@ -345,7 +359,10 @@
 				peers->options.ctx,
 				&push->entries.entries_val[i]);
 		peers->options.ops->advanced(peers->options.ctx, push->to,
-					     push->before);
+					     known_before(peers, push));
+		for (int i = 0; i < FEED_ERAS; i++)
+			if (push->before[i] > 0)
+				feed_peers_end_era(peers, push->before[i]);
 	}
 	receive_crashes(peers, push);
 	if (push->roots.roots_len)
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -23,8 +23,9 @@
 	/* Another daemon pushed an item. */
 	void (*entry)(void *ctx, const struct feed_entry *entry);
 	/*
-	 * Another daemon pushed all items up to a revision. before is that of
-	 * struct feed_push.
+	 * Another daemon pushed all items up to a revision. If that is in a
+	 * higher era, the sender knew all items up to the revision before when
+	 * the era of this daemon ended; 0: it knew none of that era.
 	 */
 	void (*advanced)(void *ctx, int64_t revision, int64_t before);
 	/* Another daemon pushed crashes of backend servers. */
@@ -65,11 +66,8 @@
  */
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed);
 
-/*
- * The items up to a revision of an older era were replaced by what is known in
- * the present era.
- */
-void feed_peers_enter_era(struct feed_peers *peers, int64_t before);
+/* The era of a revision has ended, up to which all its items were known. */
+void feed_peers_end_era(struct feed_peers *peers, int64_t revision);
 
 /*
  * The store does not answer this daemon. Announces it, so that the daemons next
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -295,7 +295,7 @@
 	push->ip = peers->options.host->ip;
 	push->from = from;
 	push->to = feed_revision(peers->options.feed);
-	push->before = peers->before;
+	memcpy(push->before, peers->before, sizeof(push->before));
 	push->held_digest = feed_held_digest(peers->options.feed);
 	push->roots.roots_val = roots;
 	push->roots.roots_len = fill_roots(peer, roots, batch->now);
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -150,7 +150,7 @@
 	 */
 	if (!confirmed)
 		return;
-	mesh_advance(control, page->revision, 0);
+	mesh_advance(control, page->revision);
 	feed_peers_confirmed(control->peers, confirmed);
 }
 
@@ -158,7 +158,7 @@
 			int64_t confirmed)
 {
 	struct mesh_control *control = ctx;
-	bool any_deleted = mesh_keep_missing(control, keys, 0, revision);
+	bool any_deleted = mesh_keep_missing(control, keys, revision);
 
 	mesh_list_held(control, keys);
 	for (size_t i = 0; platform_prefixes[i]; i++)
@@ -166,9 +166,8 @@
 			control->feed, platform_prefixes[i], keys, revision,
 			delete_deadline(control, platform_prefixes[i]));
 	if (any_deleted)
-		timers_set(&control->timers, &control->expiry_timer,
-			   feed_next_expiry(control->feed));
-	mesh_advance(control, revision, 0);
+		mesh_set_expiry(control);
+	mesh_advance(control, revision);
 	mesh_schedule_build(control);
 	/* Other daemons push changes to hosts with a registered server only. */
 	if (control->own_registered)
@@ -276,9 +275,9 @@
 	 * is as good as missing from the copy.
 	 */
 	if (known && position_era(revision) > position_era(known) &&
-	    mesh_keep_missing(control, NULL, before, revision))
+	    mesh_keep_unknown(control, before, revision))
 		mesh_schedule_build(control);
-	mesh_advance(control, revision, before);
+	mesh_advance(control, revision);
 }
 
 static void on_crashes(void *ctx, const struct quarantine_entry *entries,
--- a/relay/mesh_control_internal.h
+++ b/relay/mesh_control_internal.h
@@ -84,21 +84,24 @@
 		       GBytes *value, int64_t revision);
 
 /*
- * Keeps what was known in an older era, changed after a revision, and is not in
- * the set of keys (NULL: no key is): servers and evacuations for a time, the
- * configuration for good. Returns whether there was any.
+ * Keeps what was known in an older era and is not among the keys of a full
+ * read at a revision: servers and evacuations for a time, the configuration for
+ * good. Returns whether there was any.
  */
 bool mesh_keep_missing(struct mesh_control *control, GHashTable *keys,
-		       int64_t after, int64_t revision);
+		       int64_t revision);
+
+/*
+ * The same for what changed after a revision in an older era, and was not in a
+ * push from another daemon that knew nothing beyond that revision.
+ */
+bool mesh_keep_unknown(struct mesh_control *control, int64_t after,
+		       int64_t revision);
 
 /* Adds the keys of held items that the store need not have. */
 void mesh_list_held(const struct mesh_control *control, GHashTable *keys);
 
-/*
- * All items up to the revision are known. before is the same as in struct
- * feed_push, 0 if they were read from the store.
- */
-void mesh_advance(struct mesh_control *control, int64_t revision,
-		  int64_t before);
+/* All items up to the revision are known. */
+void mesh_advance(struct mesh_control *control, int64_t revision);
 
 #endif
--- a/relay/mesh_era.c
+++ b/relay/mesh_era.c
@@ -34,8 +34,9 @@
 
 struct missing {
 	struct mesh_control *control;
-	GHashTable *keys;
-	int64_t revision;
+	GHashTable *keys; /* NULL: none */
+	int64_t revision; /* of what is kept for good */
+	int64_t held_at;  /* of what is kept for a time */
 	int64_t now;
 	bool any;
 };
@@ -63,11 +64,11 @@
 				DEADLINE_NEVER);
 		break;
 	case PLATFORM_ITEM_EVACUATED_ZONE:
-		feed_hold(feed, item->key, missing->revision, EVACUATION_RANK,
+		feed_hold(feed, item->key, missing->held_at, EVACUATION_RANK,
 			  MIN(end, missing->now + EVACUATION_HOLD_NS));
 		break;
 	case PLATFORM_ITEM_TARGET:
-		feed_delete(feed, item->key, missing->revision,
+		feed_delete(feed, item->key, missing->held_at,
 			    MIN(end, missing->now + EXPIRY_HOLD_NS));
 		break;
 	default:
@@ -76,20 +77,45 @@
 	missing->any = true;
 }
 
+static bool keep_all(struct missing *missing, int64_t after)
+{
+	struct mesh_control *control = missing->control;
+
+	missing->now = clock_monotonic_ns();
+	feed_each_after(control->feed, after, keep_missing, missing);
+	if (missing->any)
+		mesh_set_expiry(control);
+	return missing->any;
+}
+
 bool mesh_keep_missing(struct mesh_control *control, GHashTable *keys,
-		       int64_t after, int64_t revision)
+		       int64_t revision)
 {
 	struct missing missing = {
 		.control = control,
 		.keys = keys,
 		.revision = revision,
-		.now = clock_monotonic_ns(),
+		.held_at = revision,
 	};
 
-	feed_each_after(control->feed, after, keep_missing, &missing);
-	if (missing.any)
-		mesh_set_expiry(control);
-	return missing.any;
+	return keep_all(&missing, 0);
+}
+
+bool mesh_keep_unknown(struct mesh_control *control, int64_t after,
+		       int64_t revision)
+{
+	/*
+	 * The copy may have such an item in the state that the sender knew. At
+	 * the start of the era, what is kept yields to anything that the store
+	 * has.
+	 */
+	struct missing missing = {
+		.control = control,
+		.revision = revision,
+		.held_at = position_pack(position_era(revision), 0),
+	};
+
+	return keep_all(&missing, after);
 }
 
 static void list_held(const struct feed_item *item, void *ctx)
@@ -106,17 +132,14 @@
 	feed_each_after(control->feed, 0, list_held, keys);
 }
 
-void mesh_advance(struct mesh_control *control, int64_t revision,
-		  int64_t before)
+void mesh_advance(struct mesh_control *control, int64_t revision)
 {
 	int64_t known = feed_revision(control->feed);
 
 	feed_advance(control->feed, revision);
-	if (position_era(revision) <= position_era(known))
-		return;
-	feed_peers_enter_era(control->peers, MAX(known, before));
-	if (!known)
+	if (!known || position_era(revision) <= position_era(known))
 		return;
+	feed_peers_end_era(control->peers, known);
 	control->hold_deadline = clock_monotonic_ns() + EXPIRY_HOLD_NS;
 	log_event(LOG_NOTICE, "store_restored",
 		  "era=%" PRId64 " revision=%" PRId64 " former_era=%" PRId64
--- a/relay/mesh_items.c
+++ b/relay/mesh_items.c
@@ -100,6 +100,7 @@
 	struct mesh_target *target = platform_decode_target(id, value);
 	const struct mesh_target *known =
 		g_hash_table_lookup(control->targets, key);
+	int64_t end = item->delete_deadline;
 
 	if (target && feed_has_value(control->feed, key) &&
 	    same_target(known, target)) {
@@ -108,8 +109,10 @@
 		feed_write(control->feed, key, same, revision, false);
 		return;
 	}
-	feed_hold(control->feed, key, revision, mesh_entry_rank(item),
-		  item->delete_deadline);
+	/* What was kept as unknown to others is in the copy after all. */
+	if (!position_revision(item->revision))
+		end = DEADLINE_NEVER;
+	feed_hold(control->feed, key, revision, mesh_entry_rank(item), end);
 }
 
 /*
