--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -546,6 +546,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->held))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->hold_ms))
@@ -574,12 +576,18 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_string (xdrs, &objp->ip, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->from))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->to))
 		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->before, FEED_ERAS,
+		sizeof (quad_t), (xdrproc_t) xdr_quad_t))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_digest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->roots.roots_val, (u_int *) &objp->roots.roots_len, FEED_ROOTS_MAX,
 		sizeof (struct feed_root), (xdrproc_t) xdr_feed_root))
 		 return FALSE;
@@ -599,5 +607,7 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_digest))
+		 return FALSE;
 	return TRUE;
 }
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -47,6 +47,7 @@
 #define RELAY_ID_MAX 1024
 #define FEED_KEY_MAX 255
 #define FEED_ITEMS_MAX 8192
+#define FEED_ERAS 8
 #define FEED_ROOTS_MAX 8
 #define FEED_NOT_READ -1
 #define FEED_ENDED -2
@@ -206,6 +207,7 @@
 struct feed_entry {
 	char *key;
 	quad_t revision;
+	quad_t held;
 	bool_t deleted;
 	quad_t hold_ms;
 	u_int plain_bytes;
@@ -224,6 +226,8 @@
 	char *ip;
 	quad_t from;
 	quad_t to;
+	quad_t before[FEED_ERAS];
+	u_quad_t held_digest;
 	struct {
 		u_int roots_len;
 		struct feed_root *roots_val;
@@ -240,6 +244,7 @@
 
 struct feed_reply {
 	quad_t revision;
+	u_quad_t held_digest;
 };
 
 /* the xdr functions */
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -22,6 +22,12 @@
 struct feed_peers_ops {
 	/* Another daemon pushed an item. */
 	void (*entry)(void *ctx, const struct feed_entry *entry);
+	/*
+	 * Another daemon pushed all items up to a revision. If that is in a
+	 * higher era, the sender knew all items up to the revision before when
+	 * the era of this daemon ended; 0: it knew none of that era.
+	 */
+	void (*advanced)(void *ctx, int64_t revision, int64_t before);
 	/* Another daemon pushed crashes of backend servers. */
 	void (*crashes)(void *ctx, const struct quarantine_entry *entries,
 			size_t nr);
@@ -60,6 +66,9 @@
  */
 void feed_peers_confirmed(struct feed_peers *peers, int64_t confirmed);
 
+/* The era of a revision has ended, up to which all its items were known. */
+void feed_peers_end_era(struct feed_peers *peers, int64_t revision);
+
 /*
  * The store does not answer this daemon. Announces it, so that the daemons next
  * in the ranking read the store instead.
