Recognise organisations by their keys and pass on their names

A configuration may name organisations and their keys. A request on a route that is not anonymous then needs a valid key, or it gets 401. The key is removed, and the organisation's name is set in X-Tenant on every hop. The calls of backend servers need no key and carry no organisation.

--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -1,4 +1,5 @@
 #include <http_parser.h>
+#include <string.h>
 
 #include "http/message.h"
 
@@ -42,6 +43,38 @@
 	return number;
 }
 
+bool http_message_is_repeated(const struct http_message *message,
+			      enum http_field_role role)
+{
+	return message->repeated & 1u << role;
+}
+
+/* The role of the field whose line begins at `line`. */
+static enum http_field_role line_role(const char *line,
+				      const struct http_field_roles *roles)
+{
+	g_autofree char *name = g_strndup(line, strcspn(line, ":\r\n"));
+
+	return roles->find(name);
+}
+
+void http_fields_strip(GString *fields, const struct http_field_roles *roles,
+		       enum http_field_role role)
+{
+	gsize start = 0;
+
+	while (start < fields->len) {
+		const char *line = fields->str + start;
+		const char *end = strstr(line, "\r\n");
+		gsize len = end ? (gsize)(end + 2 - line) : fields->len - start;
+
+		if (line_role(line, roles) == role)
+			g_string_erase(fields, (gssize)start, (gssize)len);
+		else
+			start += len;
+	}
+}
+
 void http_field_append(GString *fields, const char *name, const char *value)
 {
 	g_string_append(fields, name);
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -30,6 +30,8 @@
 	HTTP_ROLE_KEEP_ALIVE,	    /* idle timeout of the connection */
 	HTTP_ROLE_ENCODING,	    /* content coding of the body */
 	HTTP_ROLE_EXPECT,	    /* requests a 100 Continue response */
+	HTTP_ROLE_KEY,		    /* proves the caller's organisation */
+	HTTP_ROLE_ORGANISATION,	    /* name of the caller's organisation */
 	HTTP_NR_ROLES
 };
 
@@ -47,6 +49,7 @@
 	GString *fields;  /* forwarded field lines, each with its CRLF */
 	GByteArray *body; /* whole, without transfer coding */
 	char *values[HTTP_NR_ROLES]; /* last value by role, or NULL */
+	unsigned repeated; /* bits of the roles that occur more than once */
 	bool keep_alive;
 	bool until_close; /* the body was delimited by connection close */
 };
@@ -66,6 +69,14 @@
 int64_t http_message_number(const struct http_message *message,
 			    enum http_field_role role, int64_t fallback);
 
+/* Whether the message has more than one field of the role. */
+bool http_message_is_repeated(const struct http_message *message,
+			      enum http_field_role role);
+
+/* Removes the lines with fields of the role from formatted field lines. */
+void http_fields_strip(GString *fields, const struct http_field_roles *roles,
+		       enum http_field_role role);
+
 /* Appends the line "NAME: VALUE" with its CRLF. */
 void http_field_append(GString *fields, const char *name, const char *value);
 
--- a/lib/http/reader.c
+++ b/lib/http/reader.c
@@ -43,6 +43,8 @@
 	reader->in_value = false;
 	role = reader->roles->find(reader->name->str);
 	if (role != HTTP_ROLE_NONE) {
+		if (message->values[role])
+			message->repeated |= 1u << role;
 		g_free(message->values[role]);
 		message->values[role] = g_strdup(reader->value->str);
 	}
--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -50,6 +50,7 @@
 {
 	if (!config || !g_atomic_int_dec_and_test(&config->refs))
 		return;
+	mesh_organisations_free(config->organisations);
 	g_hash_table_unref(config->by_prefix);
 	g_hash_table_unref(config->services);
 	g_ptr_array_unref(config->routes);
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/cleanup.h"
+#include "mesh/organisation.h"
 
 /*
  * An immutable snapshot of the state that a daemon serves requests with: one
@@ -34,6 +35,7 @@
 	char *prefix; /* begins and ends with a slash */
 	/* A request runs at most once; otherwise it may be retried. */
 	bool at_most_once;
+	bool anonymous;	      /* its requests need no key */
 	bool long_answers;    /* an answer occupies a host's link for long */
 	int64_t deadline_ms;  /* longest time until the final answer */
 	int64_t objective_ms; /* latency objective of an answer */
@@ -65,6 +67,8 @@
 	gint refs;
 	int64_t version;
 	struct mesh_limits limits;
+	/* NULL: the configuration has no organisations. */
+	struct mesh_organisations *organisations;
 	GPtrArray *routes;     /* struct mesh_route */
 	GHashTable *services;  /* name -> struct mesh_service */
 	GHashTable *by_prefix; /* host and prefix -> struct mesh_route */
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -138,6 +138,8 @@
  * latency objective; it is negative when the objective has passed.
  * answer_bytes is the usual response length of the route. When due_left_ms is
  * not 0, the request is refused if it would be answered later than that.
+ * organisation is empty when the request has none; 0 is the most urgent of
+ * organisation_priority.
  */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
@@ -155,6 +157,8 @@
 	unsigned hyper fingerprint;
 	int answer_bytes;
 	hyper due_left_ms;
+	string organisation<PEER_NAME_MAX>;
+	int organisation_priority;
 	opaque body<PEER_BODY_MAX>;
 };
 
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -300,6 +300,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->organisation_priority))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 			 return FALSE;
 		return TRUE;
@@ -342,6 +346,10 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->organisation, PEER_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->organisation_priority))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 			 return FALSE;
 	 return TRUE;
@@ -377,6 +385,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->due_left_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->organisation, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->organisation_priority))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_BODY_MAX))
 		 return FALSE;
 	return TRUE;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -167,6 +167,8 @@
 	u_quad_t fingerprint;
 	int answer_bytes;
 	quad_t due_left_ms;
+	char *organisation;
+	int organisation_priority;
 	struct {
 		u_int body_len;
 		char *body_val;
--- a/relay/backend_message.c
+++ b/relay/backend_message.c
@@ -5,15 +5,39 @@
 #include "platform/platform.h"
 #include "relay/backend_message.h"
 
+/*
+ * Removes keys and claimed organisations from the forwarded lines that begin at
+ * `start`. The sender has done so unless its configuration had no organisations
+ * yet.
+ */
+static void strip_organisation(GString *head, gsize start)
+{
+	g_autoptr(GString) fields = g_string_new(head->str + start);
+
+	http_fields_strip(fields, &platform_field_roles, HTTP_ROLE_KEY);
+	http_fields_strip(fields, &platform_field_roles,
+			  HTTP_ROLE_ORGANISATION);
+	g_string_truncate(head, start);
+	g_string_append(head, fields->str);
+}
+
 GString *backend_message_head(const struct relay_request *request,
-			      const char *backend_id, int64_t time_left_ms)
+			      const char *backend_id, int64_t time_left_ms,
+			      bool has_organisations)
 {
 	GString *head = g_string_sized_new(512);
 	char number[24];
+	gsize start;
 
 	g_string_printf(head, "%s %s HTTP/1.1\r\n", request->method,
 			request->target);
+	start = head->len;
 	g_string_append(head, request->fields);
+	if (has_organisations || *request->organisation)
+		strip_organisation(head, start);
+	if (*request->organisation)
+		platform_add_field(head, HTTP_ROLE_ORGANISATION,
+				   request->organisation);
 	snprintf(number, sizeof(number), "%" PRId64,
 		 MAX(time_left_ms, INT64_C(1)));
 	platform_add_field(head, HTTP_ROLE_TIME_LEFT_MS, number);
--- a/relay/backend_message.h
+++ b/relay/backend_message.h
@@ -7,9 +7,13 @@
 
 /* Builds requests for the backend server and classifies its responses. */
 
-/* The head of a request for the server with this id; freed by the caller. */
+/*
+ * The head of a request for the server with this id; freed by the caller. With
+ * has_organisations the forwarded fields may hold no key and no organisation.
+ */
 GString *backend_message_head(const struct relay_request *request,
-			      const char *backend_id, int64_t time_left_ms);
+			      const char *backend_id, int64_t time_left_ms,
+			      bool has_organisations);
 
 /* Classifies how a request ended; response is NULL when there was none. */
 enum failure_reason
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -236,8 +236,11 @@
 {
 	const struct relay_request *request = &job->request;
 	int64_t left = job->deadline - clock_monotonic_ns();
-	GString *head = backend_message_head(request, side->backend_id,
-					     left / NS_PER_MS);
+	bool has_organisations =
+		side->view->config && side->view->config->organisations;
+	GString *head =
+		backend_message_head(request, side->backend_id,
+				     left / NS_PER_MS, has_organisations);
 
 	counter_add(&side->admitted, 1);
 	cds_list_add_tail(&job->node, &side->running);
--- a/relay/call.c
+++ b/relay/call.c
@@ -139,6 +139,8 @@
 	request->request_id =
 		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
 	request->priority = call_priority(call);
+	request->organisation = (char *)call->identity.name;
+	request->organisation_priority = call->identity.priority;
 	request->at_most_once = call->route->at_most_once;
 	request->fingerprint = call->fingerprint;
 	request->answer_bytes = (int)MIN(call->state->answer_bytes, G_MAXINT);
--- a/relay/call.h
+++ b/relay/call.h
@@ -6,6 +6,7 @@
 #include "base/rng.h"
 #include "http/server.h"
 #include "relay/caller_side.h"
+#include "relay/identity.h"
 #include "relay/route_metrics.h"
 #include "retry/retry.h"
 #include "retry/window.h"
@@ -81,6 +82,7 @@
 	int64_t objective;	   /* end of the wait for a slot */
 	int64_t due;		   /* end of the route's objective */
 	uint64_t fingerprint;
+	struct identity identity;
 	struct cds_list_head attempts; /* in progress */
 	int nr_attempts;	       /* in progress */
 	int nr_placed;		       /* attempts sent to daemons */
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -340,7 +340,8 @@
 static struct call *new_call(struct caller_side *side,
 			     struct http_server_conn *conn,
 			     struct http_message *message,
-			     const struct mesh_route *route)
+			     const struct mesh_route *route,
+			     const struct identity *identity)
 {
 	struct call *call = g_new0(struct call, 1);
 
@@ -351,6 +352,7 @@
 	call->message = message;
 	call->view = mesh_view_ref(side->view);
 	call->route = route;
+	call->identity = *identity;
 	call->arrival = clock_monotonic_ns();
 	call->state = get_state(side, route);
 	set_times(call);
@@ -370,9 +372,10 @@
 }
 
 static void serve(struct caller_side *side, struct http_server_conn *conn,
-		  struct http_message *message, const struct mesh_route *route)
+		  struct http_message *message, const struct mesh_route *route,
+		  const struct identity *identity)
 {
-	struct call *call = new_call(side, conn, message, route);
+	struct call *call = new_call(side, conn, message, route, identity);
 
 	call->is_from_backend = is_from_backend(side, conn);
 	if (call->is_from_backend)
@@ -399,8 +402,11 @@
 {
 	const char *id = http_message_value(message, HTTP_ROLE_REQUEST_ID);
 
-	log_event(LOG_INFO, "request_refused", "id=%s reason=%s status=%d",
-		  log_quote(id ? id : ""), reason, status);
+	log_event(LOG_INFO, "request_refused",
+		  "id=%s reason=%s status=%d version=%" PRId64,
+		  log_quote(id ? id : ""), reason, status,
+		  side->view && side->view->config ? side->view->config->version
+						   : -1);
 	if (is_from_backend(side, conn))
 		backend_side_note_failed_call(side->backend_side,
 					      clock_monotonic_ns());
@@ -416,6 +422,8 @@
 	const char *host = http_message_value(message, HTTP_ROLE_HOST);
 	struct caller_side *side = ctx;
 	const struct mesh_route *route;
+	struct identity identity;
+	const char *refusal;
 
 	if (!http_message_value(message, HTTP_ROLE_REQUEST_ID)) {
 		refuse(side, conn, message, 400, "no-request-id");
@@ -428,10 +436,16 @@
 	route = host ? mesh_config_find_route(side->view->config, host,
 					      message->target->str)
 		     : NULL;
-	if (route)
-		serve(side, conn, message, route);
-	else
+	if (!route) {
 		refuse(side, conn, message, 404, "no-route");
+		return;
+	}
+	refusal = identity_take(&identity, side->view->config, route,
+				is_from_backend(side, conn), message);
+	if (refusal)
+		refuse(side, conn, message, 401, refusal);
+	else
+		serve(side, conn, message, route, &identity);
 }
 
 static void on_caller_closed(struct http_server_conn *conn, void *ctx)
--- a/standins/target.c
+++ b/standins/target.c
@@ -118,7 +118,7 @@
 {
 	json_array_append_new(
 		runs,
-		json_pack("{s:o, s:s, s:o, s:o, s:o, s:o, s:I}", "id",
+		json_pack("{s:o, s:s, s:o, s:o, s:o, s:o, s:o, s:o, s:I}", "id",
 			  json_text(id), "method", request->method, "target",
 			  json_text(request->target), "caller",
 			  json_text(
@@ -127,6 +127,9 @@
 			  json_text(request_header(request, "X-Timeout-Ms")),
 			  "other",
 			  json_text(request_header(request, "X-Other")),
+			  "organisation",
+			  json_text(request_header(request, "X-Tenant")), "key",
+			  json_text(request_header(request, "X-Key")),
 			  "body_bytes", (json_int_t)request->body_len));
 }
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -56,6 +56,74 @@
 	mesh_config_unref(config);
 }
 
+/*
+ * Guards against organisations whose values are swapped, and against a key that
+ * finds no organisation or that of another.
+ */
+TEST(PlatformConfig, OrganisationsAreDecoded)
+{
+	std::string text = GOOD_CONFIG;
+	const struct mesh_organisation *found;
+	g_autofree char *reason = NULL;
+	struct mesh_config *config;
+	struct digest digest;
+
+	text.back() = ',';
+	text += R"("tenants":{"columns":["name","api_keys","priority",
+"rate_per_s","burst"],"rows":[["o1",["k1","k2"],1,261,40],
+["o2",["k3"],0,null,null]]}})";
+	g_autoptr(GBytes) value = bytes(text);
+	config = platform_decode_config(value, &reason);
+	ASSERT_NE(config, nullptr) << reason;
+	digest_compute(&digest, "k2", 2);
+	found = mesh_organisations_find_key(config->organisations, &digest);
+	ASSERT_NE(found, nullptr);
+	EXPECT_STREQ(found->name, "o1");
+	EXPECT_EQ(found->priority, 1);
+	EXPECT_EQ(found->rate_per_s, 261);
+	EXPECT_EQ(found->burst, 40);
+	digest_compute(&digest, "k3", 2);
+	found = mesh_organisations_find_key(config->organisations, &digest);
+	ASSERT_NE(found, nullptr);
+	EXPECT_STREQ(found->name, "o2");
+	EXPECT_EQ(found->rate_per_s, 0);
+	digest_compute(&digest, "k", 1);
+	EXPECT_EQ(mesh_organisations_find_key(config->organisations, &digest),
+		  nullptr);
+	mesh_config_unref(config);
+}
+
+/*
+ * Guards against a configuration in which a key or a name is ambiguous, or a
+ * name can't be sent, and against an error message that shows a key.
+ */
+TEST(PlatformConfig, AmbiguousOrganisationsAreRefused)
+{
+	const char *const rows[] = {
+		R"(["o1",["k1"]],["o2",["k1"]])",
+		R"(["o1",[]],["o1",[]])",
+		R"(["o1",[""]])",
+		R"(["a\r\nb",[]])",
+		R"(["o1","k1"])",
+		R"(["o1",["k1"],0,-1])",
+	};
+
+	for (const char *row : rows) {
+		std::string text = GOOD_CONFIG;
+		g_autofree char *reason = NULL;
+
+		text.back() = ',';
+		text += R"("tenants":{"columns":["name","api_keys","priority",
+"rate_per_s","burst"],"rows":[)" +
+			std::string(row) + "]}}";
+		g_autoptr(GBytes) value = bytes(text);
+		EXPECT_EQ(platform_decode_config(value, &reason), nullptr)
+			<< row;
+		ASSERT_NE(reason, nullptr);
+		EXPECT_EQ(strstr(reason, "k1"), nullptr);
+	}
+}
+
 /* Guards against fields that are dropped, converted wrongly or swapped. */
 TEST(PlatformConfig, DecodesAllFields)
 {
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -165,10 +165,17 @@
 void Platform::publish_config(int version, const std::string &rows,
 			      int body_max_bytes)
 {
+	std::string tenants;
+
+	if (!organisations.empty())
+		tenants = R"(,"tenants":{"columns":["name","api_keys",
+"priority","rate_per_s","burst"],"rows":[)" +
+			  organisations + "]}";
 	put_item("op/config",
 		 R"({"resource_version":"r)" + std::to_string(version) +
 			 R"(","routes":{"columns":["name","hostname",
-"path_prefix","kind","timeout","target_latency","priority","service","attempts"],
+"path_prefix","kind","timeout","target_latency","priority","service","attempts",
+"anonymous"],
 "rows":[["orders","mesh.example","/orders/","non_idempotent","3s","1s",1,"shop",
 2],["stock","mesh.example","/stock/","idempotent","3s","1s",2,"shop",2])" +
 			 rows +
@@ -176,7 +183,8 @@
 "max_connections","warmup_per_s"],"rows":[["shop","/health",100,16],
 ["docs","/health",100,16]]},"limits":{"max_header_bytes":16384,
 "max_body_bytes":)" + std::to_string(body_max_bytes) +
-			 R"(,"header_timeout":"3s","idle_timeout":"15s"}})");
+			 R"(,"header_timeout":"3s","idle_timeout":"15s"})" +
+			 tenants + "}");
 }
 
 void Platform::publish_entry(int index, const std::string &phase)
@@ -196,6 +204,7 @@
 	const char *const argv[] = { GODWITSPUR, "relay", host.settings.c_str(),
 				     nullptr };
 
+	std::ofstream(host.settings, std::ios::app) << more_settings;
 	ASSERT_TRUE(process_start(&host.daemon, argv, host.log.c_str()));
 	ASSERT_TRUE(process_wait_listening(&host.daemon, host.ready.c_str(),
 					   30000));
@@ -249,22 +258,32 @@
 	return send(id, index, method, path, body, time_left_ms, nullptr);
 }
 
-CallerAnswer Platform::call_from_server(int index, const std::string &path)
+CallerAnswer Platform::send_with_fields(int index, const char *method,
+					const std::string &path,
+					const std::string &fields)
+{
+	return send("r" + std::to_string(++next_id), index, method, path, "",
+		    3000, nullptr, fields);
+}
+
+CallerAnswer Platform::call_from_server(int index, const std::string &path,
+					const std::string &fields)
 {
 	return send("c" + std::to_string(++next_id), index, "GET", path, "",
-		    3000, hosts[(size_t)index].ip.c_str());
+		    3000, hosts[(size_t)index].ip.c_str(), fields);
 }
 
 CallerAnswer Platform::send(const std::string &id, int index,
 			    const char *method, const std::string &path,
 			    const std::string &body, int time_left_ms,
-			    const char *source)
+			    const char *source, const std::string &fields)
 {
 	std::string headers =
 		"Host: mesh.example\r\nX-Request-Id: " + id +
 		"\r\nX-Timeout-Ms: " + std::to_string(time_left_ms) +
 		"\r\nX-Other: kept\r\n"
-		"X-Caller-Service: forged\r\n";
+		"X-Caller-Service: forged\r\n" +
+		fields;
 	struct http_request request = {};
 	struct http_response response;
 	CallerAnswer answer;
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -73,8 +73,13 @@
 	CallerAnswer send_with_id(const std::string &id, int host,
 				  const char *method, const std::string &path,
 				  const std::string &body, int time_left_ms);
+	/* The same with a new id and further header lines. */
+	CallerAnswer send_with_fields(int host, const char *method,
+				      const std::string &path,
+				      const std::string &fields);
 	/* Sends a request from the server of a host through its daemon. */
-	CallerAnswer call_from_server(int host, const std::string &path);
+	CallerAnswer call_from_server(int host, const std::string &path,
+				      const std::string &fields = "");
 	/* The ids of the requests that a host's server ran. */
 	std::vector<std::string> run_ids(int host);
 	/* The state dump of a daemon; the caller owns the reference. */
@@ -86,13 +91,22 @@
 	json_int_t state_number(int host, const char *member);
 	void fault(int host, const std::string &query);
 
+	/*
+	 * Rows of the organisations that publish_config() publishes; without
+	 * any the configuration has no organisations. The columns are name,
+	 * api_keys, priority, rate_per_s and burst.
+	 */
+	std::string organisations;
+	/* Further lines of the settings of daemons that start from now on. */
+	std::string more_settings;
 	std::vector<PlatformHost> hosts;
 	std::unique_ptr<Standin> store;
 
       private:
 	CallerAnswer send(const std::string &id, int host, const char *method,
 			  const std::string &path, const std::string &body,
-			  int time_left_ms, const char *source);
+			  int time_left_ms, const char *source,
+			  const std::string &fields = "");
 	void add_host(int index, bool links);
 	void start_server(PlatformHost &host);
 	std::string directory;
