Queue and displace requests by their organisation's priority first

The queue beside a server has a level for each organisation priority: a lower level goes before all higher ones, and a full queue displaces the newest request of the highest level. Among equal levels the route's priority decides as before. Retries kept for urgent requests follow the same order.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -309,8 +309,7 @@
 static int64_t expected_wait(const struct admit *admit,
 			     const struct admit_request *request)
 {
-	int ahead =
-		queue_ahead(&admit->queue, request->priority, request->caller);
+	int ahead = queue_ahead(&admit->queue, request);
 	int64_t wait = ahead * (admit->mean_ns / admit->ramp.limit);
 
 	if (is_start_rate_limited(admit) && admit->cold_rate.per_s > 0)
@@ -440,10 +439,11 @@
 }
 
 /* Earliest time at which a queued request of the class may expire. */
-static int64_t class_timer(const struct admit *admit, int priority)
+static int64_t class_timer(const struct admit *admit, int index)
 {
-	const struct service_time *service = &admit->service_times[priority];
-	int64_t deadline = admit->queue.classes[priority].earliest_deadline;
+	const struct service_time *service =
+		&admit->service_times[index % ADMIT_NR_PRIORITIES];
+	int64_t deadline = admit->queue.classes[index].earliest_deadline;
 
 	if (deadline == DEADLINE_NEVER || !service->nr_running)
 		return deadline;
@@ -487,7 +487,7 @@
 		  struct cds_list_head *expired)
 {
 	now = update_clock(admit, now);
-	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+	for (int i = 0; i < QUEUE_CLASSES; i++)
 		if (class_timer(admit, i) <= now)
 			expire_class(admit, &admit->queue.classes[i], expired);
 }
@@ -500,7 +500,7 @@
 		timer = admit->latest + RUNNING_TIMER_NS;
 	if (!admit->queue.nr_requests)
 		return timer;
-	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+	for (int i = 0; i < QUEUE_CLASSES; i++)
 		timer = MIN(timer, class_timer(admit, i));
 	if (admit->policy->next)
 		timer = MIN(timer, admit->policy->next(&admit->ramp));
@@ -564,9 +564,18 @@
 	return names[verdict];
 }
 
+/* The queued requests of a priority, of all levels. */
+static int count_queued(const struct admit *admit, int priority)
+{
+	int nr = 0;
+
+	for (int i = priority; i < QUEUE_CLASSES; i += ADMIT_NR_PRIORITIES)
+		nr += admit->queue.classes[i].nr_requests;
+	return nr;
+}
+
 json_t *admit_dump(const struct admit *admit)
 {
-	const struct admit_class *classes = admit->queue.classes;
 
 	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:I, s:I, s:I, "
 			 "s:{s:i, s:i, s:i}}",
@@ -578,7 +587,7 @@
 			 (json_int_t)admit->life, "mean_us",
 			 (json_int_t)(admit->mean_ns / NS_PER_US), "pauses",
 			 (json_int_t)admit->nr_pauses, "queued", "order",
-			 classes[ADMIT_ORDER].nr_requests, "lookup",
-			 classes[ADMIT_LOOKUP].nr_requests, "background",
-			 classes[ADMIT_BACKGROUND].nr_requests);
+			 count_queued(admit, ADMIT_ORDER), "lookup",
+			 count_queued(admit, ADMIT_LOOKUP), "background",
+			 count_queued(admit, ADMIT_BACKGROUND));
 }
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -29,6 +29,11 @@
  * by deficit round robin: with n callers waiting, each gets 1/n of the started
  * cost, however many requests the others have queued.
  *
+ * Levels. A request of a lower level goes before all of higher ones, whatever
+ * their priorities, and an arrival to a full queue displaces the newest request
+ * of the highest level above its own. The above applies among the requests of a
+ * level. All requests have level 0 unless the calling code sets another.
+ *
  * Full queue. Each priority has an eighth of the queue guaranteed. An arrival
  * displaces a request of a lower priority that exceeds its guarantee, or of any
  * priority that exceeds its guarantee when the arrival's own priority is below
@@ -49,6 +54,9 @@
 
 #define ADMIT_COST_MAX 16
 
+/* Levels of requests; a larger level counts as the last one. */
+#define ADMIT_LEVELS 4
+
 enum admit_state {
 	ADMIT_IDLE,
 	ADMIT_WAITING,
@@ -64,6 +72,7 @@
 struct admit_request {
 	/* Set by the calling code before admit_arrive(). */
 	enum admit_priority priority;
+	int level; /* of the caller's organisation; 0 is the most urgent */
 	uint64_t caller;  /* hash of the caller's name */
 	int64_t deadline; /* INT64_MAX: none */
 	/*
--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -18,6 +18,18 @@
 	[ADMIT_BACKGROUND] = 1,
 };
 
+static int class_index(const struct admit_request *request)
+{
+	return CLAMP(request->level, 0, ADMIT_LEVELS - 1) *
+		       ADMIT_NR_PRIORITIES +
+	       (int)request->priority;
+}
+
+static int class_weight(int index)
+{
+	return class_weights[index % ADMIT_NR_PRIORITIES];
+}
+
 int64_t queue_wait_deadline(const struct admit_request *request)
 {
 	return request->objective ? MIN(request->objective, request->deadline)
@@ -27,11 +39,11 @@
 void queue_init(struct admit_queue *queue)
 {
 	queue->nr_requests = 0;
-	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++) {
+	for (int i = 0; i < QUEUE_CLASSES; i++) {
 		struct admit_class *class = &queue->classes[i];
 
 		*class = (struct admit_class){
-			.credit = class_weights[i],
+			.credit = class_weight(i),
 			.earliest_deadline = DEADLINE_NEVER,
 		};
 		CDS_INIT_LIST_HEAD(&class->callers);
@@ -42,7 +54,7 @@
 
 void queue_release(struct admit_queue *queue)
 {
-	for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
+	for (int i = 0; i < QUEUE_CLASSES; i++)
 		g_hash_table_destroy(queue->classes[i].by_caller);
 }
 
@@ -72,7 +84,7 @@
 
 void queue_push(struct admit_queue *queue, struct admit_request *request)
 {
-	struct admit_class *class = &queue->classes[request->priority];
+	struct admit_class *class = &queue->classes[class_index(request)];
 	struct admit_caller *caller = caller_get(class, request->caller);
 
 	request->caller_queue = caller;
@@ -86,7 +98,7 @@
 
 void queue_remove(struct admit_queue *queue, struct admit_request *request)
 {
-	struct admit_class *class = &queue->classes[request->priority];
+	struct admit_class *class = &queue->classes[class_index(request)];
 	struct admit_caller *caller = request->caller_queue;
 
 	cds_list_del(&request->node);
@@ -99,11 +111,23 @@
 		class->earliest_deadline = DEADLINE_NEVER;
 }
 
+/* The first class of the lowest level with requests. */
+static struct admit_class *first_level(struct admit_queue *queue)
+{
+	int i = 0;
+
+	while (!queue->classes[i].nr_requests)
+		i++;
+	return &queue->classes[i - i % ADMIT_NR_PRIORITIES];
+}
+
 static struct admit_class *class_next(struct admit_queue *queue)
 {
+	struct admit_class *classes = first_level(queue);
+
 	for (;;) {
 		for (int i = 0; i < ADMIT_NR_PRIORITIES; i++) {
-			struct admit_class *class = &queue->classes[i];
+			struct admit_class *class = &classes[i];
 
 			if (class->nr_requests && class->credit > 0) {
 				class->credit--;
@@ -111,7 +135,7 @@
 			}
 		}
 		for (int i = 0; i < ADMIT_NR_PRIORITIES; i++)
-			queue->classes[i].credit = class_weights[i];
+			classes[i].credit = class_weights[i];
 	}
 }
 
@@ -164,17 +188,18 @@
 	return class_pop(queue, class_next(queue));
 }
 
-int queue_ahead(const struct admit_queue *queue, enum admit_priority priority,
-		uint64_t caller)
+int queue_ahead(const struct admit_queue *queue,
+		const struct admit_request *arrival)
 {
-	const struct admit_class *class = &queue->classes[priority];
+	int index = class_index(arrival);
+	const struct admit_class *class = &queue->classes[index];
 	const struct admit_caller *own =
-		g_hash_table_lookup(class->by_caller, &caller);
+		g_hash_table_lookup(class->by_caller, &arrival->caller);
 	int turns = own ? own->nr_requests + 1 : 1;
 	int64_t by_turns = (int64_t)turns * class->nr_callers;
 	int ahead = (int)MIN(by_turns, class->nr_requests);
 
-	for (int i = 0; i < (int)priority; i++)
+	for (int i = 0; i < index; i++)
 		ahead += queue->classes[i].nr_requests;
 	return ahead;
 }
@@ -202,19 +227,38 @@
 			      node);
 }
 
+/* The newest request of the highest level above that of the arrival. */
+static struct admit_request *
+higher_level_victim(const struct admit_queue *queue, int level)
+{
+	int end = (level + 1) * ADMIT_NR_PRIORITIES;
+
+	for (int i = QUEUE_CLASSES - 1; i >= end; i--)
+		if (queue->classes[i].nr_requests)
+			return newest_request(
+				longest_caller(&queue->classes[i]));
+	return NULL;
+}
+
 struct admit_request *queue_victim(const struct admit_queue *queue,
 				   const struct admit_request *arrival,
 				   int queue_max)
 {
-	const struct admit_class *own = &queue->classes[arrival->priority];
+	int level = class_index(arrival) / ADMIT_NR_PRIORITIES;
+	const struct admit_class *classes =
+		&queue->classes[level * ADMIT_NR_PRIORITIES];
+	const struct admit_class *own = &classes[arrival->priority];
 	const struct admit_caller *caller =
 		g_hash_table_lookup(own->by_caller, &arrival->caller);
 	int kept = guarantee(queue_max);
 	bool below_guarantee = own->nr_requests < kept;
+	struct admit_request *victim = higher_level_victim(queue, level);
 	struct admit_caller *longest;
 
+	if (victim)
+		return victim;
 	for (int i = ADMIT_NR_PRIORITIES - 1; i >= 0; i--) {
-		const struct admit_class *class = &queue->classes[i];
+		const struct admit_class *class = &classes[i];
 
 		if (class->nr_requests <= kept || class == own)
 			continue;
--- a/lib/admit/queue.h
+++ b/lib/admit/queue.h
@@ -27,8 +27,11 @@
 	int64_t earliest_deadline;
 };
 
+/* The priorities of each level are classes of their own. */
+#define QUEUE_CLASSES (ADMIT_LEVELS * ADMIT_NR_PRIORITIES)
+
 struct admit_queue {
-	struct admit_class classes[ADMIT_NR_PRIORITIES];
+	struct admit_class classes[QUEUE_CLASSES]; /* most urgent first */
 	int nr_requests;
 };
 
@@ -46,9 +49,9 @@
 /* Removes and returns the next request to start; NULL when empty. */
 struct admit_request *queue_pop(struct admit_queue *queue);
 
-/* Upper estimate of the requests that start before a new one of the caller. */
-int queue_ahead(const struct admit_queue *queue, enum admit_priority priority,
-		uint64_t caller);
+/* Upper estimate of the requests that start before a new one. */
+int queue_ahead(const struct admit_queue *queue,
+		const struct admit_request *arrival);
 
 /* The queued request that an arrival displaces in a full queue, or NULL. */
 struct admit_request *queue_victim(const struct admit_queue *queue,
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -372,6 +372,7 @@
 	job->admit.priority =
 		(enum admit_priority)CLAMP(job->request.priority, 0,
 					   ADMIT_NR_PRIORITIES - 1);
+	job->admit.level = job->request.organisation_priority;
 	job->admit.caller = hash_string(job->request.caller_service);
 	send_ns = send_time(side, job);
 	job->admit.deadline = job->deadline - send_ns;
--- a/relay/call.c
+++ b/relay/call.c
@@ -175,9 +175,11 @@
  */
 static bool take_retry(struct call *call)
 {
-	enum retry_urgency urgency = call_priority(call) == ADMIT_ORDER
-					     ? RETRY_URGENT
-					     : RETRY_NORMAL;
+	enum retry_urgency urgency =
+		identity_is_urgent(&call->identity,
+				   call_priority(call) == ADMIT_ORDER)
+			? RETRY_URGENT
+			: RETRY_NORMAL;
 
 	return retry_window_take(&get_service_state(call)->retries, urgency,
 				 clock_monotonic_ns());
