Enforce quotas by leases and take back requests of revoked keys

The callers' daemon asks the owners of organisations for tokens, in one message for each owner and iteration of the event loop, and refuses what exceeds the allowance with 429. RELAY_LEASE asks and grants, RELAY_LEASE_HANDOVER passes a bucket on when the daemons change, RELAY_RECALL refuses a queued request of a key that was revoked or has moved; what runs completes. Nothing is sent without limits. The dump of peer links and the building of requests move to files of their own.

--- a/lib/mesh/explain.c
+++ b/lib/mesh/explain.c
@@ -38,6 +38,13 @@
 		  from_route(route, MESH_DEFAULT_PRIORITY, source));
 	add_value(values, "attempts", json_integer(route->attempts),
 		  from_route(route, MESH_DEFAULT_ATTEMPTS, source));
+	if (config->organisations) {
+		add_value(values, "anonymous", json_boolean(route->anonymous),
+			  source);
+		add_value(values, "organisations",
+			  json_integer(config->organisations->all->len),
+			  "organisations");
+	}
 	for (char **region = route->regions; region && *region; region++)
 		add_value(values, "region", json_string(*region), source);
 	add_value(values, "head_max_bytes",
--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -31,6 +31,10 @@
 	/* Factor and count by which a cold server's rate may be exceeded. */
 	double cold_overage;
 	int cold_slack;
+	/* Bounds on the excess over an organisation's quota in each window. */
+	int64_t quota_window_ms;
+	double quota_overage;
+	int quota_slack;
 	double link_bytes_per_s; /* capacity of the host's link; 0: unknown */
 	int64_t memory_bytes;	 /* that the daemon may use; 0: unknown */
 	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
--- a/lib/retry/failure.c
+++ b/lib/retry/failure.c
@@ -72,6 +72,9 @@
 	[FAILURE_TICKET_RUNNING] = { "ticket-running", OUTCOME_UNKNOWN, 409,
 				     false, false },
 	[FAILURE_TICKET_RAN] = { "ticket-ran", OUTCOME_RAN, 409, false, false },
+	[FAILURE_QUOTA] = { "quota", OUTCOME_NOT_RUN, 429, false, false },
+	[FAILURE_KEY_REVOKED] = { "key-revoked", OUTCOME_NOT_RUN, 401, false,
+				  false },
 };
 
 const char *outcome_name(enum outcome outcome)
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -79,6 +79,10 @@
 	FAILURE_TICKET_OTHER_REQUEST, /* used by another request */
 	FAILURE_TICKET_RAN,	      /* ran; the answer is not stored */
 
+	/* The organisation of the request. */
+	FAILURE_QUOTA,	     /* its allowance is used up */
+	FAILURE_KEY_REVOKED, /* while the request waited */
+
 	FAILURE_REASONS /* the number of reasons */
 };
 
--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -33,6 +33,9 @@
 const RELAY_REQUEST = 1;
 const RELAY_CANCEL = 2;
 const RELAY_PING = 3;
+const RELAY_LEASE = 4;
+const RELAY_LEASE_HANDOVER = 5;
+const RELAY_RECALL = 6;
 
 /* Distributes items of the store between daemons of the platform's hosts. */
 const FEED_PROGRAM = 0x20474f47;
@@ -42,6 +45,7 @@
 const RELAY_FIELDS_MAX = 131072;
 const RELAY_TARGET_MAX = 65536;
 const RELAY_ID_MAX = 1024;
+const LEASE_ITEMS_MAX = 256;
 const FEED_KEY_MAX = 255;
 const FEED_ITEMS_MAX = 8192;
 const FEED_ROOTS_MAX = 8;
@@ -187,6 +191,52 @@
 	bool draining;
 };
 
+/*
+ * Asks the owner of organisations for tokens, and returns unused ones. An
+ * organisation is named by quota_id(), which is shorter than its name.
+ */
+struct lease_ask {
+	unsigned hyper organisation;
+	unsigned int wanted;
+	unsigned int unused;
+};
+
+struct relay_lease {
+	lease_ask asks<LEASE_ITEMS_MAX>;
+};
+
+/*
+ * The answer to one ask. If the daemon is not the owner, owner is the IP number
+ * of the one that it knows, or empty.
+ */
+struct lease_grant {
+	bool is_owner;
+	string owner<PEER_NAME_MAX>;
+	unsigned int tokens;
+	unsigned int wait_ms;
+};
+
+/* The grants, in the order of the asks. */
+struct relay_grants {
+	lease_grant grants<LEASE_ITEMS_MAX>;
+};
+
+/* The bucket of an organisation whose owner has changed, in 1/1000 tokens. */
+struct lease_handover {
+	unsigned hyper organisation;
+	hyper tokens;
+	hyper outstanding;
+};
+
+struct relay_lease_handover {
+	lease_handover items<LEASE_ITEMS_MAX>;
+};
+
+/* Refuses a request whose key was revoked, unless it runs already. */
+struct relay_recall {
+	unsigned int xid;
+};
+
 /*
  * An item of the store. A deleted item has no value; hold_ms is the time for
  * which its last value is still used. When plain_bytes is not 0, the value is
--- a/lib/wire/peer_xdr.c
+++ b/lib/wire/peer_xdr.c
@@ -531,6 +531,93 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lease_ask (XDR *xdrs, struct lease_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unused))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_lease (XDR *xdrs, struct relay_lease *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, LEASE_ITEMS_MAX,
+		sizeof (struct lease_ask), (xdrproc_t) xdr_lease_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lease_grant (XDR *xdrs, struct lease_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_owner))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->owner, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_grants (XDR *xdrs, struct relay_grants *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, LEASE_ITEMS_MAX,
+		sizeof (struct lease_grant), (xdrproc_t) xdr_lease_grant))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lease_handover (XDR *xdrs, struct lease_handover *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->outstanding))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_lease_handover (XDR *xdrs, struct relay_lease_handover *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, LEASE_ITEMS_MAX,
+		sizeof (struct lease_handover), (xdrproc_t) xdr_lease_handover))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_relay_recall (XDR *xdrs, struct relay_recall *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->xid))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_feed_entry (XDR *xdrs, struct feed_entry *objp)
 {
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -39,12 +39,16 @@
 #define RELAY_REQUEST 1
 #define RELAY_CANCEL 2
 #define RELAY_PING 3
+#define RELAY_LEASE 4
+#define RELAY_LEASE_HANDOVER 5
+#define RELAY_RECALL 6
 #define FEED_PROGRAM 0x20474f47
 #define FEED_VERSION 1
 #define FEED_PUSH 1
 #define RELAY_FIELDS_MAX 131072
 #define RELAY_TARGET_MAX 65536
 #define RELAY_ID_MAX 1024
+#define LEASE_ITEMS_MAX 256
 #define FEED_KEY_MAX 255
 #define FEED_ITEMS_MAX 8192
 #define FEED_ROOTS_MAX 8
@@ -202,6 +206,50 @@
 	bool_t draining;
 };
 
+struct lease_ask {
+	u_quad_t organisation;
+	u_int wanted;
+	u_int unused;
+};
+
+struct relay_lease {
+	struct {
+		u_int asks_len;
+		struct lease_ask *asks_val;
+	} asks;
+};
+
+struct lease_grant {
+	bool_t is_owner;
+	char *owner;
+	u_int tokens;
+	u_int wait_ms;
+};
+
+struct relay_grants {
+	struct {
+		u_int grants_len;
+		struct lease_grant *grants_val;
+	} grants;
+};
+
+struct lease_handover {
+	u_quad_t organisation;
+	quad_t tokens;
+	quad_t outstanding;
+};
+
+struct relay_lease_handover {
+	struct {
+		u_int items_len;
+		struct lease_handover *items_val;
+	} items;
+};
+
+struct relay_recall {
+	u_int xid;
+};
+
 struct feed_entry {
 	char *key;
 	quad_t revision;
@@ -258,6 +306,13 @@
 extern  bool_t xdr_relay_answer (XDR *, struct relay_answer*);
 extern  bool_t xdr_relay_cancel (XDR *, struct relay_cancel*);
 extern  bool_t xdr_relay_ping (XDR *, struct relay_ping*);
+extern  bool_t xdr_lease_ask (XDR *, struct lease_ask*);
+extern  bool_t xdr_relay_lease (XDR *, struct relay_lease*);
+extern  bool_t xdr_lease_grant (XDR *, struct lease_grant*);
+extern  bool_t xdr_relay_grants (XDR *, struct relay_grants*);
+extern  bool_t xdr_lease_handover (XDR *, struct lease_handover*);
+extern  bool_t xdr_relay_lease_handover (XDR *, struct relay_lease_handover*);
+extern  bool_t xdr_relay_recall (XDR *, struct relay_recall*);
 extern  bool_t xdr_feed_entry (XDR *, struct feed_entry*);
 extern  bool_t xdr_feed_root (XDR *, struct feed_root*);
 extern  bool_t xdr_feed_push (XDR *, struct feed_push*);
@@ -278,6 +333,13 @@
 extern bool_t xdr_relay_answer ();
 extern bool_t xdr_relay_cancel ();
 extern bool_t xdr_relay_ping ();
+extern bool_t xdr_lease_ask ();
+extern bool_t xdr_relay_lease ();
+extern bool_t xdr_lease_grant ();
+extern bool_t xdr_relay_grants ();
+extern bool_t xdr_lease_handover ();
+extern bool_t xdr_relay_lease_handover ();
+extern bool_t xdr_relay_recall ();
 extern bool_t xdr_feed_entry ();
 extern bool_t xdr_feed_root ();
 extern bool_t xdr_feed_push ();
--- a/relay/admin_server.c
+++ b/relay/admin_server.c
@@ -84,6 +84,7 @@
 				  message->target->str + strlen(EXPLAIN_PATH));
 	} else if (!strcmp(message->target->str, "/metrics")) {
 		metrics_render(server->context->metrics, metrics);
+		server->ops->render_metrics(server->ctx, metrics);
 		reply_text(conn, 200, "text/plain; version=0.0.4",
 			   metrics->str);
 	} else {
--- a/relay/admin_server.h
+++ b/relay/admin_server.h
@@ -12,6 +12,8 @@
 
 struct admin_server_ops {
 	bool (*is_ready)(void *ctx);
+	/* Appends metrics that are not registered. */
+	void (*render_metrics)(void *ctx, GString *out);
 	/* The state as JSON text, freed with g_free(). */
 	char *(*dump)(void *ctx);
 	/*
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -412,6 +412,12 @@
 	backend_side_start_next(side);
 }
 
+void backend_side_recall(struct backend_side *side, struct relay_job *job)
+{
+	if (admit_cancel(side->admit, &job->admit))
+		refuse(side, job, FAILURE_KEY_REVOKED);
+}
+
 void backend_side_note_call(struct backend_side *side, int64_t now)
 {
 	side->makes_calls_until = now + MAKES_CALLS_NS;
--- a/relay/backend_side.h
+++ b/relay/backend_side.h
@@ -26,6 +26,9 @@
 /* Cancels a job, which the calling code still owns; done is not called. */
 void backend_side_cancel(struct backend_side *side, struct relay_job *job);
 
+/* Refuses a job whose key was revoked, unless it runs already. */
+void backend_side_recall(struct backend_side *side, struct relay_job *job);
+
 /* Records that the server sent a request of its own through this daemon. */
 void backend_side_note_call(struct backend_side *side, int64_t now);
 /*
--- a/relay/call.c
+++ b/relay/call.c
@@ -12,15 +12,6 @@
  */
 #define PLACED_MAX 4
 
-/*
- * Most daemons that get the request on the condition that they refuse it if
- * they would answer it late or their server is unsound; the second value holds
- * for a request that runs at most once, which an unsound server may lose.
- * Further daemons may accept it, because a late answer is better than none.
- */
-#define DUE_PLACED_MAX 2
-#define DUE_PLACED_MAX_ONCE 3
-
 /*
  * A request that may run twice and has no answer after this share of its
  * route's objective is hedged: sent to a second backend server as well.
@@ -41,6 +32,8 @@
 	balance_handle target;
 	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
+	bool is_recalled;
+	int number; /* of the daemons that the request was sent to */
 	int64_t started;
 	struct peer_call peer;
 	struct relay_job job;
@@ -111,43 +104,6 @@
 	return rank == 2 ? ADMIT_LOOKUP : ADMIT_BACKGROUND;
 }
 
-/* The request borrows its strings and body from the call. */
-static void build_request(const struct call *call,
-			  struct relay_request *request)
-{
-	const struct http_message *message = call->message;
-	int64_t now = clock_monotonic_ns();
-	int64_t left = call->deadline - now;
-	int due_placed_max = call->route->at_most_once ? DUE_PLACED_MAX_ONCE
-						       : DUE_PLACED_MAX;
-
-	memset(request, 0, sizeof(*request));
-	request->service = (char *)call->service;
-	request->config_version = call->view->config->version;
-	request->method = (char *)message->method;
-	request->target = message->target->str;
-	request->fields = message->fields->str;
-	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
-	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
-	if (call->nr_placed <= due_placed_max && !call->nr_sent &&
-	    !call->hedged && !call->accepts_late) {
-		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
-		request->unless_unsound = failover_enabled(
-			&get_service_state(call)->unless_unsound, now);
-	}
-	request->caller_service = call->side->context->host->service;
-	request->request_id =
-		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
-	request->priority = call_priority(call);
-	request->organisation = (char *)call->identity.name;
-	request->organisation_priority = call->identity.priority;
-	request->at_most_once = call->route->at_most_once;
-	request->fingerprint = call->fingerprint;
-	request->answer_bytes = (int)MIN(call->state->answer_bytes, G_MAXINT);
-	request->body.body_len = message->body->len;
-	request->body.body_val = (char *)message->body->data;
-}
-
 static void report_result(struct attempt *attempt, enum failure_reason reason,
 			  const struct relay_answer *answer)
 {
@@ -190,7 +146,12 @@
 {
 	const struct failure *failure = failure_get(reason);
 
-	if (!failure->another_may_help ||
+	/* The key moved to another organisation, so the request starts anew. */
+	if (reason == FAILURE_KEY_REVOKED && !call->is_revoked) {
+		call->nr_excluded = 0;
+		return clock_monotonic_ns() < call->deadline;
+	}
+	if (call->is_revoked || !failure->another_may_help ||
 	    call->nr_excluded == BALANCE_EXCLUDED_MAX ||
 	    clock_monotonic_ns() >= call->deadline)
 		return false;
@@ -220,7 +181,8 @@
  */
 static bool retry_accepting_late(struct call *call, enum failure_reason reason)
 {
-	if (call->accepts_late || call->nr_sent || call->nr_attempts ||
+	if (call->is_revoked || call->accepts_late || call->nr_sent ||
+	    call->nr_attempts ||
 	    failure_get(reason)->outcome != OUTCOME_NOT_RUN ||
 	    !call->nr_due_refused || clock_monotonic_ns() >= call->deadline)
 		return false;
@@ -440,9 +402,9 @@
 	attempt->job.done = on_local_done;
 	cds_list_add_tail(&attempt->node, &call->attempts);
 	call->nr_attempts++;
-	call->nr_placed++;
+	attempt->number = ++call->nr_placed;
 	call->excluded[call->nr_excluded++] = choice->target;
-	build_request(call, &attempt->job.request);
+	call_build_request(call, &attempt->job.request);
 	attempt->is_local = !strcmp(choice->traffic, side->own_traffic);
 	/* Sending may end the call and free it: no use of it from here on. */
 	if (attempt->is_local) {
@@ -484,7 +446,7 @@
 {
 	call->hedged = true;
 	set_timer(call);
-	if (call->nr_attempts != 1 ||
+	if (call->is_revoked || call->nr_attempts != 1 ||
 	    call->nr_sent + call->nr_attempts >= call->route->attempts ||
 	    is_quarantined(call) || !take_retry(call))
 		return;
@@ -541,6 +503,7 @@
 {
 	struct attempt *attempt, *next;
 
+	quota_side_cancel(&call->quota_wait);
 	timers_cancel(call->side->context->timers, &call->timer);
 	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
 		if (attempt->is_local)
@@ -552,3 +515,43 @@
 		free_attempt(attempt);
 	}
 }
+
+/* Ends an attempt of which nothing was sent. */
+static void abandon_unsent(struct attempt *attempt)
+{
+	peer_links_cancel(&attempt->peer);
+	end_attempt(attempt, FAILURE_KEY_REVOKED, NULL);
+}
+
+/* The first attempt that has not been recalled yet; NULL: none. */
+static struct attempt *next_unrecalled(const struct call *call, int placed)
+{
+	struct attempt *attempt;
+
+	cds_list_for_each_entry (attempt, &call->attempts, node)
+		if (!attempt->is_recalled && attempt->number <= placed)
+			return attempt;
+	return NULL;
+}
+
+void call_recall(struct call *call)
+{
+	/* Attempts that the first ones are replaced by are not recalled. */
+	int placed = call->nr_placed;
+	struct attempt *attempt;
+
+	while ((attempt = next_unrecalled(call, placed))) {
+		bool is_last = call->nr_attempts == 1;
+
+		attempt->is_recalled = true;
+		if (attempt->is_local)
+			backend_side_recall(call->side->backend_side,
+					    &attempt->job);
+		else if (!peer_links_recall(&attempt->peer))
+			abandon_unsent(attempt);
+		/* A local attempt that waited has ended, and so has the call.
+		 */
+		if (is_last)
+			return;
+	}
+}
--- a/relay/call.h
+++ b/relay/call.h
@@ -7,6 +7,8 @@
 #include "http/server.h"
 #include "relay/caller_side.h"
 #include "relay/identity.h"
+#include "relay/organisation_counts.h"
+#include "relay/quota_side.h"
 #include "relay/route_metrics.h"
 #include "retry/retry.h"
 #include "retry/window.h"
@@ -48,6 +50,8 @@
 	const struct relay_context *context;
 	struct backend_side *backend_side;
 	struct peer_links *links;
+	struct quota_side *quota;
+	struct organisation_counts *counts;
 	struct mesh_view *view;
 	struct http_server *http;
 	struct balance *balance;
@@ -83,6 +87,8 @@
 	int64_t due;		   /* end of the route's objective */
 	uint64_t fingerprint;
 	struct identity identity;
+	struct quota_wait quota_wait; /* waits, or has a token */
+	bool is_revoked; /* its key was revoked; nothing more is sent */
 	struct cds_list_head attempts; /* in progress */
 	int nr_attempts;	       /* in progress */
 	int nr_placed;		       /* attempts sent to daemons */
@@ -114,6 +120,27 @@
 /* Sends a routed request; it ends with call_end() or call_cancel(). */
 void call_start(struct call *call);
 
+/*
+ * Builds the request for a daemon, which borrows its strings and body from the
+ * call.
+ */
+void call_build_request(const struct call *call, struct relay_request *request);
+
+/* Starts the request once its organisation's quota allows it. */
+void call_admit(struct call *call);
+
+/* Gives back the quota of a request that was not run. */
+void call_refund(struct call *call);
+
+/* Logs that the organisation's quota refused the request. */
+void call_log_quota_refusal(const struct call *call);
+
+/* Takes back the attempts that wait, as far as they do not run yet. */
+void call_recall(struct call *call);
+
+/* Applies a new configuration to the keys of the requests in progress. */
+void caller_side_apply_identities(struct caller_side *side);
+
 /* Cancels all attempts, because the caller has left or gets its answer. */
 void call_cancel(struct call *call);
 
@@ -127,6 +154,15 @@
 void call_end(struct call *call, enum failure_reason reason,
 	      const struct relay_answer *answer);
 
+/* Counts the refusal of a request for its organisation. */
+void call_count_refusal(struct call *call, enum failure_reason reason);
+
+/* The status and Retry-After of a request that was refused; 0: none. */
+int call_refusal(struct call *call, enum failure_reason reason,
+		 int64_t *retry_after_ms);
+/* Retry-After for a wait that daemons reported; -1: none did. */
+int64_t caller_side_retry_after_ms(struct caller_side *side, int64_t wait_ms);
+
 struct service_state *caller_side_service(struct caller_side *side, int index);
 
 #endif
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -12,14 +12,6 @@
 #define HEAD_WAIT_NS_START (3 * NS_PER_SEC)
 #define IDLE_WAIT_NS_START (15 * NS_PER_SEC)
 
-/* Retry-After of refused requests; the default if no daemon sent its wait. */
-#define RETRY_AFTER_MIN_MS 50
-#define RETRY_AFTER_MAX_MS 1000
-#define RETRY_AFTER_DEFAULT_MS 150
-
-/* Retry-After of a request that crashes servers; it stays refused for long. */
-#define RETRY_AFTER_QUARANTINED_MS 30000
-
 /*
  * Validity of reported loads and of a server's draining state, and the times of
  * outlier detection. Short, so that other servers take over at once when one
@@ -54,15 +46,6 @@
 				  : failure_get(reason)->outcome;
 }
 
-static int64_t get_retry_after_ms(struct caller_side *side, int64_t wait_ms)
-{
-	if (wait_ms < 0)
-		wait_ms = RETRY_AFTER_DEFAULT_MS;
-	wait_ms = CLAMP(wait_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	/* Jitter of 75 to 125%, so that callers do not return all at once. */
-	return wait_ms * (75 + (int64_t)rng_below(&side->rng, 51)) / 100;
-}
-
 static void reply_failure(struct caller_side *side,
 			  struct http_server_conn *conn, int status,
 			  int64_t retry_after_ms)
@@ -122,6 +105,9 @@
 static void count_end(const struct call *call, enum outcome outcome)
 {
 	counter_add(&call->side->requests[outcome], 1);
+	if (outcome == OUTCOME_RAN)
+		organisation_counts_add(call->side->counts, call->identity.name,
+					ORGANISATION_RUN);
 	route_metrics_count(call->state->metrics, outcome,
 			    clock_monotonic_ns() - call->arrival);
 }
@@ -134,17 +120,20 @@
 	int status = 502;
 
 	if (outcome == OUTCOME_NOT_RUN) {
-		status = 503;
-		retry_after_ms =
-			reason == FAILURE_QUARANTINED
-				? RETRY_AFTER_QUARANTINED_MS
-				: get_retry_after_ms(side, call->wait_ms);
+		if (call->is_revoked)
+			reason = FAILURE_KEY_REVOKED;
+		status = call_refusal(call, reason, &retry_after_ms);
+		call_count_refusal(call, reason);
+		call_refund(call);
 	} else if (reason == FAILURE_DEADLINE) {
 		status = 504;
 	}
 	count_end(call, outcome);
 	counter_add(&side->failures[reason], 1);
-	log_failure(call, reason, status);
+	if (reason == FAILURE_QUOTA)
+		call_log_quota_refusal(call);
+	else
+		log_failure(call, reason, status);
 	reply_failure(side, call->conn, status, retry_after_ms);
 }
 
@@ -382,6 +371,8 @@
 		backend_side_note_call(side->backend_side, call->arrival);
 	CDS_INIT_LIST_HEAD(&call->attempts);
 	call->wait_ms = -1;
+	organisation_counts_add(side->counts, identity->name,
+				ORGANISATION_RECEIVED);
 	if (call->service_index < 0) {
 		call_end(call, FAILURE_NO_TARGET, NULL);
 		return;
@@ -391,10 +382,7 @@
 		call_end(call, FAILURE_QUARANTINED, NULL);
 		return;
 	}
-	retry_window_request(
-		&caller_side_service(side, call->service_index)->retries,
-		call->arrival);
-	call_start(call);
+	call_admit(call);
 }
 
 static void refuse(struct caller_side *side, struct http_server_conn *conn,
@@ -412,7 +400,7 @@
 					      clock_monotonic_ns());
 	counter_add(&side->requests[OUTCOME_NOT_RUN], 1);
 	reply_failure(side, conn, status,
-		      status == 503 ? get_retry_after_ms(side, -1) : 0);
+		      status == 503 ? caller_side_retry_after_ms(side, -1) : 0);
 	http_message_free(message);
 }
 
@@ -503,7 +491,8 @@
 
 struct caller_side *caller_side_new(const struct relay_context *context,
 				    struct backend_side *backend_side,
-				    struct peer_links *links, GError **error)
+				    struct peer_links *links,
+				    struct quota_side *quota, GError **error)
 {
 	struct caller_side *side = g_new0(struct caller_side, 1);
 	struct balance_options balance = {
@@ -535,6 +524,8 @@
 	side->route_metrics.metrics = context->metrics;
 	side->backend_side = backend_side;
 	side->links = links;
+	side->quota = quota;
+	side->counts = organisation_counts_new();
 	side->own_traffic = g_strdup_printf("%s:%u", context->host->ip,
 					    context->host->peers.port);
 	rng_init(&side->rng, context->incarnation);
@@ -577,12 +568,15 @@
 
 json_t *caller_side_dump(const struct caller_side *side)
 {
-	return json_pack("{s:i, s:i, s:I, s:o}", "requests", side->nr_calls,
-			 "connections", (int)http_server_nr_conns(side->http),
-			 "version",
+	return json_pack("{s:i, s:i, s:I, s:o, s:o, s:o}", "requests",
+			 side->nr_calls, "connections",
+			 (int)http_server_nr_conns(side->http), "version",
 			 side->view && side->view->config
 				 ? (json_int_t)side->view->config->version
 				 : (json_int_t)0,
 			 "balance",
-			 balance_dump(side->balance, clock_monotonic_ns()));
+			 balance_dump(side->balance, clock_monotonic_ns()),
+			 "organisations",
+			 organisation_counts_dump(side->counts), "quota",
+			 quota_side_dump(side->quota));
 }
--- a/relay/caller_side.h
+++ b/relay/caller_side.h
@@ -6,6 +6,7 @@
 #include "mesh/explain.h"
 #include "relay/backend_side.h"
 #include "relay/peer_links.h"
+#include "relay/quota_side.h"
 #include "relay/relay.h"
 
 /*
@@ -18,7 +19,8 @@
 
 struct caller_side *caller_side_new(const struct relay_context *context,
 				    struct backend_side *backend_side,
-				    struct peer_links *links, GError **error);
+				    struct peer_links *links,
+				    struct quota_side *quota, GError **error);
 
 /* Applies a new view, which stays referenced while requests use it. */
 void caller_side_apply(struct caller_side *side, struct mesh_view *view);
@@ -51,6 +53,9 @@
 char *caller_side_explain(const struct caller_side *side,
 			  const struct mesh_explain_query *query);
 
+/* Appends metrics that are not registered, as their names change. */
+void caller_side_render_metrics(const struct caller_side *side, GString *out);
+
 json_t *caller_side_dump(const struct caller_side *side);
 
 #endif
--- a/relay/caller_view.c
+++ b/relay/caller_view.c
@@ -107,6 +107,7 @@
 
 	mesh_view_unref(side->view);
 	side->view = mesh_view_ref(view);
+	caller_side_apply_identities(side);
 	side->nr_daemons = count_daemons(view);
 	if (!view->config)
 		return;
@@ -120,6 +121,11 @@
 	balance_update_end(side->balance, now);
 }
 
+void caller_side_render_metrics(const struct caller_side *side, GString *out)
+{
+	organisation_counts_render(side->counts, out);
+}
+
 char *caller_side_explain(const struct caller_side *side,
 			  const struct mesh_explain_query *query)
 {
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -1,4 +1,4 @@
-#include "relay/peer_links.h"
+#include "relay/peer_links_internal.h"
 
 #include <string.h>
 
@@ -43,39 +43,6 @@
 /* Recovery attempts end when no request was to be sent for this long. */
 #define RECOVERY_IDLE_NS (10 * NS_PER_SEC)
 
-enum link_state {
-	LINK_USABLE,
-	LINK_SUSPECT, /* no requests are sent until a ping is answered */
-	LINK_SILENT   /* the same, and the connection was given up */
-};
-
-/* The connection to another daemon for one lane. */
-struct peer_link {
-	char *address;
-	enum peer_lane lane;
-	struct peer_links *links;
-	struct rpc_conn *conn; /* NULL: none */
-	int64_t retry_deadline;
-	struct liveness liveness;   /* of the present connection */
-	struct cds_list_head calls; /* sent, without an answer yet */
-	/* Not sent until the ping that is outstanding has been answered. */
-	struct cds_list_head held;
-	/* Sent on earlier connections, which stay open for their answers. */
-	struct cds_list_head detached;
-	int64_t busy_since; /* when calls last became non-empty */
-	struct timer timer; /* the next ping, or a timeout of the present one */
-	struct rpc_call ping;
-	enum link_state state;
-	int64_t last_request; /* when peer_links_send() was last called */
-	struct timer recovery_timer;
-};
-
-struct peer_links {
-	const struct relay_context *context;
-	struct backend_side *backend_side;
-	GHashTable *lanes[PEER_NR_LANES]; /* address -> struct peer_link */
-};
-
 static void connect_link(struct peer_link *link);
 static void send_ping(struct peer_link *link, int64_t now);
 
@@ -98,7 +65,7 @@
 
 /* Calls. */
 
-static int count_calls(const struct peer_link *link)
+int peer_link_count_calls(const struct peer_link *link)
 {
 	const struct cds_list_head *const lists[] = { &link->calls, &link->held,
 						      &link->detached };
@@ -277,7 +244,7 @@
 			  state == LINK_SUSPECT ? "peer_suspect"
 						: "peer_silent",
 			  "peer=%s requests=%d", link->address,
-			  count_calls(link));
+			  peer_link_count_calls(link));
 	link->state = state;
 	set_recovery_timer(link);
 }
@@ -562,32 +529,25 @@
 	return links;
 }
 
-static void dump_lane(const struct peer_links *links, enum peer_lane lane,
-		      json_t *array)
+struct rpc_conn *peer_links_conn(struct peer_links *links, const char *address)
 {
-	struct peer_link *link;
-	GHashTableIter iter;
+	struct peer_link *link = find_link(links, address, PEER_LANE_SHORT);
 
-	g_hash_table_iter_init(&iter, links->lanes[lane]);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&link)) {
-		bool open = link->conn && !rpc_conn_closed(link->conn);
-
-		json_array_append_new(
-			array,
-			json_pack("{s:s, s:s, s:b, s:b, s:i}", "address",
-				  link->address, "lane",
-				  lane == PEER_LANE_LONG ? "long" : "short",
-				  "open", open, "usable",
-				  link->state == LINK_USABLE, "requests",
-				  count_calls(link)));
-	}
+	link->last_request = clock_monotonic_ns();
+	return get_conn(link);
 }
 
-json_t *peer_links_dump(const struct peer_links *links)
+bool peer_links_recall(struct peer_call *call)
 {
-	json_t *array = json_array();
+	struct relay_recall recall = { .xid = call->rpc.xid };
+	struct rpc_call *rpc;
 
-	for (int i = 0; i < PEER_NR_LANES; i++)
-		dump_lane(links, (enum peer_lane)i, array);
-	return array;
+	if (call->ended || call->request)
+		return false;
+	rpc = g_new0(struct rpc_call, 1);
+	rpc->done = free_cancel;
+	rpc->deadline = DEADLINE_NEVER;
+	rpc_call_start(call->conn, rpc, RELAY_PROGRAM, RELAY_VERSION,
+		       RELAY_RECALL, (xdrproc_t)xdr_relay_recall, &recall);
+	return true;
 }
--- a/relay/peer_links.h
+++ b/relay/peer_links.h
@@ -68,6 +68,18 @@
 /* Cancels a request, here and at the other daemon; done is not called. */
 void peer_links_cancel(struct peer_call *call);
 
+/*
+ * A reference to the connection for short messages to a daemon, made if needed;
+ * NULL if the daemon cannot be reached now.
+ */
+struct rpc_conn *peer_links_conn(struct peer_links *links, const char *address);
+
+/*
+ * Asks the other daemon to refuse the request unless it runs already; the
+ * answer comes as that of the request. Returns false if it was not sent yet.
+ */
+bool peer_links_recall(struct peer_call *call);
+
 json_t *peer_links_dump(const struct peer_links *links);
 
 #endif
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/peers.h"
+#include "retry/retry.h"
 
 /* A request from another daemon. */
 struct remote_job {
@@ -16,6 +17,7 @@
 
 struct peers {
 	struct backend_side *backend_side;
+	struct quota_side *quota;
 	struct rpc_service service;
 	struct rpc_listener *listener;
 	GHashTable *conns; /* set of open struct rpc_conn, with references */
@@ -107,6 +109,32 @@
 	return rpc_reply(conn, xid, (xdrproc_t)xdr_relay_cancel, &cancel);
 }
 
+static void refuse_arrival(struct remote_job *remote)
+{
+	struct relay_answer answer = { .reason = FAILURE_KEY_REVOKED,
+				       .fields = strdup("") };
+
+	cds_list_del(&remote->node);
+	reply_remote(&remote->job, &answer);
+}
+
+/* The answer of a request that is taken back comes as its own reply. */
+static bool serve_recall(struct peers *peers, struct rpc_conn *conn,
+			 uint32_t xid, XDR *args)
+{
+	struct relay_recall recall;
+	struct remote_job *remote;
+
+	if (!xdr_relay_recall(args, &recall))
+		return false;
+	remote = find_job(peers, conn, recall.xid);
+	if (remote && remote->arrived)
+		refuse_arrival(remote);
+	else if (remote)
+		backend_side_recall(peers->backend_side, &remote->job);
+	return rpc_reply(conn, xid, (xdrproc_t)xdr_relay_recall, &recall);
+}
+
 static bool serve_ping(struct peers *peers, struct rpc_conn *conn, uint32_t xid,
 		       XDR *args)
 {
@@ -133,6 +161,12 @@
 		return serve_cancel(peers, conn, xid, args);
 	case RELAY_PING:
 		return serve_ping(peers, conn, xid, args);
+	case RELAY_RECALL:
+		return serve_recall(peers, conn, xid, args);
+	case RELAY_LEASE:
+		return quota_side_serve_lease(peers->quota, conn, xid, args);
+	case RELAY_LEASE_HANDOVER:
+		return quota_side_serve_handover(peers->quota, conn, xid, args);
 	default:
 		*error = PROC_UNAVAIL;
 		return false;
@@ -180,7 +214,8 @@
 }
 
 struct peers *peers_new(const struct relay_context *context,
-			struct backend_side *backend_side, GError **error)
+			struct backend_side *backend_side,
+			struct quota_side *quota, GError **error)
 {
 	struct peers *peers = g_new0(struct peers, 1);
 	struct rpc_options options = {
@@ -192,6 +227,7 @@
 	};
 
 	peers->backend_side = backend_side;
+	peers->quota = quota;
 	peers->conns =
 		g_hash_table_new_full(NULL, NULL,
 				      (GDestroyNotify)rpc_conn_unref, NULL);
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -3,6 +3,7 @@
 
 #include "net/rpc.h"
 #include "relay/backend_side.h"
+#include "relay/quota_side.h"
 #include "relay/relay.h"
 
 /*
@@ -20,7 +21,8 @@
 struct peers;
 
 struct peers *peers_new(const struct relay_context *context,
-			struct backend_side *backend_side, GError **error);
+			struct backend_side *backend_side,
+			struct quota_side *quota, GError **error);
 
 /*
  * Whether a message of another daemon is not read completely, or an answer to
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -68,6 +68,7 @@
 	struct backend_side *backend_side;
 	struct peers *peers;
 	struct peer_links *links;
+	struct quota_side *quota;
 	struct caller_side *caller_side;
 	struct mesh_control *control;
 	struct admin_server *admin_server;
@@ -99,6 +100,7 @@
 			  relay->context.host->name,
 			  deferred->view->config->version);
 	relay->configured = deferred->view->config != NULL;
+	quota_side_apply(relay->quota, deferred->view);
 	caller_side_apply(relay->caller_side, deferred->view);
 	backend_side_apply(relay->backend_side, deferred->view);
 	mesh_view_unref(deferred->view);
@@ -199,10 +201,18 @@
 	return caller_side_explain(relay->caller_side, &query);
 }
 
+static void on_render_metrics(void *ctx, GString *out)
+{
+	struct relay *relay = ctx;
+
+	caller_side_render_metrics(relay->caller_side, out);
+}
+
 static const struct admin_server_ops admin_server_ops = {
 	.is_ready = on_is_ready,
 	.dump = on_dump,
 	.explain = on_explain,
+	.render_metrics = on_render_metrics,
 };
 
 /* Stopping. */
@@ -397,12 +407,14 @@
 
 	context->quarantine = quarantine_new(&quarantine);
 	relay->backend_side = backend_side_new(context);
-	relay->peers = peers_new(context, relay->backend_side, error);
+	relay->links = peer_links_new(context, relay->backend_side);
+	relay->quota = quota_side_new(context, relay->links);
+	relay->peers =
+		peers_new(context, relay->backend_side, relay->quota, error);
 	if (!relay->peers)
 		return false;
-	relay->links = peer_links_new(context, relay->backend_side);
 	relay->caller_side = caller_side_new(context, relay->backend_side,
-					     relay->links, error);
+					     relay->links, relay->quota, error);
 	if (!relay->caller_side)
 		return false;
 	relay->admin_server =
--- a/tests/relay/test_organisations.cc
+++ b/tests/relay/test_organisations.cc
@@ -1,7 +1,13 @@
 #include "platform.h"
 
+#include <atomic>
+#include <map>
 #include <thread>
 
+extern "C" {
+#include "base/clock.h"
+}
+
 namespace
 {
 
@@ -169,4 +175,214 @@
 	EXPECT_EQ(text.find("wrong-key"), std::string::npos);
 }
 
+/* Sends requests with a key through hosts in turn; the statuses by count. */
+std::map<int, int> send_many(Platform &in, int nr, const char *key,
+			     const char *path = "/stock/1",
+			     const std::vector<int> &hosts = { 0 })
+{
+	std::map<int, int> statuses;
+
+	for (int i = 0; i < nr; i++) {
+		CallerAnswer answer =
+			in.send_with_fields(hosts[(size_t)i % hosts.size()],
+					    "GET", path, key_field(key));
+
+		statuses[answer.status]++;
+		if (answer.status == 429) {
+			EXPECT_GT(atof(answer.retry_after.c_str()), 0);
+			EXPECT_LT(atof(answer.retry_after.c_str()), 5);
+		}
+	}
+	return statuses;
+}
+
+/* One organisation of 20 requests/s, a second one without a limit. */
+std::string limited_organisation()
+{
+	return R"(["huka270",[")" + std::string(KEY) +
+	       R"("],1,20,20],["tern3",[")" + OTHER_KEY + R"("],1,0,0])";
+}
+
+/*
+ * Guards against an organisation that exceeds its quota by using several
+ * daemons, against a refusal within the quota, and against one organisation's
+ * excess that affects another.
+ */
+TEST(Organisations, QuotaHoldsOverAllDaemons)
+{
+	Platform in(3, { "--service-ms", "1" });
+	std::map<int, int> few, many, other;
+	int64_t start;
+	double allowed, seconds;
+
+	in.organisations = limited_organisation();
+	in.start_all();
+	usleep(2500000); /* the buckets fill */
+	for (int i = 0; i < 10; i++) {
+		few = send_many(in, 1, KEY, "/stock/1", { i % 3 });
+		EXPECT_EQ(few[200], 1) << i;
+		usleep(60000);
+	}
+	start = clock_monotonic_ns();
+	many = send_many(in, 400, KEY, "/stock/1", { 0, 1, 2 });
+	seconds = (double)(clock_monotonic_ns() - start) / 1e9;
+	allowed = (20 * seconds + 20) * 1.25 + 20;
+	EXPECT_LE(many[200], allowed) << seconds;
+	EXPECT_GE(many[200], 10);
+	EXPECT_EQ(many[200] + many[429], 400);
+	other = send_many(in, 30, OTHER_KEY, "/stock/1", { 0, 1, 2 });
+	EXPECT_EQ(other[200], 30);
+	EXPECT_NE(call(in.hosts[0].operators, "GET", "/metrics")
+			  .body.find("organisation=\"huka270\","
+				     "result=\"refused_quota\"} "),
+		  std::string::npos);
+}
+
+/* The host that owns an organisation: the one that holds its bucket. */
+int find_owner(Platform &in)
+{
+	for (size_t i = 0; i < in.hosts.size(); i++) {
+		json_t *state = in.dump((int)i);
+		json_t *quota =
+			json_object_get(json_object_get(state, "callers"),
+					"quota");
+		json_int_t buckets =
+			json_integer_value(json_object_get(quota, "buckets"));
+
+		json_decref(state);
+		if (buckets)
+			return (int)i;
+	}
+	return -1;
+}
+
+/*
+ * Guards against requests that hang or exceed the bound when the owner of their
+ * quota is killed, and against a quota that is not available again when the
+ * owner has restarted.
+ */
+TEST(Organisations, KilledOwnerLeavesTheFallbackAndReturns)
+{
+	Platform in(3, { "--service-ms", "1" });
+	std::map<int, int> statuses;
+	int64_t start;
+	int owner, from;
+
+	in.organisations = limited_organisation();
+	in.start_all();
+	usleep(5200000); /* the fallback begins one window after the start */
+	send_many(in, 3, KEY, "/stock/1", { 0, 1, 2 });
+	owner = find_owner(in);
+	ASSERT_GE(owner, 0);
+	from = (owner + 1) % 3;
+	process_kill(&in.hosts[(size_t)owner].daemon);
+	start = clock_monotonic_ns();
+	statuses = send_many(in, 100, KEY, "/stock/1", { from });
+	EXPECT_GT(statuses[200], 0);
+	/* Tokens in hand, and a third of a quarter of the overage. */
+	EXPECT_LE(statuses[200],
+		  20 + (int)(0.25 * ((20 * 5 + 20) * 0.25 + 20)));
+	EXPECT_GT(statuses[429], 0);
+	EXPECT_LT(clock_monotonic_ns() - start, 30 * NS_PER_SEC);
+	in.start_daemon(owner);
+	EXPECT_TRUE(eventually([&] {
+		usleep(50000);
+		return send_many(in, 1, KEY, "/stock/1", { from })[200] == 1;
+	}));
+	usleep(2000000);
+	EXPECT_GE(send_many(in, 10, KEY, "/stock/1", { from })[200], 8);
+}
+
+/*
+ * A key is revoked while requests with it run and wait, some of them at the
+ * daemon of another host. Guards against a waiting request that still runs, a
+ * running one that is cut off, and a revoked key that is accepted later.
+ */
+TEST(Organisations, RevokedKeyEndsWaitingRequests)
+{
+	/* Host 3 is of another service: its requests wait on other hosts. */
+	Platform in(4, { "--service-ms", "2500" });
+	std::vector<std::thread> threads;
+	std::atomic<int> served{ 0 }, refused{ 0 }, other{ 0 };
+	size_t started = 0;
+
+	in.organisations = two_organisations();
+	in.start_all();
+	for (int i = 0; i < 24; i++) {
+		threads.emplace_back([&, i] {
+			int status =
+				in.send_with_fields(i % 2 ? 3 : 0, "POST",
+						    "/orders/1", key_field(KEY))
+					.status;
+
+			(status == 200	 ? served
+			 : status == 401 ? refused
+					 : other)++;
+		});
+	}
+	/* 3 servers run 4 requests each. */
+	EXPECT_TRUE(eventually([&] {
+		started = in.runs(0) + in.runs(1) + in.runs(2);
+		return started == 12;
+	}));
+	usleep(300000);
+	in.organisations = R"(["huka270",["new-key"],1,0,0])";
+	in.publish_config(2);
+	for (std::thread &thread : threads)
+		thread.join();
+	EXPECT_EQ(in.runs(0) + in.runs(1) + in.runs(2), 12u);
+	EXPECT_EQ(served, 12);
+	EXPECT_EQ(refused, 12);
+	EXPECT_EQ(other, 0);
+	EXPECT_EQ(in.send_with_fields(3, "GET", "/stock/1", key_field(KEY))
+			  .status,
+		  401);
+}
+
+/*
+ * Guards against a waiting request that runs for the organisation to which its
+ * key belonged before, or is refused because the key has moved.
+ */
+TEST(Organisations, MovedKeyCountsForItsNewOrganisation)
+{
+	Platform in(1, { "--service-ms", "1000" });
+	std::vector<std::thread> threads;
+	std::atomic<int> served{ 0 };
+
+	in.organisations = two_organisations();
+	in.start_all();
+	for (int i = 0; i < 6; i++) {
+		threads.emplace_back([&] {
+			served += in.send_with_fields(0, "POST", "/orders/1",
+						      key_field(KEY))
+					  .status == 200;
+		});
+	}
+	EXPECT_TRUE(eventually([&] { return in.runs(0) == 4; }));
+	usleep(200000);
+	in.organisations = R"(["huka270",[],1,0,0],["tern3",[")" +
+			   std::string(KEY) + R"("],1,0,0])";
+	in.publish_config(2);
+	for (std::thread &thread : threads)
+		thread.join();
+	EXPECT_EQ(served, 6);
+	EXPECT_EQ(in.last_run(0, "organisation"), "tern3");
+}
+
+/* Guards against an explanation that hides whether a route needs a key. */
+TEST(Organisations, RouteIsExplained)
+{
+	Platform in(1);
+	std::string text;
+
+	in.organisations = two_organisations();
+	in.start_all();
+	text = call(in.hosts[0].operators, "GET",
+		    "/explain?host=mesh.example&path=/stock/")
+		       .body;
+	EXPECT_NE(text.find("anonymous        false"), std::string::npos)
+		<< text;
+	EXPECT_NE(text.find("organisations    2"), std::string::npos);
+}
+
 } // namespace
--- a/tests/retry/test_retry.cc
+++ b/tests/retry/test_retry.cc
@@ -54,6 +54,8 @@
 	{ FAILURE_TICKET_UNREACHABLE, OUTCOME_UNKNOWN, 502 },
 	{ FAILURE_TICKET_RUNNING, OUTCOME_UNKNOWN, 409 },
 	{ FAILURE_TICKET_RAN, OUTCOME_RAN, 409 },
+	{ FAILURE_QUOTA, OUTCOME_NOT_RUN, 429 },
+	{ FAILURE_KEY_REVOKED, OUTCOME_NOT_RUN, 401 },
 };
 
 /* Guards against a row with another outcome or status than documented. */
