--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -551,3 +551,12 @@
 		       RELAY_RECALL, (xdrproc_t)xdr_relay_recall, &recall);
 	return true;
 }
+
+void peer_links_check(struct peer_links *links, const char *address)
+{
+	struct peer_link *link = find_link(links, address, PEER_LANE_SHORT);
+
+	if (link->state == LINK_USABLE && is_open(link) &&
+	    !link->liveness.probe_sent_at)
+		send_ping(link, clock_monotonic_ns());
+}
--- a/relay/peer_links.h
+++ b/relay/peer_links.h
@@ -74,6 +74,12 @@
  */
 struct rpc_conn *peer_links_conn(struct peer_links *links, const char *address);
 
+/*
+ * Pings a daemon that did not answer in time, so that a connection that is dead
+ * is noticed and replaced.
+ */
+void peer_links_check(struct peer_links *links, const char *address);
+
 /*
  * Asks the other daemon to refuse the request unless it runs already; the
  * answer comes as that of the request. Returns false if it was not sent yet.
--- a/relay/quota_messages.c
+++ b/relay/quota_messages.c
@@ -13,6 +13,7 @@
 	struct quota_side *side;
 	struct rpc_call rpc;
 	struct rpc_conn *conn;
+	char *address;
 	struct timer timer;
 	GPtrArray *names; /* of the organisations, in the order of the asks */
 	struct lease_ask asks[LEASE_ITEMS_MAX];
@@ -31,6 +32,7 @@
 	if (batch->conn)
 		rpc_conn_unref(batch->conn);
 	g_ptr_array_unref(batch->names);
+	g_free(batch->address);
 	g_free(batch);
 }
 
@@ -119,6 +121,7 @@
 		caa_container_of(timer, struct lease_batch, timer);
 
 	(void)now;
+	peer_links_check(batch->side->links, batch->address);
 	if (rpc_abandon(batch->conn, &batch->rpc))
 		fail_batch(batch);
 }
@@ -179,14 +182,14 @@
 		       int64_t now)
 {
 	struct quota_side *side = batch->side;
-	g_autofree char *address = make_address(side, owner);
 	struct relay_lease lease = {
 		.asks = { .asks_len = batch->names->len,
 			  .asks_val = batch->asks },
 	};
 
 	counter_add(&side->asks, 1);
-	batch->conn = peer_links_conn(side->links, address);
+	batch->address = make_address(side, owner);
+	batch->conn = peer_links_conn(side->links, batch->address);
 	if (!batch->conn) {
 		fail_batch(batch);
 		return;
--- a/relay/quota_side.c
+++ b/relay/quota_side.c
@@ -301,10 +301,14 @@
 	struct quota_members *members = quota_members_new();
 	g_autoptr(GArray) handovers =
 		g_array_new(FALSE, FALSE, sizeof(struct quota_handover));
+	bool has_new_limits;
 
+	has_new_limits = !side->view || side->view->config != view->config;
 	mesh_view_unref(side->view);
 	side->view = mesh_view_ref(view);
-	find_limits(side);
+	/* Most views differ in their servers only. */
+	if (has_new_limits)
+		find_limits(side);
 	for (guint i = 0; i < view->targets->len; i++) {
 		const struct mesh_target *target =
 			g_ptr_array_index(view->targets, i);
