--- a/relay/call.c
+++ b/relay/call.c
@@ -32,7 +32,6 @@
 	balance_handle target;
 	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
-	bool is_recalled;
 	int number; /* of the daemons that the request was sent to */
 	int64_t started;
 	struct peer_call peer;
@@ -149,6 +148,7 @@
 	/* The key moved to another organisation, so the request starts anew. */
 	if (reason == FAILURE_KEY_REVOKED && !call->is_revoked) {
 		call->nr_excluded = 0;
+		memset(call->refused_due, 0, sizeof(call->refused_due));
 		return clock_monotonic_ns() < call->deadline;
 	}
 	if (call->is_revoked || !failure->another_may_help ||
@@ -523,34 +523,23 @@
 	end_attempt(attempt, FAILURE_KEY_REVOKED, NULL);
 }
 
-/* The first attempt that has not been recalled yet; NULL: none. */
-static struct attempt *next_unrecalled(const struct call *call, int placed)
-{
-	struct attempt *attempt;
-
-	cds_list_for_each_entry (attempt, &call->attempts, node)
-		if (!attempt->is_recalled && attempt->number <= placed)
-			return attempt;
-	return NULL;
-}
-
 void call_recall(struct call *call)
 {
-	/* Attempts that the first ones are replaced by are not recalled. */
+	/* Attempts that replace recalled ones follow them in the list. */
 	int placed = call->nr_placed;
-	struct attempt *attempt;
+	struct attempt *attempt, *next;
 
-	while ((attempt = next_unrecalled(call, placed))) {
+	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
 		bool is_last = call->nr_attempts == 1;
 
-		attempt->is_recalled = true;
+		if (attempt->number > placed)
+			return;
 		if (attempt->is_local)
 			backend_side_recall(call->side->backend_side,
 					    &attempt->job);
 		else if (!peer_links_recall(&attempt->peer))
 			abandon_unsent(attempt);
-		/* A local attempt that waited has ended, and so has the call.
-		 */
+		/* If the attempt has ended, so may have the call. */
 		if (is_last)
 			return;
 	}
--- a/relay/call_quota.c
+++ b/relay/call_quota.c
@@ -53,7 +53,7 @@
 		  "id=%s route=%s version=%" PRId64
 		  " organisation=%s held_ms=%" PRId64 " %s",
 		  call_id(call), log_quote(call->route->name),
-		  call->view->config->version, call->identity.name,
+		  call->view->config->version, log_quote(call->identity.name),
 		  (clock_monotonic_ns() - call->arrival) / NS_PER_MS,
 		  quota_side_state_text(call->side->quota,
 					call->identity.name));
--- a/relay/quota_side.h
+++ b/relay/quota_side.h
@@ -39,23 +39,20 @@
  * Takes a token for a request of an organisation; QUOTA_TAKEN if it has no
  * limit. With QUOTA_WAIT, wait->done is called within tens of milliseconds.
  */
-enum quota_verdict quota_side_take(struct quota_side *side,
-				   const char *organisation,
+enum quota_verdict quota_side_take(struct quota_side *side, const char *name,
 				   struct quota_wait *wait);
 void quota_side_cancel(struct quota_wait *wait);
 
 /* Gives the token back of a request that was not sent to any server. */
-void quota_side_refund(struct quota_side *side, const char *organisation,
+void quota_side_refund(struct quota_side *side, const char *name,
 		       const struct quota_wait *wait);
 
 /* Time until a refused request of the organisation may succeed. */
-int64_t quota_side_retry_after_ms(struct quota_side *side,
-				  const char *organisation);
+int64_t quota_side_retry_after_ms(struct quota_side *side, const char *name);
 
 /* What a refusal was decided by, for its log line; valid until the next call.
  */
-const char *quota_side_state_text(struct quota_side *side,
-				  const char *organisation);
+const char *quota_side_state_text(struct quota_side *side, const char *name);
 
 /* Answer messages of other daemons; false if they cannot be decoded. */
 bool quota_side_serve_lease(struct quota_side *side, struct rpc_conn *conn,
