Refuse only what the owner of a quota has refused

Requests that arrived at a daemon while an ask was outstanding were refused by its answer, although no token had been asked for them; they now wait for a further ask. Tokens are asked for ahead from three expected requests in a lease on, since with one many expired, and the interval between asks grows with refused asks only. Test: QuotaFleet.ThinlySpread* fails with 41 refused (29 to 35 allowed) without the first change, and with 1,228 when 0.5 expected requests suffice to ask ahead.

--- a/lib/quota/bucket.c
+++ b/lib/quota/bucket.c
@@ -8,14 +8,14 @@
 #define LEASE_PARTS 8
 
 /*
- * Asks per second for one organisation from which refused daemons are told to
+ * Refused asks per second for one organisation from which daemons are told to
  * ask less often, and the least and longest time between their asks.
  */
-#define ASKS_PER_S_MAX 100
+#define REFUSALS_PER_S_MAX 100
 #define HOLD_MIN_NS (20 * NS_PER_MS)
 #define HOLD_MAX_NS (500 * NS_PER_MS)
 #define HOLD_ADJUST_NS (50 * NS_PER_MS)
-#define ASKS_AVERAGED_NS (200 * NS_PER_MS)
+#define REFUSALS_AVERAGED_NS (200 * NS_PER_MS)
 
 void quota_bucket_init(struct quota_bucket *bucket, int64_t grants_from)
 {
@@ -114,18 +114,19 @@
 		MIN(bucket->tokens, capacity(bucket, bounds, limit, now));
 }
 
-static void count_ask(struct quota_bucket *bucket, int64_t now)
+/* Counts an ask that got fewer tokens than it wanted. */
+static void count_refusal(struct quota_bucket *bucket, int64_t now)
 {
-	double passed = (double)MAX(now - bucket->asked_at, 0);
+	double passed = (double)MAX(now - bucket->refused_at, 0);
 
-	bucket->asks_per_s =
-		bucket->asks_per_s * exp(-passed / ASKS_AVERAGED_NS) +
-		(double)NS_PER_SEC / ASKS_AVERAGED_NS;
-	bucket->asked_at = now;
+	bucket->refusals_per_s =
+		bucket->refusals_per_s * exp(-passed / REFUSALS_AVERAGED_NS) +
+		(double)NS_PER_SEC / REFUSALS_AVERAGED_NS;
+	bucket->refused_at = now;
 	if (now - bucket->held_at < HOLD_ADJUST_NS)
 		return;
 	bucket->held_at = now;
-	if (bucket->asks_per_s > ASKS_PER_S_MAX)
+	if (bucket->refusals_per_s > REFUSALS_PER_S_MAX)
 		bucket->hold_ns = bucket->hold_ns * 3 / 2;
 	else
 		bucket->hold_ns = bucket->hold_ns * 9 / 10;
@@ -139,14 +140,16 @@
 {
 	int tokens;
 
-	count_ask(bucket, now);
+	bucket->asked_at = now;
 	if (unused > 0) {
 		uncount_granted(bucket, bounds, unused, now);
 		bucket->tokens += unused;
 	}
 	quota_bucket_fill(bucket, bounds, limit, now);
-	if (now < bucket->grants_from)
+	if (now < bucket->grants_from) {
+		count_refusal(bucket, now);
 		return 0;
+	}
 	/* The margin hides rounding errors of the refill. */
 	tokens = (int)MIN(floor(bucket->tokens + 1e-9), (double)MAX(wanted, 0));
 	bucket->tokens -= tokens;
@@ -154,6 +157,8 @@
 	bucket->full_at =
 		now + (int64_t)((quota_depth(bounds, limit) - bucket->tokens) /
 				limit->rate_per_s * NS_PER_SEC);
+	if (tokens < wanted)
+		count_refusal(bucket, now);
 	return tokens;
 }
 
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -79,8 +79,9 @@
 	int64_t filled_at;
 	int64_t grants_from; /* nothing is granted before */
 	int64_t full_at;     /* when it is full if nobody asks */
-	double asks_per_s;   /* smoothed */
 	int64_t asked_at;
+	double refusals_per_s; /* asks that got too few tokens; smoothed */
+	int64_t refused_at;
 	int64_t hold_ns; /* least time between asks of a refused daemon */
 	int64_t held_at; /* when hold_ns was last adjusted */
 	/* Tokens granted lately, by intervals of an eighth of a lease. */
@@ -143,6 +144,7 @@
 	int waiting;		/* requests that wait for the owner's answer */
 	bool asked;		/* an ask is outstanding */
 	int64_t asked_at;
+	int asked_tokens;
 	int64_t refused_until; /* the owner has no token until then */
 	int64_t silent_until;  /* the owner is not waited for until then */
 	struct quota_ring fallback;
@@ -181,10 +183,16 @@
 		       const struct quota_bounds *bounds, int64_t now);
 
 /*
- * Begins an ask. Returns the unused tokens that go back to the owner with it,
- * which the daemon does not use any more.
+ * Begins an ask for a number of tokens. Returns the unused tokens that go back
+ * to the owner with it, which the daemon does not use any more.
  */
-int quota_share_ask(struct quota_share *share, int64_t now);
+int quota_share_ask(struct quota_share *share, int wanted, int64_t now);
+
+/*
+ * Whether a waiting request can be decided: there is a token, or there will be
+ * none. One that arrived after an ask has to wait for the next one.
+ */
+bool quota_share_is_decided(const struct quota_share *share, int64_t now);
 
 /* Applies the owner's answer; wait_ns: until it has a token. */
 void quota_share_granted(struct quota_share *share, int tokens,
--- a/lib/quota/share.c
+++ b/lib/quota/share.c
@@ -12,9 +12,11 @@
 
 /*
  * Organisations with less expected requests in a lease are asked for when a
- * request arrives: most tokens that were asked for ahead would expire.
+ * request arrives: many tokens that were asked for ahead would expire. With 1,
+ * 870 daemons that use an organisation at 77% of its rate, 2.4 requests/s each,
+ * had 7% of its requests refused.
  */
-#define AHEAD_REQUESTS_MIN 1.0
+#define AHEAD_REQUESTS_MIN 3.0
 
 /* Most tokens of one ask. */
 #define WANTED_MAX 65536
@@ -184,13 +186,14 @@
 		   WANTED_MAX);
 }
 
-int quota_share_ask(struct quota_share *share, int64_t now)
+int quota_share_ask(struct quota_share *share, int wanted, int64_t now)
 {
 	struct quota_lease *oldest = &share->leases[0];
 	int unused = 0;
 
 	share->asked = true;
 	share->asked_at = now;
+	share->asked_tokens = wanted;
 	/* Makes room for the lease that the answer brings. */
 	if (now + RETURN_MARGIN_NS < oldest->deadline)
 		unused = oldest->tokens;
@@ -199,6 +202,12 @@
 	return unused;
 }
 
+bool quota_share_is_decided(const struct quota_share *share, int64_t now)
+{
+	return count_tokens(share, now) > 0 || now < share->refused_until ||
+	       now < share->silent_until;
+}
+
 void quota_share_granted(struct quota_share *share, int tokens,
 			 int64_t lease_ns, int64_t wait_ns, int64_t now)
 {
@@ -207,7 +216,7 @@
 	/* From the time of the ask, which is before the grant. */
 	share->leases[1].tokens = tokens;
 	share->leases[1].deadline = share->asked_at + lease_ns;
-	if (tokens < share->waiting)
+	if (tokens < share->asked_tokens && tokens < share->waiting)
 		share->refused_until = now + MAX(wait_ns, REFUSED_MIN_NS);
 }
 
--- a/relay/quota_messages.c
+++ b/relay/quota_messages.c
@@ -136,7 +136,7 @@
 
 	if (!quota_side_find_limit(side, organisation->id, &limit))
 		return;
-	unused = quota_share_ask(&organisation->share, now);
+	unused = quota_share_ask(&organisation->share, wanted, now);
 	grant = quota_owner_ask(side->owner, organisation->id, &limit, wanted,
 				unused, now);
 	if (grant.is_owner)
@@ -174,7 +174,8 @@
 	ask->organisation = organisation->id;
 	ask->wanted = (u_int)quota_share_wanted(&organisation->share,
 						&batch->side->bounds, now);
-	ask->unused = (u_int)quota_share_ask(&organisation->share, now);
+	ask->unused = (u_int)quota_share_ask(&organisation->share,
+					     (int)ask->wanted, now);
 	g_ptr_array_add(batch->names, g_strdup(organisation->name));
 }
 
--- a/relay/quota_side.c
+++ b/relay/quota_side.c
@@ -105,8 +105,11 @@
 	struct quota_wait *wait;
 
 	/* A callback may make other requests wait, which are not ended. */
-	while (nr-- > 0 && (wait = first_wait(organisation)))
+	while (nr-- > 0 && (wait = first_wait(organisation)) &&
+	       quota_share_is_decided(&organisation->share, now))
 		decide_wait(wait, now);
+	if (first_wait(organisation))
+		quota_messages_ask(organisation, now);
 }
 
 static void on_wait_timer(struct timer *timer, int64_t now)
--- a/tests/quota/test_bucket.cc
+++ b/tests/quota/test_bucket.cc
@@ -94,7 +94,7 @@
 
 	EXPECT_EQ(quota_share_take(&share, &BOUNDS, 0, now), QUOTA_WAIT);
 	EXPECT_EQ(quota_share_wanted(&share, &BOUNDS, now), 1);
-	quota_share_ask(&share, now);
+	quota_share_ask(&share, 1, now);
 	quota_share_granted(&share, 3, lease, 0, now + NS_PER_MS);
 	EXPECT_EQ(quota_share_take_waiting(&share, &BOUNDS, 0, now),
 		  QUOTA_TAKEN);
@@ -123,7 +123,7 @@
 	for (size_t i = 4; i < starts.size(); i++)
 		EXPECT_GE(starts[i] - starts[i - 4], BOUNDS.window_ns);
 	quota_share_granted(&share, 0, 0, 0, 40 * NS_PER_SEC);
-	share.waiting = 1;
+	share.waiting = share.asked_tokens = 1;
 	quota_share_granted(&share, 0, 0, 0, 40 * NS_PER_SEC);
 	EXPECT_EQ(quota_share_take(&share, &BOUNDS, 4, 40 * NS_PER_SEC),
 		  QUOTA_REFUSED);
--- a/tests/quota/test_fleet.cc
+++ b/tests/quota/test_fleet.cc
@@ -326,7 +326,11 @@
 					    grant.wait_ns, now);
 		else
 			quota_share_failed(&daemon.share, now);
-		end_waiting(i, daemon.waiting.size());
+		for (size_t n = daemon.waiting.size();
+		     n && quota_share_is_decided(&daemon.share, now); n--)
+			end_waiting(i, 1);
+		if (!daemon.waiting.empty())
+			ask(i);
 	}
 
 	void ask(int i)
@@ -341,7 +345,7 @@
 			return;
 		to = find(quota_members_owner(quota_owner_members(daemon.owner),
 					      ID));
-		unused = quota_share_ask(&daemon.share, now);
+		unused = quota_share_ask(&daemon.share, wanted, now);
 		number = ++daemon.ask_number;
 		send(i, to, [=] {
 			struct quota_grant grant =
@@ -388,6 +392,22 @@
 	       fleet.refused, fleet.messages);
 }
 
+/*
+ * Guards against refusals below the allowance when each daemon has few
+ * requests: tokens that are held ahead of them expire.
+ */
+TEST(QuotaFleet, ThinlySpreadDemandWithinTheAllowanceIsServed)
+{
+	Fleet fleet(300, { 935, 935 }, 4);
+	int64_t start = fleet.now + 2 * NS_PER_SEC;
+
+	fleet.load(720, start, start + 10 * NS_PER_SEC,
+		   [&] { return fleet.any(); });
+	fleet.run(start + 10 * NS_PER_SEC);
+	fleet.check_bound();
+	EXPECT_LE(fleet.refused, (int)fleet.starts.size() / 200);
+}
+
 /*
  * Guards against an organisation far over its allowance that gets more than the
  * bound or less than its rate, and whose asks flood the owner.
--- a/tests/relay/test_organisations.cc
+++ b/tests/relay/test_organisations.cc
@@ -126,18 +126,31 @@
 	EXPECT_EQ(in.last_run(0, "key"), "");
 }
 
-/* Guards against a change for deployments without organisations. */
+/*
+ * Guards against a change for deployments without organisations, and against
+ * messages about quotas there.
+ */
 TEST(Organisations, WithoutOrganisationsTheFieldsAreForwarded)
 {
-	Platform in(1, { "--service-ms", "2" });
+	Platform in(2, { "--service-ms", "2" });
 
 	in.start_all();
-	EXPECT_EQ(in.send_with_fields(0, "GET", "/stock/1",
-				      "X-Tenant: any\r\nX-Key: mine\r\n")
-			  .status,
-		  200);
-	EXPECT_EQ(in.last_run(0, "organisation"), "any");
-	EXPECT_EQ(in.last_run(0, "key"), "mine");
+	for (int i = 0; i < 20; i++) {
+		EXPECT_EQ(
+			in.send_with_fields(i % 2, "GET", "/stock/1",
+					    "X-Tenant: any\r\nX-Key: mine\r\n")
+				.status,
+			200);
+	}
+	for (int i = 0; i < 2; i++) {
+		if (in.runs(i)) {
+			EXPECT_EQ(in.last_run(i, "organisation"), "any");
+			EXPECT_EQ(in.last_run(i, "key"), "mine");
+		}
+		EXPECT_NE(call(in.hosts[(size_t)i].operators, "GET", "/metrics")
+				  .body.find("godwitspur_quota_asks_total 0\n"),
+			  std::string::npos);
+	}
 }
 
 /* Guards against a 401 of a daemon that cannot know any key yet. */
