--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -33,6 +33,9 @@
 const RELAY_REQUEST = 1;
 const RELAY_CANCEL = 2;
 const RELAY_PING = 3;
+const RELAY_LEASE = 4;
+const RELAY_LEASE_HANDOVER = 5;
+const RELAY_RECALL = 6;
 
 /* Distributes items of the store between daemons of the platform's hosts. */
 const FEED_PROGRAM = 0x20474f47;
@@ -42,6 +45,7 @@
 const RELAY_FIELDS_MAX = 131072;
 const RELAY_TARGET_MAX = 65536;
 const RELAY_ID_MAX = 1024;
+const LEASE_ITEMS_MAX = 256;
 const FEED_KEY_MAX = 255;
 const FEED_ITEMS_MAX = 8192;
 const FEED_ERAS = 8;
@@ -140,6 +144,8 @@
  * answer_bytes is the usual response length of the route. When due_left_ms is
  * not 0, the request is refused if it would be answered later than that.
  * cost_us is its expected run time on a server of usual speed; 0: not known.
+ * organisation is empty when the request has none; 0 is the most urgent of
+ * organisation_priority.
  */
 struct relay_request {
 	string service<PEER_NAME_MAX>;
@@ -158,6 +164,8 @@
 	int answer_bytes;
 	hyper due_left_ms;
 	hyper cost_us;
+	string organisation<PEER_NAME_MAX>;
+	int organisation_priority;
 	opaque body<PEER_BODY_MAX>;
 };
 
@@ -193,6 +201,52 @@
 	bool draining;
 };
 
+/*
+ * Asks the owner of organisations for tokens, and returns unused ones. An
+ * organisation is named by quota_id(), which is shorter than its name.
+ */
+struct lease_ask {
+	unsigned hyper organisation;
+	unsigned int wanted;
+	unsigned int unused;
+};
+
+struct relay_lease {
+	lease_ask asks<LEASE_ITEMS_MAX>;
+};
+
+/*
+ * The answer to one ask. If the daemon is not the owner, owner is the IP number
+ * of the one that it knows, or empty.
+ */
+struct lease_grant {
+	bool is_owner;
+	string owner<PEER_NAME_MAX>;
+	unsigned int tokens;
+	unsigned int wait_ms;
+};
+
+/* The grants, in the order of the asks. */
+struct relay_grants {
+	lease_grant grants<LEASE_ITEMS_MAX>;
+};
+
+/* The bucket of an organisation whose owner has changed, in 1/1000 tokens. */
+struct lease_handover {
+	unsigned hyper organisation;
+	hyper tokens;
+	hyper outstanding;
+};
+
+struct relay_lease_handover {
+	lease_handover items<LEASE_ITEMS_MAX>;
+};
+
+/* Refuses a request whose key was revoked, unless it runs already. */
+struct relay_recall {
+	unsigned int xid;
+};
+
 /*
  * An item of the store. A deleted item has no value; hold_ms is the time for
  * which its last value is still used. When plain_bytes is not 0, the value is
--- a/relay/admin_server.c
+++ b/relay/admin_server.c
@@ -88,6 +88,7 @@
 	} else if (!strcmp(message->target->str, "/metrics")) {
 		http_defect_metrics_update(server->defects);
 		metrics_render(server->context->metrics, metrics);
+		server->ops->render_metrics(server->ctx, metrics);
 		reply_text(conn, 200, "text/plain; version=0.0.4",
 			   metrics->str);
 	} else {
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -273,8 +273,11 @@
 {
 	const struct relay_request *request = &job->request;
 	int64_t left = job->deadline - clock_monotonic_ns();
-	GString *head = backend_message_head(request, side->backend_id,
-					     left / NS_PER_MS);
+	bool has_organisations =
+		side->view->config && side->view->config->organisations;
+	GString *head =
+		backend_message_head(request, side->backend_id,
+				     left / NS_PER_MS, has_organisations);
 
 	counter_add(&side->admitted, 1);
 	cds_list_add_tail(&job->node, &side->running);
@@ -390,6 +393,7 @@
 	job->admit.priority =
 		(enum admit_priority)CLAMP(job->request.priority, 0,
 					   ADMIT_NR_PRIORITIES - 1);
+	job->admit.level = job->request.organisation_priority;
 	job->admit.caller = hash_string(job->request.caller_service);
 	send_ns = send_time(side, job);
 	job->admit.deadline = job->deadline - send_ns;
@@ -430,6 +434,12 @@
 	backend_side_start_next(side);
 }
 
+void backend_side_recall(struct backend_side *side, struct relay_job *job)
+{
+	if (admit_cancel(side->admit, &job->admit))
+		refuse(side, job, FAILURE_KEY_REVOKED);
+}
+
 void backend_side_note_call(struct backend_side *side, int64_t now)
 {
 	side->makes_calls_until = now + MAKES_CALLS_NS;
--- a/relay/call.c
+++ b/relay/call.c
@@ -13,15 +13,6 @@
  */
 #define PLACED_MAX 4
 
-/*
- * Most daemons that get the request on the condition that they refuse it if
- * they would answer it late or their server is unsound; the second value holds
- * for a request that runs at most once, which an unsound server may lose.
- * Further daemons may accept it, because a late answer is better than none.
- */
-#define DUE_PLACED_MAX 2
-#define DUE_PLACED_MAX_ONCE 3
-
 /*
  * A request that may run twice and has no answer after this share of its
  * route's objective is hedged: sent to a second backend server as well.
@@ -42,6 +33,7 @@
 	balance_handle target;
 	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
+	int number; /* of the daemons that the request was sent to */
 	int64_t started;
 	struct placement_expectation expected;
 	struct peer_call peer;
@@ -113,42 +105,6 @@
 	return rank == 2 ? ADMIT_LOOKUP : ADMIT_BACKGROUND;
 }
 
-/* The request borrows its strings and body from the call. */
-static void build_request(const struct call *call,
-			  struct relay_request *request)
-{
-	const struct http_message *message = call->message;
-	int64_t now = clock_monotonic_ns();
-	int64_t left = call->deadline - now;
-	int due_placed_max = call->route->at_most_once ? DUE_PLACED_MAX_ONCE
-						       : DUE_PLACED_MAX;
-
-	memset(request, 0, sizeof(*request));
-	request->service = (char *)call->service;
-	request->config_version = call->view->config->version;
-	request->method = (char *)message->method;
-	request->target = message->target->str;
-	request->fields = message->fields->str;
-	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
-	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
-	if (call->nr_placed <= due_placed_max && !call->nr_sent &&
-	    !call->hedged && !call->accepts_late) {
-		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
-		request->unless_unsound = failover_enabled(
-			&get_service_state(call)->unless_unsound, now);
-	}
-	request->caller_service = call->side->context->host->service;
-	request->request_id =
-		(char *)http_message_value(message, HTTP_ROLE_REQUEST_ID);
-	request->priority = call_priority(call);
-	request->at_most_once = call->route->at_most_once;
-	request->fingerprint = call->fingerprint;
-	request->cost_us = placement_cost_us(call);
-	request->answer_bytes = (int)MIN(call->state->answer_bytes, G_MAXINT);
-	request->body.body_len = message->body->len;
-	request->body.body_val = (char *)message->body->data;
-}
-
 static void report_result(struct attempt *attempt, enum failure_reason reason,
 			  const struct relay_answer *answer)
 {
@@ -179,9 +135,11 @@
  */
 static bool take_retry(struct call *call)
 {
-	enum retry_urgency urgency = call_priority(call) == ADMIT_ORDER
-					     ? RETRY_URGENT
-					     : RETRY_NORMAL;
+	enum retry_urgency urgency =
+		identity_is_urgent(&call->identity,
+				   call_priority(call) == ADMIT_ORDER)
+			? RETRY_URGENT
+			: RETRY_NORMAL;
 
 	return retry_window_take(&get_service_state(call)->retries, urgency,
 				 clock_monotonic_ns());
@@ -192,7 +150,13 @@
 {
 	const struct failure *failure = failure_get(reason);
 
-	if (!failure->another_may_help ||
+	/* The key moved to another organisation, so the request starts anew. */
+	if (reason == FAILURE_KEY_REVOKED && !call->is_revoked) {
+		call->nr_excluded = 0;
+		memset(call->refused_due, 0, sizeof(call->refused_due));
+		return clock_monotonic_ns() < call->deadline;
+	}
+	if (call->is_revoked || !failure->another_may_help ||
 	    call->nr_excluded == BALANCE_EXCLUDED_MAX ||
 	    clock_monotonic_ns() >= call->deadline)
 		return false;
@@ -222,7 +186,8 @@
  */
 static bool retry_accepting_late(struct call *call, enum failure_reason reason)
 {
-	if (call->accepts_late || call->nr_sent || call->nr_attempts ||
+	if (call->is_revoked || call->accepts_late || call->nr_sent ||
+	    call->nr_attempts ||
 	    failure_get(reason)->outcome != OUTCOME_NOT_RUN ||
 	    !call->nr_due_refused || clock_monotonic_ns() >= call->deadline)
 		return false;
@@ -464,9 +429,9 @@
 	attempt->job.done = on_local_done;
 	cds_list_add_tail(&attempt->node, &call->attempts);
 	call->nr_attempts++;
-	call->nr_placed++;
+	attempt->number = ++call->nr_placed;
 	call->excluded[call->nr_excluded++] = choice->target;
-	build_request(call, &attempt->job.request);
+	call_build_request(call, &attempt->job.request);
 	attempt->is_local = !strcmp(choice->traffic, side->own_traffic);
 	/* Sending may end the call and free it: no use of it from here on. */
 	if (attempt->is_local) {
@@ -508,7 +473,7 @@
 {
 	call->hedged = true;
 	set_timer(call);
-	if (call->nr_attempts != 1 ||
+	if (call->is_revoked || call->nr_attempts != 1 ||
 	    call->nr_sent + call->nr_attempts >= call->route->attempts ||
 	    !placement_can_finish(call, clock_monotonic_ns()) ||
 	    is_quarantined(call) || !take_retry(call))
@@ -566,6 +531,7 @@
 {
 	struct attempt *attempt, *next;
 
+	quota_side_cancel(&call->quota_wait);
 	timers_cancel(call->side->context->timers, &call->timer);
 	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
 		if (attempt->is_local)
@@ -577,3 +543,32 @@
 		free_attempt(attempt);
 	}
 }
+
+/* Ends an attempt of which nothing was sent. */
+static void abandon_unsent(struct attempt *attempt)
+{
+	peer_links_cancel(&attempt->peer);
+	end_attempt(attempt, FAILURE_KEY_REVOKED, NULL);
+}
+
+void call_recall(struct call *call)
+{
+	/* Attempts that replace recalled ones follow them in the list. */
+	int placed = call->nr_placed;
+	struct attempt *attempt, *next;
+
+	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
+		bool is_last = call->nr_attempts == 1;
+
+		if (attempt->number > placed)
+			return;
+		if (attempt->is_local)
+			backend_side_recall(call->side->backend_side,
+					    &attempt->job);
+		else if (!peer_links_recall(&attempt->peer))
+			abandon_unsent(attempt);
+		/* If the attempt has ended, so may have the call. */
+		if (is_last)
+			return;
+	}
+}
--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -13,14 +13,6 @@
 #define HEAD_WAIT_NS_START (3 * NS_PER_SEC)
 #define IDLE_WAIT_NS_START (15 * NS_PER_SEC)
 
-/* Retry-After of refused requests; the default if no daemon sent its wait. */
-#define RETRY_AFTER_MIN_MS 50
-#define RETRY_AFTER_MAX_MS 1000
-#define RETRY_AFTER_DEFAULT_MS 150
-
-/* Retry-After of a request that crashes servers; it stays refused for long. */
-#define RETRY_AFTER_QUARANTINED_MS 30000
-
 /*
  * Validity of reported loads and of a server's draining state, and the times of
  * outlier detection. Short, so that other servers take over at once when one
@@ -55,15 +47,6 @@
 				  : failure_get(reason)->outcome;
 }
 
-static int64_t get_retry_after_ms(struct caller_side *side, int64_t wait_ms)
-{
-	if (wait_ms < 0)
-		wait_ms = RETRY_AFTER_DEFAULT_MS;
-	wait_ms = CLAMP(wait_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	/* Jitter of 75 to 125%, so that callers do not return all at once. */
-	return wait_ms * (75 + (int64_t)rng_below(&side->rng, 51)) / 100;
-}
-
 static void reply_failure(struct caller_side *side,
 			  struct http_server_conn *conn, int status,
 			  int64_t retry_after_ms)
@@ -125,6 +108,9 @@
 static void count_end(const struct call *call, enum outcome outcome)
 {
 	counter_add(&call->side->requests[outcome], 1);
+	if (outcome == OUTCOME_RAN)
+		organisation_counts_add(call->side->counts, call->identity.name,
+					ORGANISATION_RUN);
 	route_metrics_count(call->state->metrics, outcome,
 			    clock_monotonic_ns() - call->arrival);
 }
@@ -137,17 +123,20 @@
 	int status = 502;
 
 	if (outcome == OUTCOME_NOT_RUN) {
-		status = 503;
-		retry_after_ms =
-			reason == FAILURE_QUARANTINED
-				? RETRY_AFTER_QUARANTINED_MS
-				: get_retry_after_ms(side, call->wait_ms);
+		if (call->is_revoked)
+			reason = FAILURE_KEY_REVOKED;
+		status = call_refusal(call, reason, &retry_after_ms);
+		call_count_refusal(call, reason);
+		call_refund(call);
 	} else if (reason == FAILURE_DEADLINE) {
 		status = 504;
 	}
 	count_end(call, outcome);
 	counter_add(&side->failures[reason], 1);
-	log_failure(call, reason, status);
+	if (reason == FAILURE_QUOTA)
+		call_log_quota_refusal(call);
+	else
+		log_failure(call, reason, status);
 	reply_failure(side, call->conn, status, retry_after_ms);
 }
 
@@ -345,7 +334,8 @@
 static struct call *new_call(struct caller_side *side,
 			     struct http_server_conn *conn,
 			     struct http_message *message,
-			     const struct mesh_route *route)
+			     const struct mesh_route *route,
+			     const struct identity *identity)
 {
 	struct call *call = g_new0(struct call, 1);
 
@@ -356,6 +346,7 @@
 	call->message = message;
 	call->view = mesh_view_ref(side->view);
 	call->route = route;
+	call->identity = *identity;
 	call->arrival = clock_monotonic_ns();
 	call->state = get_state(side, route);
 	set_times(call);
@@ -375,15 +366,18 @@
 }
 
 static void serve(struct caller_side *side, struct http_server_conn *conn,
-		  struct http_message *message, const struct mesh_route *route)
+		  struct http_message *message, const struct mesh_route *route,
+		  const struct identity *identity)
 {
-	struct call *call = new_call(side, conn, message, route);
+	struct call *call = new_call(side, conn, message, route, identity);
 
 	call->is_from_backend = is_from_backend(side, conn);
 	if (call->is_from_backend)
 		backend_side_note_call(side->backend_side, call->arrival);
 	CDS_INIT_LIST_HEAD(&call->attempts);
 	call->wait_ms = -1;
+	organisation_counts_add(side->counts, identity->name,
+				ORGANISATION_RECEIVED);
 	if (call->service_index < 0) {
 		call_end(call, FAILURE_NO_TARGET, NULL);
 		return;
@@ -393,10 +387,7 @@
 		call_end(call, FAILURE_QUARANTINED, NULL);
 		return;
 	}
-	retry_window_request(
-		&caller_side_service(side, call->service_index)->retries,
-		call->arrival);
-	call_start(call);
+	call_admit(call);
 }
 
 static void refuse(struct caller_side *side, struct http_server_conn *conn,
@@ -404,14 +395,17 @@
 {
 	const char *id = http_message_value(message, HTTP_ROLE_REQUEST_ID);
 
-	log_event(LOG_INFO, "request_refused", "id=%s reason=%s status=%d",
-		  log_quote(id ? id : ""), reason, status);
+	log_event(LOG_INFO, "request_refused",
+		  "id=%s reason=%s status=%d version=%" PRId64,
+		  log_quote(id ? id : ""), reason, status,
+		  side->view && side->view->config ? side->view->config->version
+						   : -1);
 	if (is_from_backend(side, conn))
 		backend_side_note_failed_call(side->backend_side,
 					      clock_monotonic_ns());
 	counter_add(&side->requests[OUTCOME_NOT_RUN], 1);
 	reply_failure(side, conn, status,
-		      status == 503 ? get_retry_after_ms(side, -1) : 0);
+		      status == 503 ? caller_side_retry_after_ms(side, -1) : 0);
 	http_message_free(message);
 }
 
@@ -421,6 +415,8 @@
 	const char *host = http_message_value(message, HTTP_ROLE_HOST);
 	struct caller_side *side = ctx;
 	const struct mesh_route *route;
+	struct identity identity;
+	const char *refusal;
 
 	if (!http_message_value(message, HTTP_ROLE_REQUEST_ID)) {
 		refuse(side, conn, message, 400, "no-request-id");
@@ -433,10 +429,16 @@
 	route = host ? mesh_config_find_route(side->view->config, host,
 					      message->target->str)
 		     : NULL;
-	if (route)
-		serve(side, conn, message, route);
-	else
+	if (!route) {
 		refuse(side, conn, message, 404, "no-route");
+		return;
+	}
+	refusal = identity_take(&identity, side->view->config, route,
+				is_from_backend(side, conn), message);
+	if (refusal)
+		refuse(side, conn, message, 401, refusal);
+	else
+		serve(side, conn, message, route, &identity);
 }
 
 static void on_caller_closed(struct http_server_conn *conn, void *ctx)
@@ -494,7 +496,8 @@
 
 struct caller_side *caller_side_new(const struct relay_context *context,
 				    struct backend_side *backend_side,
-				    struct peer_links *links, GError **error)
+				    struct peer_links *links,
+				    struct quota_side *quota, GError **error)
 {
 	struct caller_side *side = g_new0(struct caller_side, 1);
 	struct balance_options balance = {
@@ -529,6 +532,8 @@
 	side->route_metrics.metrics = context->metrics;
 	side->backend_side = backend_side;
 	side->links = links;
+	side->quota = quota;
+	side->counts = organisation_counts_new();
 	side->own_traffic = g_strdup_printf("%s:%u", context->host->ip,
 					    context->host->peers.port);
 	rng_init(&side->rng, context->incarnation);
@@ -573,12 +578,15 @@
 
 json_t *caller_side_dump(const struct caller_side *side)
 {
-	return json_pack("{s:i, s:i, s:I, s:o, s:o}", "requests",
+	return json_pack("{s:i, s:i, s:I, s:o, s:o, s:o, s:o}", "requests",
 			 side->nr_calls, "connections",
 			 (int)http_server_nr_conns(side->http), "version",
 			 side->view && side->view->config
 				 ? (json_int_t)side->view->config->version
 				 : (json_int_t)0,
 			 "placement", placement_dump(side), "balance",
-			 balance_dump(side->balance, clock_monotonic_ns()));
+			 balance_dump(side->balance, clock_monotonic_ns()),
+			 "organisations",
+			 organisation_counts_dump(side->counts), "quota",
+			 quota_side_dump(side->quota));
 }
--- a/relay/peer_message.c
+++ b/relay/peer_message.c
@@ -7,7 +7,8 @@
 {
 	if (http_request_line_is_valid(request->method, request->target) &&
 	    http_fields_are_valid(request->fields) &&
-	    http_value_is_valid(request->caller_service))
+	    http_value_is_valid(request->caller_service) &&
+	    http_value_is_valid(request->organisation))
 		return true;
 	http_defect_count(true, HTTP_DEFECT_FORWARDED);
 	log_event(LOG_WARNING, "peer_request_malformed", "id=%s",
