Keep all states of the store's stand-in reachable

A second restore dropped the last reference to the state before the first one, so LeakSanitizer ended the stand-in with an error: in the ASan build, two of the tests of variant Twice failed in the stand-in's exit status, and pass now.

--- a/standins/store.c
+++ b/standins/store.c
@@ -41,6 +41,7 @@
 };
 
 /* Everything below is protected by standin.lock. */
+static GPtrArray *states; /* all, as a watch may continue in a former one */
 static struct state *current;
 static struct state *copy;   /* the next restore returns to it */
 static struct state *former; /* before the last restore; NULL: none */
@@ -52,6 +53,7 @@
 {
 	struct state *result = g_new0(struct state, 1);
 
+	g_ptr_array_add(states, result);
 	*result = *state;
 	result->changes = g_ptr_array_new();
 	for (guint i = 0; i < state->changes->len; i++)
@@ -62,14 +64,15 @@
 
 static void init(void)
 {
+	states = g_ptr_array_new();
 	current = g_new0(struct state, 1);
 	current->changes = g_ptr_array_new();
 	current->revision = 100;
 	current->compacted_revision = 100;
 	current->era = 1;
+	g_ptr_array_add(states, current);
 }
 
-/* States are never freed, as a watch in progress continues in its own. */
 static void restore(void)
 {
 	int64_t era = current->era + 1;
