Raise the versions of the messages between daemons

Cause: requests, answers and pushes have new fields in the middle. A daemon of the former version would decode them wrongly during a rolling upgrade.

Change: RELAY_VERSION and FEED_VERSION are 2, so a mixed pair refuses calls as not run. The test of the wire sets the new field.

--- a/lib/wire/peer.x
+++ b/lib/wire/peer.x
@@ -29,7 +29,7 @@
 
 /* Forwards HTTP requests between the daemons of the platform's hosts. */
 const RELAY_PROGRAM = 0x20474f46;
-const RELAY_VERSION = 1;
+const RELAY_VERSION = 2;
 const RELAY_REQUEST = 1;
 const RELAY_CANCEL = 2;
 const RELAY_PING = 3;
@@ -39,7 +39,7 @@
 
 /* Distributes items of the store between daemons of the platform's hosts. */
 const FEED_PROGRAM = 0x20474f47;
-const FEED_VERSION = 1;
+const FEED_VERSION = 2;
 const FEED_PUSH = 1;
 
 const RELAY_FIELDS_MAX = 131072;
--- a/lib/wire/peer_xdr.h
+++ b/lib/wire/peer_xdr.h
@@ -35,7 +35,7 @@
 #define TRAFFIC_CANCEL 2
 #define TRAFFIC_HELLO 5
 #define RELAY_PROGRAM 0x20474f46
-#define RELAY_VERSION 1
+#define RELAY_VERSION 2
 #define RELAY_REQUEST 1
 #define RELAY_CANCEL 2
 #define RELAY_PING 3
@@ -43,7 +43,7 @@
 #define RELAY_LEASE_HANDOVER 5
 #define RELAY_RECALL 6
 #define FEED_PROGRAM 0x20474f47
-#define FEED_VERSION 1
+#define FEED_VERSION 2
 #define FEED_PUSH 1
 #define RELAY_FIELDS_MAX 131072
 #define RELAY_TARGET_MAX 65536
--- a/tests/net/test_wire.cc
+++ b/tests/net/test_wire.cc
@@ -46,7 +46,8 @@
 	XDR xdr;
 
 	request.service = request.method = request.target = request.fields =
-		request.caller_service = request.request_id = text.data();
+		request.caller_service = request.request_id =
+			request.organisation = text.data();
 	request.body.body_val = body.data();
 	request.body.body_len = (u_int)body.size();
 	ASSERT_TRUE(wire_encode_call(&plain, 9, RELAY_PROGRAM, RELAY_VERSION,
