Remove sent output in one pass of the list

clang-tidy took the repeated search for the first part for a use after free. The list is walked with the iterator that allows removal, as elsewhere.

--- a/lib/net/output.c
+++ b/lib/net/output.c
@@ -31,9 +31,10 @@
 
 void net_output_clear(struct net_output *output)
 {
-	while (!cds_list_empty(&output->parts))
-		free_part(cds_list_first_entry(&output->parts,
-					       struct output_part, node));
+	struct output_part *part, *next;
+
+	cds_list_for_each_entry_safe (part, next, &output->parts, node)
+		free_part(part);
 	output->unsent = 0;
 	memory_hold_set(&output->hold, 0);
 }
@@ -41,16 +42,16 @@
 /* Removes sent bytes from the front of the output. */
 static void remove_sent(struct net_output *output, size_t bytes)
 {
+	struct output_part *part, *next;
 	size_t copied = 0;
 
 	output->unsent -= bytes;
-	while (bytes) {
-		struct output_part *part =
-			cds_list_first_entry(&output->parts, struct output_part,
-					     node);
+	cds_list_for_each_entry_safe (part, next, &output->parts, node) {
 		size_t left = g_bytes_get_size(part->bytes) - part->done;
 		size_t n = MIN(left, bytes);
 
+		if (!bytes)
+			break;
 		part->done += n;
 		bytes -= n;
 		copied += part->is_copy ? n : 0;
