Do not recognise the calls of servers by their address

Cause: on the users' platform callers and the backend server of a host share one address, so every request passed for a call of the server: no key was checked and the servers got no organisation.

Change: every route that is not anonymous needs a key.

--- a/relay/caller_side.c
+++ b/relay/caller_side.c
@@ -433,8 +433,7 @@
 		refuse(side, conn, message, 404, "no-route");
 		return;
 	}
-	refusal = identity_take(&identity, side->view->config, route,
-				is_from_backend(side, conn), message);
+	refusal = identity_take(&identity, side->view->config, route, message);
 	if (refusal)
 		refuse(side, conn, message, 401, refusal);
 	else
--- a/relay/identity.c
+++ b/relay/identity.c
@@ -59,7 +59,7 @@
 
 const char *identity_take(struct identity *identity,
 			  const struct mesh_config *config,
-			  const struct mesh_route *route, bool is_from_backend,
+			  const struct mesh_route *route,
 			  struct http_message *message)
 {
 	const char *refusal = NULL;
@@ -67,9 +67,9 @@
 	memset(identity, 0, sizeof(*identity));
 	if (!config->organisations)
 		return NULL;
-	if (!is_from_backend && route->anonymous)
-		identity->priority = IDENTITY_ANONYMOUS_PRIORITY;
-	else if (!is_from_backend)
+	if (route->anonymous)
+		identity->priority = MAX(route->priority, 0);
+	else
 		refusal = find_organisation(identity, config, message);
 	strip_fields(message);
 	return refusal;
--- a/relay/identity.h
+++ b/relay/identity.h
@@ -13,25 +13,19 @@
 	bool has_key;
 	struct digest key;
 	char name[MESH_ORGANISATION_NAME_MAX + 1]; /* "": no organisation */
-	int priority;
+	int priority; /* on an anonymous route that of the route */
 };
 
-/*
- * Priority of a request without organisation, on an anonymous route, where
- * there are organisations: below the most urgent organisations, since anybody
- * can send such a request. Calls of backend servers have priority 0, as
- * refusing one wastes the work that its server has already done.
- */
-#define IDENTITY_ANONYMOUS_PRIORITY 1
-
 /*
  * Identifies the sender of a request and removes its key, and what it claims to
  * be its organisation, from the message. Returns NULL, or why the request has
- * to be refused with 401. Without organisations nothing is changed.
+ * to be refused with 401. Without organisations nothing is changed. The address
+ * of the sender does not count: callers on a host may share that of its backend
+ * server, so the calls of servers use anonymous routes.
  */
 const char *identity_take(struct identity *identity,
 			  const struct mesh_config *config,
-			  const struct mesh_route *route, bool is_from_backend,
+			  const struct mesh_route *route,
 			  struct http_message *message);
 
 /*
