--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -578,18 +578,9 @@
 	return names[verdict];
 }
 
-/* The queued requests of a priority, of all levels. */
-static int count_queued(const struct admit *admit, int priority)
-{
-	int nr = 0;
-
-	for (int i = priority; i < QUEUE_CLASSES; i += ADMIT_NR_PRIORITIES)
-		nr += admit->queue.classes[i].nr_requests;
-	return nr;
-}
-
 json_t *admit_dump(const struct admit *admit)
 {
+	const struct admit_queue *queue = &admit->queue;
 
 	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:I, s:I, s:I, "
 			 "s:{s:i, s:i, s:i}}",
@@ -601,7 +592,7 @@
 			 (json_int_t)admit->life, "mean_us",
 			 (json_int_t)(admit->mean_ns / NS_PER_US), "pauses",
 			 (json_int_t)admit->nr_pauses, "queued", "order",
-			 count_queued(admit, ADMIT_ORDER), "lookup",
-			 count_queued(admit, ADMIT_LOOKUP), "background",
-			 count_queued(admit, ADMIT_BACKGROUND));
+			 queue_count(queue, ADMIT_ORDER), "lookup",
+			 queue_count(queue, ADMIT_LOOKUP), "background",
+			 queue_count(queue, ADMIT_BACKGROUND));
 }
--- a/lib/admit/queue.c
+++ b/lib/admit/queue.c
@@ -214,6 +214,15 @@
 	return queue->expected_ns / queue->nr_requests * nr_requests;
 }
 
+int queue_count(const struct admit_queue *queue, enum admit_priority priority)
+{
+	int nr = 0;
+
+	for (int i = priority; i < QUEUE_CLASSES; i += ADMIT_NR_PRIORITIES)
+		nr += queue->classes[i].nr_requests;
+	return nr;
+}
+
 static int guarantee(int queue_max)
 {
 	return queue_max < ADMIT_NR_PRIORITIES
--- a/lib/admit/queue.h
+++ b/lib/admit/queue.h
@@ -57,6 +57,9 @@
 /* Expected run time of the first requests, by the mean of those queued. */
 int64_t queue_work_ns(const struct admit_queue *queue, int nr_requests);
 
+/* The queued requests of a priority, of all levels. */
+int queue_count(const struct admit_queue *queue, enum admit_priority priority);
+
 /* The queued request that an arrival displaces in a full queue, or NULL. */
 struct admit_request *queue_victim(const struct admit_queue *queue,
 				   const struct admit_request *arrival,
