Wait up to 200 ms for the owner of a quota

The owners were alive; hosts with a tenth of a core or a full link answer late.

Ruled out: owners that end (the refusals name 30 owners, none stopped then), and the organisation over its limit (its refusals have silent=0).

Change: a request waits up to 200 ms before the fallback share decides.

--- a/relay/quota_side.c
+++ b/relay/quota_side.c
@@ -5,10 +5,11 @@
 #include "relay/quota_side_internal.h"
 
 /*
- * Longest wait of a request for the owner's answer. A round trip between two
- * regions takes 10 to 30 ms; after that the fallback share decides.
+ * Longest wait of a request for the owner's answer; after that the fallback
+ * share decides. A small host with a full link answers some 100 ms late, and a
+ * request that is given up sooner is refused within its allowance.
  */
-#define WAIT_NS (40 * NS_PER_MS)
+#define WAIT_NS (200 * NS_PER_MS)
 
 bool quota_side_find_limit(const struct quota_side *side, uint64_t id,
 			   struct quota_limit *limit)
