--- a/tests/http/test_client.cc
+++ b/tests/http/test_client.cc
@@ -352,8 +352,9 @@
 				for (const char *part : { "", "12345" }) {
 					EarlyServer server(head + part,
 							   read_first, end);
-					Result result = exchange(server.address,
-								 upload);
+					Result result =
+						exchange(server.address, upload,
+							 END_MAX_NS);
 
 					EXPECT_TRUE(result.done)
 						<< head << part << " end "
@@ -386,7 +387,7 @@
 		EarlyServer::read_some(conn, SIZE_MAX);
 		close(conn);
 	});
-	Result result = exchange(server.address, upload);
+	Result result = exchange(server.address, upload, END_MAX_NS);
 
 	thread.join();
 	EXPECT_EQ(result.end, HTTP_END_ANSWERED);
