--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -180,13 +180,14 @@
 	eval "target_$target_host=$last_pid"
 }
 
-# The entry that a target writes of itself.
-put_entry()	# HOST SERVICE ID SLOTS SEQUENCE
+# The entry that a target writes of itself, ready and just started unless given.
+put_entry()	# HOST SERVICE ID SLOTS SEQUENCE [PHASE [BORN]]
 {
 	store_call PUT "servers/$3" "{\"service\":\"$2\",
 \"address\":\"$(ip "$1"):$((port + 5))\",\"zone\":\"$(zone "$1")\",
-\"resource_version\":\"v1\",\"max_concurrency\":$4,\"phase\":\"ready\",
-\"warmup_left\":\"0ms\",\"sequence\":$5,\"born\":$(now)}"
+\"resource_version\":\"v1\",\"max_concurrency\":$4,
+\"phase\":\"${6:-ready}\",\"warmup_left\":\"0ms\",\"sequence\":$5,
+\"born\":${7:-$(now)}}"
 }
 
 # A configuration; the services are named by `services`, the limits by
--- a/review/target-2.c
+++ b/review/target-2.c
@@ -25,8 +25,9 @@
 /* The options; set before the first connection. */
 static const char *instance, *service;
 static long slots, work_ms, answer_bytes;
-static bool spread; /* requests take 20 to 180% of work_ms */
-static bool brief;  /* log only runs, and only while cold */
+static bool spread;	       /* requests take 20 to 180% of work_ms */
+static bool brief;	       /* log only runs, and only while cold */
+static const char *crash_path; /* a request with it ends the process */
 static long cold_first_ms, cold_ms, cold_every_ms;
 static int64_t started;
 static char *answer_body;
@@ -170,6 +171,10 @@
 		return reject(fd, "503 Service Unavailable", id);
 	}
 	log_run(message, id);
+	if (*crash_path && strstr(message->data, crash_path)) {
+		log_line("crash id=%s", id);
+		_exit(1);
+	}
 	late = now_ms() + needed > arrival + budget_ms;
 	open = work_until(fd, late ? arrival + budget_ms : now_ms() + needed);
 	free_slot();
@@ -243,6 +248,7 @@
 	slots = number_option(argc, argv, "--slots", 9);
 	work_ms = number_option(argc, argv, "--work-ms", 30);
 	spread = number_option(argc, argv, "--spread", 0);
+	crash_path = option(argc, argv, "--crash-path", "");
 	brief = number_option(argc, argv, "--brief", 0);
 	answer_bytes = number_option(argc, argv, "--answer-bytes", 400);
 	cold_first_ms = number_option(argc, argv, "--cold-first-ms", 0);
