--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -27,7 +27,7 @@
 put_config 1 '["stock","mesh.example","/stock/","idempotent","2s","500ms",2,"shop",2]'
 wait_ready 1 2 3 4
 
-start_clients stock 1 --clients 20 --rate 120 --path /stock/ --seconds 12
+start_clients stock 1 --clients 20 --rate 60 --path /stock/ --seconds 12
 consumers=$last_pid
 sleep 1
 note "the target i-2 writes its heartbeat 7; the store does not answer"
