--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -23,20 +23,24 @@
 start_host 5 front i-5
 start_host 6 catalogue i-6
 start_host 7 shop i-7
+for host in 8 9 10
+do
+	start_host $host front "i-$host"
+done
 put_config 1 '["orders","mesh.example","/orders/","non_idempotent","2s","500ms",1,"shop",2],
 ["stock","mesh.example","/stock/","idempotent","2s","500ms",2,"shop",2],
 ["peek","mesh.example","/peek/","idempotent","2s","500ms",2,"catalogue",2]'
-wait_ready 1 2 3 4 5 6 7
+wait_ready 1 2 3 4 5 6 7 8 9 10
 
-for host in 1 4 5
+for host in 1 4 5 8 9 10
 do
-	start_clients orders$host $host --clients 10 --rate 30 --method POST \
+	start_clients orders$host $host --clients 10 --rate 20 --method POST \
 		--path /orders/ --seconds $((rounds * 12))
 	consumers="${consumers-} $last_pid"
-	start_clients stock$host $host --clients 10 --rate 60 --path /stock/ \
+	start_clients stock$host $host --clients 10 --rate 40 --path /stock/ \
 		--seconds $((rounds * 12))
 	consumers="$consumers $last_pid"
-	start_clients peek$host $host --clients 10 --rate 60 --path /peek/ \
+	start_clients peek$host $host --clients 10 --rate 40 --path /peek/ \
 		--seconds $((rounds * 12))
 	consumers="$consumers $last_pid"
 done
