--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,7 @@
 . "$case/../common-2.sh"
 
 services="front shop catalogue"
-rounds=6
+rounds=8
 
 start_store
 start_host()	# HOST SERVICE ID
