End a stopping daemon only when its last read began nothing

Cause: the stop decided that nothing was in progress, then emptied its sockets and ended without asking again; what it read there began after the decision. On related paths: a request of another daemon did not count before the end of its iteration, messages of other daemons that had arrived were dropped unread, a request with a deadline from before SIGTERM could be sent on after the time by which all are answered, and a refused caller that still sent lost its refusal.

Requests of other daemons count from their arrival, their waiting messages are read and refused in the last read, and nothing is sent once all requests have to be answered.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -428,6 +428,7 @@
 
 	cds_list_for_each_entry (conn, &server->conns, node) {
 		if (conn->state == CONN_WRITING ||
+		    conn->state == CONN_LINGERING ||
 		    (conn->state == CONN_READING && conn->reader.started))
 			return true;
 	}
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -78,13 +78,14 @@
 
 /*
  * Closes the listening socket and all connections without a request, after
- * accepting and reading what has already arrived.
+ * accepting and reading what has already arrived. That may begin requests, so
+ * afterwards the owner asks whether any is in progress.
  */
 void http_server_stop(struct http_server *server);
 
 /*
- * Returns whether a request has arrived in part, or a response was not passed
- * to its socket whole.
+ * Returns whether a request has arrived in part, a response was not passed to
+ * its socket whole, or the caller of a refused request may still send.
  */
 bool http_server_is_transferring(const struct http_server *server);
 
--- a/lib/net/conn.c
+++ b/lib/net/conn.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <arpa/inet.h>
 #include <unistd.h>
 
@@ -532,6 +533,15 @@
 	return closed;
 }
 
+void net_conn_read_pending(struct net_conn *conn)
+{
+	int waiting = 0;
+
+	while (!is_closed(conn) && net_conn_established(conn) &&
+	       !ioctl(conn->source.fd, FIONREAD, &waiting) && waiting)
+		read_input(conn);
+}
+
 static void on_ready(struct net_source *source, uint32_t events)
 {
 	struct net_conn *conn = (struct net_conn *)source;
--- a/lib/net/conn.h
+++ b/lib/net/conn.h
@@ -120,6 +120,9 @@
  */
 bool net_conn_is_transferring(struct net_conn *conn);
 
+/* Delivers the records that have arrived already; on the loop's thread. */
+void net_conn_read_pending(struct net_conn *conn);
+
 /* Returns when the peer's last bytes were read (monotonic ns); 0: never. */
 int64_t net_conn_last_read(const struct net_conn *conn);
 
--- a/lib/net/rpc.c
+++ b/lib/net/rpc.c
@@ -149,6 +149,11 @@
 	return net_conn_is_transferring(rpc->conn);
 }
 
+void rpc_conn_read_pending(struct rpc_conn *rpc)
+{
+	net_conn_read_pending(rpc->conn);
+}
+
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size)
 {
 	net_conn_peer(rpc->conn, text, size);
--- a/lib/net/rpc.h
+++ b/lib/net/rpc.h
@@ -89,6 +89,9 @@
  * socket whole; on the loop's thread.
  */
 bool rpc_conn_is_transferring(const struct rpc_conn *rpc);
+
+/* Handles the messages that have arrived already; on the loop's thread. */
+void rpc_conn_read_pending(struct rpc_conn *rpc);
 void rpc_conn_peer(const struct rpc_conn *rpc, char *text, size_t size);
 
 /*
--- a/relay/call.c
+++ b/relay/call.c
@@ -445,7 +445,8 @@
 
 /*
  * Sends the request to a daemon that the balancer picks; FAILURE_NO_TARGET if
- * there is none.
+ * there is none. A process that is about to end sends nothing more, as it could
+ * not pass on the answer.
  */
 static enum failure_reason try_place(struct call *call)
 {
@@ -460,6 +461,8 @@
 	struct placement_expectation expected;
 	struct balance_choice choice;
 
+	if (now >= call->side->context->stop_deadline)
+		return FAILURE_TARGET_DRAINING;
 	if (get_lane(call) == PEER_LANE_LONG)
 		request.overflow_percent = LONG_ANSWER_OVERFLOW_PERCENT;
 	if (call->nr_excluded == BALANCE_EXCLUDED_MAX ||
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -244,11 +244,13 @@
 	g_hash_table_remove(peers->conns, conn);
 }
 
-bool peers_is_transferring(const struct peers *peers)
+bool peers_is_busy(const struct peers *peers)
 {
 	GHashTableIter iter;
 	const struct rpc_conn *conn;
 
+	if (g_hash_table_size(peers->jobs))
+		return true;
 	g_hash_table_iter_init(&iter, peers->conns);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&conn, NULL)) {
 		if (rpc_conn_is_transferring(conn))
@@ -257,6 +259,22 @@
 	return false;
 }
 
+void peers_read_pending(struct peers *peers)
+{
+	/* Reading may close connections, which changes the table. */
+	g_autoptr(GPtrArray) conns =
+		g_ptr_array_new_with_free_func((GDestroyNotify)rpc_conn_unref);
+	GHashTableIter iter;
+	struct rpc_conn *conn;
+
+	g_hash_table_iter_init(&iter, peers->conns);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&conn, NULL))
+		g_ptr_array_add(conns, rpc_conn_ref(conn));
+	for (guint i = 0; i < conns->len; i++)
+		rpc_conn_read_pending(g_ptr_array_index(conns, i));
+	peers_start_arrivals(peers);
+}
+
 void peers_start_arrivals(struct peers *peers)
 {
 	while (!cds_list_empty(&peers->arrivals)) {
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -25,10 +25,16 @@
 			struct quota_side *quota, GError **error);
 
 /*
- * Whether a message of another daemon is not read completely, or an answer to
- * one not passed completely to its socket.
+ * Whether a request of another daemon is not answered, a message not read
+ * completely, or an answer not passed completely to its socket.
  */
-bool peers_is_transferring(const struct peers *peers);
+bool peers_is_busy(const struct peers *peers);
+
+/*
+ * Reads what has arrived from other daemons and submits their requests, before
+ * the end of the process closes the connections.
+ */
+void peers_read_pending(struct peers *peers);
 
 /* Starts the requests received; called after each event-loop iteration. */
 void peers_start_arrivals(struct peers *peers);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -12,48 +12,13 @@
 #include "relay/admin_server.h"
 #include "relay/backend_side.h"
 #include "relay/caller_side.h"
+#include "relay/graceful_stop.h"
 #include "relay/memory_limits.h"
 #include "relay/mesh_control.h"
 #include "relay/peer_links.h"
 #include "relay/peers.h"
 #include "relay/relay.h"
 
-/*
- * A stopping daemon keeps serving for at least this time, until callers and
- * other daemons have noticed that it is not ready. Readiness is probed once a
- * second, and a daemon counts as not ready after two failed probes.
- */
-#define STOP_EARLIEST_NS (2300 * NS_PER_MS)
-
-/*
- * Other daemons may use the backend server until this daemon has no more
- * requests of callers, and for at most this time. The stop does not affect the
- * server itself, and the requests that it runs then end well before the process
- * has to exit.
- */
-#define STOP_BACKEND_NS (3 * NS_PER_SEC)
-
-/*
- * Before it exits, the daemon refuses the requests of other daemons for this
- * time, so that no request arrives as it exits.
- */
-#define STOP_REFUSE_NS (150 * NS_PER_MS)
-
-/*
- * After this time a stopping daemon accepts no requests of callers: it closes
- * its listening socket and idle connections, so that the requests that it has
- * read can end in time.
- */
-#define STOP_ACCEPTING_NS (2500 * NS_PER_MS)
-
-/*
- * All requests are answered this long before the platform would kill the
- * process, and it exits as soon as the answers are written, or else after the
- * second time.
- */
-#define STOP_MARGIN_NS (500 * NS_PER_MS)
-#define STOP_FLUSH_NS (200 * NS_PER_MS)
-
 /* How often the settings file is checked for changes. */
 #define SETTINGS_INTERVAL_NS (1 * NS_PER_SEC)
 
@@ -78,10 +43,7 @@
 	struct timer stop_timer;
 	bool configured;
 	bool stopping;
-	int64_t stop_earliest;
-	int64_t stop_backend;
-	int64_t backend_stopped; /* refuses daemons since then; 0: not */
-	int64_t stop_accepting;
+	struct graceful_stop stop; /* valid while stopping */
 };
 
 /* Callbacks of the control thread. */
@@ -218,67 +180,85 @@
 
 /* Stopping. */
 
-/* Begins to refuse the requests of other daemons. */
-static void stop_backend(struct relay *relay, int64_t now)
+static int stop_nr_calls(void *ctx)
 {
-	if (relay->backend_stopped)
-		return;
-	relay->backend_stopped = now;
+	struct relay *relay = ctx;
+
+	return caller_side_nr_calls(relay->caller_side);
+}
+
+static bool stop_is_busy(void *ctx)
+{
+	struct relay *relay = ctx;
+
+	return caller_side_nr_calls(relay->caller_side) ||
+	       backend_side_nr_jobs(relay->backend_side) ||
+	       caller_side_is_transferring(relay->caller_side) ||
+	       peers_is_busy(relay->peers);
+}
+
+static void stop_refuse_daemons(void *ctx)
+{
+	struct relay *relay = ctx;
+
 	backend_side_drain(relay->backend_side);
 }
 
-static bool can_exit(const struct relay *relay, int64_t now)
+static void stop_accepting(void *ctx)
+{
+	struct relay *relay = ctx;
+
+	caller_side_stop(relay->caller_side);
+	peers_read_pending(relay->peers);
+}
+
+static void stop_end_all(void *ctx)
 {
-	if (now >= relay->context.stop_deadline + STOP_FLUSH_NS)
-		return true;
-	return relay->backend_stopped &&
-	       now - relay->backend_stopped >= STOP_REFUSE_NS &&
-	       !backend_side_nr_jobs(relay->backend_side) &&
-	       !caller_side_nr_calls(relay->caller_side) &&
-	       !caller_side_is_transferring(relay->caller_side) &&
-	       !peers_is_transferring(relay->peers);
+	struct relay *relay = ctx;
+
+	caller_side_end_calls(relay->caller_side);
+	backend_side_end_jobs(relay->backend_side);
 }
 
+static const struct graceful_stop_ops stop_ops = {
+	.nr_calls = stop_nr_calls,
+	.is_busy = stop_is_busy,
+	.refuse_daemons = stop_refuse_daemons,
+	.stop_accepting = stop_accepting,
+	.end_all = stop_end_all,
+};
+
 static void on_stop_timer(struct timer *timer, int64_t now)
 {
 	struct relay *relay = caa_container_of(timer, struct relay, stop_timer);
-	int calls;
 
-	if (now >= relay->context.stop_deadline) {
-		caller_side_end_calls(relay->caller_side);
-		backend_side_end_jobs(relay->backend_side);
-	}
-	calls = caller_side_nr_calls(relay->caller_side);
-	if (can_exit(relay, now)) {
-		log_event(LOG_NOTICE, "stopped", "host=%s busy=%d",
-			  relay->context.host->name,
-			  calls + backend_side_nr_jobs(relay->backend_side));
-		caller_side_stop(relay->caller_side);
-		net_loop_stop(relay->context.loop);
+	if (!graceful_stop_step(&relay->stop, now)) {
+		timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
 		return;
 	}
-	if (now >= relay->stop_backend ||
-	    (now >= relay->stop_earliest && !calls))
-		stop_backend(relay, now);
-	if (now >= relay->stop_accepting)
-		caller_side_stop(relay->caller_side);
-	timers_set(&relay->timers, timer, now + STOP_CHECK_NS);
+	log_event(LOG_NOTICE, "stopped", "host=%s busy=%d",
+		  relay->context.host->name,
+		  caller_side_nr_calls(relay->caller_side) +
+			  backend_side_nr_jobs(relay->backend_side));
+	net_loop_stop(relay->context.loop);
 }
 
 static void begin_shutdown(struct relay *relay)
 {
-	int64_t grace_ns = relay->context.host->stop_grace_ms * NS_PER_MS;
 	int64_t now = clock_monotonic_ns();
+	struct graceful_stop_options options = {
+		.now = now,
+		.grace_ns = relay->context.host->stop_grace_ms * NS_PER_MS,
+		.ops = &stop_ops,
+		.ctx = relay,
+	};
 
 	if (relay->stopping)
 		return;
 	log_event(LOG_NOTICE, "stopping", "host=%s", relay->context.host->name);
 	relay->stopping = true;
-	relay->stop_earliest = now + STOP_EARLIEST_NS;
-	/* What the server runs then has half of the grace time to end. */
-	relay->stop_backend = now + MIN(STOP_BACKEND_NS, grace_ns / 2);
-	relay->stop_accepting = now + STOP_ACCEPTING_NS;
-	relay->context.stop_deadline = now + grace_ns - STOP_MARGIN_NS;
+	graceful_stop_init(&relay->stop, &options);
+	relay->context.stop_deadline = relay->stop.deadline;
 	caller_side_drain(relay->caller_side);
 	timers_set(&relay->timers, &relay->stop_timer, now + STOP_CHECK_NS);
 }
