Wait until a drained daemon's answers to others are sent

Cause: an answer counted as sent once it was queued, and the process ended with the rest of it in its memory.

Change: before it ends, the daemon reads what other daemons have sent, which is refused, and waits until nothing is in transfer, at most 5 s.

--- a/godwitspur/daemon.c
+++ b/godwitspur/daemon.c
@@ -23,6 +23,9 @@
  */
 #define DRAIN_MIN_MS 300
 
+/* How long a drained daemon waits for peers that don't read its answers. */
+#define DRAIN_FLUSH_MS 5000
+
 struct daemon {
 	const struct settings *settings;
 	uint64_t incarnation;
@@ -359,6 +362,17 @@
 		sleep_ms(DRAIN_POLL_MS);
 }
 
+/* An answer that has left its target may still wait for the socket to a peer.
+ */
+static void wait_until_sent(struct daemon *daemon)
+{
+	int64_t latest = clock_monotonic_ns() + DRAIN_FLUSH_MS * NS_PER_MS;
+
+	while (links_is_transferring(daemon->links) &&
+	       clock_monotonic_ns() < latest)
+		sleep_ms(DRAIN_POLL_MS);
+}
+
 static void block_signals(sigset_t *set)
 {
 	sigemptyset(set);
@@ -406,6 +420,7 @@
 		  settings->zone, daemon->incarnation);
 	wait_for_stop(daemon, &set);
 	wait_until_idle(daemon);
+	wait_until_sent(daemon);
 	ingress_stop(daemon->ingress);
 	log_event(LOG_NOTICE, "stopped", "host=%s", settings->host);
 	/* The caller exits the process, which ends the other threads. */
--- a/godwitspur/links.c
+++ b/godwitspur/links.c
@@ -33,6 +33,8 @@
 	struct net_loop *loop;
 	struct rpc_service service;
 	struct rpc_listener *listener;
+	/* Set of connections that others have called on; loop's thread only. */
+	GHashTable *accepted;
 	pthread_mutex_t lock; /* guards links and draining */
 	GHashTable *links;    /* address -> struct link */
 	bool draining;
@@ -351,6 +353,8 @@
 {
 	struct links *links = ctx;
 
+	if (!g_hash_table_contains(links->accepted, conn))
+		g_hash_table_add(links->accepted, rpc_conn_ref(conn));
 	*error = GARBAGE_ARGS;
 	switch (procedure) {
 	case TRAFFIC_REQUEST:
@@ -365,6 +369,52 @@
 	}
 }
 
+static void on_closed(struct rpc_conn *conn, void *ctx, const char *reason)
+{
+	struct links *links = ctx;
+
+	(void)reason;
+	g_hash_table_remove(links->accepted, conn);
+}
+
+/* A question to the loop's thread, for which another one waits. */
+struct transfer_check {
+	struct links *links;
+	struct completion completion;
+	bool transferring;
+};
+
+static void check_transfers(void *arg)
+{
+	struct transfer_check *check = arg;
+	/* Reading may close connections, which changes the set. */
+	g_autoptr(GPtrArray) conns =
+		g_ptr_array_new_with_free_func((GDestroyNotify)rpc_conn_unref);
+	GHashTableIter iter;
+	struct rpc_conn *conn;
+
+	g_hash_table_iter_init(&iter, check->links->accepted);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&conn, NULL))
+		g_ptr_array_add(conns, rpc_conn_ref(conn));
+	for (guint i = 0; i < conns->len; i++) {
+		conn = g_ptr_array_index(conns, i);
+		rpc_conn_read_pending(conn);
+		check->transferring |= rpc_conn_is_transferring(conn);
+	}
+	completion_signal(&check->completion);
+}
+
+bool links_is_transferring(struct links *links)
+{
+	struct transfer_check check = { .links = links };
+
+	completion_init(&check.completion);
+	net_loop_defer(links->loop, check_transfers, &check);
+	completion_wait(&check.completion, DEADLINE_NEVER);
+	completion_release(&check.completion);
+	return check.transferring;
+}
+
 struct links *links_new(const struct links_options *options,
 			struct net_loop *loop, GError **error)
 {
@@ -381,12 +431,17 @@
 	links->service.program = TRAFFIC_PROGRAM;
 	links->service.version = TRAFFIC_VERSION;
 	links->service.handle = handle;
+	links->service.closed = on_closed;
 	links->service.ctx = links;
+	links->accepted =
+		g_hash_table_new_full(NULL, NULL,
+				      (GDestroyNotify)rpc_conn_unref, NULL);
 	links->links = g_hash_table_new(g_str_hash, g_str_equal);
 	pthread_mutex_init(&links->lock, NULL);
 	links->listener = rpc_listen(&rpc, &options->listen, error);
 	if (!links->listener) {
 		g_hash_table_unref(links->links);
+		g_hash_table_unref(links->accepted);
 		g_free(links);
 		return NULL;
 	}
--- a/godwitspur/links.h
+++ b/godwitspur/links.h
@@ -29,6 +29,13 @@
 /* Reports to peers from now on that the daemon is draining. */
 void links_drain(struct links *links);
 
+/*
+ * Refuses the requests of other daemons that have arrived meanwhile, and
+ * returns whether a message of or to one of them is not transferred whole. For
+ * a daemon that drains, before its process ends.
+ */
+bool links_is_transferring(struct links *links);
+
 /*
  * Sends a request to the daemon at a traffic address and waits for its answer
  * until the deadline. Returns RPC_DONE with the answer, which the caller frees
--- a/tests/process/test_service.cc
+++ b/tests/process/test_service.cc
@@ -261,6 +261,43 @@
 	test_graceful_stop(false);
 }
 
+/*
+ * The daemon that waits for a long answer is suspended while the daemon of the
+ * server stops. Guards against a process that ends while an answer that it has
+ * counted as sent still waits for its socket: the request has run, and its
+ * caller is told that the connection was lost.
+ */
+TEST(ProcessService, StopWaitsUntilAnswersAreSent)
+{
+	/* More than the sockets of a connection hold. */
+	const size_t answer_bytes = 15000000;
+	MeshOptions options;
+
+	options.hosts = 2;
+	options.targets = 1;
+	options.backend = { "--service-ms", "1000" };
+	Mesh mesh(options);
+	Answer answer;
+	std::thread caller([&] {
+		answer = mesh.send(1, "GET",
+				   "/portal/stock?bytes=" +
+					   std::to_string(answer_bytes));
+	});
+	int status = -1;
+
+	usleep(500 * 1000);
+	mesh.signal_daemon(0, SIGTERM);
+	usleep(200 * 1000);
+	mesh.signal_daemon(1, SIGSTOP);
+	usleep(700 * 1000);
+	mesh.signal_daemon(1, SIGCONT);
+	caller.join();
+	EXPECT_EQ(answer.status, 200) << answer.body;
+	EXPECT_EQ(answer.body.size(), answer_bytes);
+	EXPECT_TRUE(process_wait(&mesh.hosts[0].daemon, 30000, &status));
+	EXPECT_EQ(status, 0);
+}
+
 /*
  * Guards against requests that are aborted when the ingress and the target stop
  * at the same time.
