Use a server once its entry is known, not by what answers a probe

Cause: the id in the answer to a health probe replaced the registered one and was then sent as the expected id, so the server's check was answered by the server that it should guard against. On related paths: a queued request was checked against the service on arrival only and could start at the next server, a change of the setting service reached the server in use only with the next view, and the load told by another server counted as the registered one's.

Change: only the registration says which server gets requests and of which service it is. A probe that another server answers takes the server out of use and reports the daemon as draining, until the entries or the answers agree again. Service and server are checked on arrival and at the start of a request, and a change of the setting is applied at once.

--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -155,20 +155,37 @@
 	backend_pool_close_idle(side->pool);
 }
 
-/* Applies the result of a probe: the server's id and its cold time. */
+/*
+ * Notes which server answers at the address. Another one than the registered
+ * server is in use once its own registration is known: until then its service
+ * is not.
+ */
+static void note_identity(struct backend_side *side, const char *backend_id)
+{
+	bool is_replaced;
+
+	if (!backend_id || !side->backend_id)
+		return;
+	is_replaced = strcmp(backend_id, side->backend_id) != 0;
+	if (is_replaced && !side->is_replaced)
+		log_event(LOG_NOTICE, "backend_replaced",
+			  "registered=%s answers=%s", side->backend_id,
+			  log_quote(backend_id));
+	side->is_replaced = is_replaced;
+}
+
+/* Applies the result of a probe: which server answers, its load, cold time. */
 static void on_probed(void *ctx, const struct http_message *response,
 		      const char *backend_id, int64_t cold_left_ms)
 {
 	struct backend_side *side = ctx;
 	int64_t now = clock_monotonic_ns();
 
-	if (backend_id && side->backend_id &&
-	    strcmp(backend_id, side->backend_id) != 0) {
-		log_event(LOG_NOTICE, "backend_changed", "old=%s new=%s",
-			  side->backend_id, backend_id);
-		g_free(side->backend_id);
-		side->backend_id = g_strdup(backend_id);
-		backend_load_reset(&side->load);
+	note_identity(side, backend_id);
+	if (side->is_replaced) {
+		/* Its load and cold time are not the registered server's. */
+		backend_side_start_next(side);
+		return;
 	}
 	backend_load_note(&side->load, response, now);
 	if (cold_left_ms > 0)
@@ -244,7 +261,9 @@
 	int64_t now = clock_monotonic_ns();
 
 	end_run(side, job, reason);
-	backend_load_note(&side->load, response, now);
+	/* A server that is not the expected one reports its own load. */
+	if (reason != FAILURE_VERSION)
+		backend_load_note(&side->load, response, now);
 	if (reason == FAILURE_NONE && status < HTTP_STATUS_FAILED)
 		backend_load_ran(&side->load, job, now - job->admit.started,
 				 now);
@@ -294,12 +313,17 @@
 	refuse(side, job, FAILURE_BACKEND_REFUSED);
 }
 
-/* Why the server must not get a request now, or FAILURE_NONE. */
-static enum failure_reason blocked_reason(const struct backend_side *side)
+/*
+ * Why the server must not get the request now, or FAILURE_NONE. Asked when the
+ * request arrives and when it starts: the server may have changed meanwhile.
+ */
+static enum failure_reason blocked_reason(const struct backend_side *side,
+					  const struct relay_job *job)
 {
 	if (backend_side_is_draining(side))
 		return FAILURE_TARGET_DRAINING;
-	if (!side->backend_id)
+	if (!side->backend_id ||
+	    strcmp(job->request.service, side->service) != 0)
 		return FAILURE_VERSION;
 	if (probe_is_down(side->probe))
 		return FAILURE_BACKEND_REFUSED;
@@ -328,7 +352,7 @@
 	while ((request = admit_next(side->admit, now, &expired))) {
 		struct relay_job *job =
 			caa_container_of(request, struct relay_job, admit);
-		enum failure_reason reason = blocked_reason(side);
+		enum failure_reason reason = blocked_reason(side, job);
 
 		if (reason == FAILURE_NONE) {
 			run_job(side, job);
@@ -372,7 +396,7 @@
 	/* The sender still has other servers to send it to. */
 	if (request->unless_unsound && !sound_check(&side->sound, now))
 		return FAILURE_TARGET_UNSOUND;
-	return blocked_reason(side);
+	return blocked_reason(side, job);
 }
 
 void backend_side_submit(struct backend_side *side, struct relay_job *job)
@@ -462,7 +486,8 @@
 	 * that it is draining: after a restart of all hosts, callers would
 	 * avoid it for a second.
 	 */
-	return side->draining || (side->backend_id && !side->in_service);
+	return side->draining || side->is_replaced ||
+	       (side->backend_id && !side->in_service);
 }
 
 int backend_side_nr_jobs(const struct backend_side *side)
@@ -573,8 +598,9 @@
 
 json_t *backend_side_dump(const struct backend_side *side)
 {
-	return json_pack("{s:s, s:b, s:b, s:i, s:i, s:I, s:o, s:o}", "backend",
-			 side->backend_id ? side->backend_id : "", "in_service",
+	return json_pack("{s:s, s:b, s:b, s:b, s:i, s:i, s:I, s:o, s:o}",
+			 "backend", side->backend_id ? side->backend_id : "",
+			 "replaced", side->is_replaced, "in_service",
 			 side->in_service, "draining", side->draining, "jobs",
 			 side->nr_jobs, "connections",
 			 (int)backend_pool_nr_conns(side->pool),
--- a/relay/backend_side.h
+++ b/relay/backend_side.h
@@ -20,6 +20,9 @@
 /* Applies a new view and keeps a reference to it until the next one. */
 void backend_side_apply(struct backend_side *side, struct mesh_view *view);
 
+/* Applies the view in force again, after the host's service has changed. */
+void backend_side_reapply(struct backend_side *side);
+
 /* Runs, queues or refuses a job; job->done may be called before it returns. */
 void backend_side_submit(struct backend_side *side, struct relay_job *job);
 
--- a/relay/backend_side_internal.h
+++ b/relay/backend_side_internal.h
@@ -22,7 +22,15 @@
 	struct probe *probe;
 	struct admit *admit;
 	struct cds_list_head running;
-	char *backend_id; /* of the registered server; NULL: none */
+	/*
+	 * The registered server, which alone may get requests. Whichever one
+	 * answers at its address may be of another service, once the address
+	 * is used again.
+	 */
+	char *backend_id; /* NULL: none is registered */
+	char *service;	  /* of that registration; NULL: none */
+	/* The last health probe was answered by another server. */
+	bool is_replaced;
 	int nr_jobs;
 	size_t long_bytes; /* usual length of the long answers of its jobs */
 	int slots;
--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -23,6 +23,13 @@
 				     side->context->host->service);
 }
 
+static void forget_backend(struct backend_side *side)
+{
+	g_clear_pointer(&side->backend_id, g_free);
+	g_clear_pointer(&side->service, g_free);
+	side->is_replaced = false;
+}
+
 static void apply_target(struct backend_side *side,
 			 const struct mesh_target *target, int64_t now)
 {
@@ -32,8 +39,9 @@
 		.queue_max = target->slots * QUEUE_PER_SLOT,
 		.limit_policy = &admit_limit_fixed,
 	};
-	bool is_new =
-		!side->backend_id || strcmp(side->backend_id, target->id) != 0;
+	bool is_new = !side->backend_id ||
+		      strcmp(side->backend_id, target->id) != 0 ||
+		      strcmp(side->service, target->service) != 0;
 
 	admit_set_policy(side->admit, &options, now);
 	side->slots = target->slots;
@@ -41,8 +49,9 @@
 		return;
 	log_event(LOG_NOTICE, "backend_registered", "backend=%s slots=%d",
 		  target->id, target->slots);
-	g_free(side->backend_id);
+	forget_backend(side);
 	side->backend_id = g_strdup(target->id);
+	side->service = g_strdup(target->service);
 	backend_pool_close_idle(side->pool);
 	backend_load_reset(&side->load);
 	/* A newly registered server counts as cold until a probe reports. */
@@ -84,15 +93,17 @@
 	int64_t now = clock_monotonic_ns();
 	const struct mesh_target *target;
 
+	/* It may be the view in force, after a change of the settings. */
+	mesh_view_ref(view);
 	mesh_view_unref(side->view);
-	side->view = mesh_view_ref(view);
+	side->view = view;
 	if (view->config)
 		apply_service(side);
 	target = own_target(side);
 	if (target)
 		apply_target(side, target, now);
 	else
-		g_clear_pointer(&side->backend_id, g_free);
+		forget_backend(side);
 	if (view->config)
 		apply_answer_limit(side);
 	if (target && !side->in_service && mesh_view_in_service(view, target))
@@ -101,3 +112,8 @@
 	side->in_service = target && mesh_view_in_service(view, target);
 	backend_side_start_next(side);
 }
+
+void backend_side_reapply(struct backend_side *side)
+{
+	backend_side_apply(side, side->view);
+}
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -81,18 +81,6 @@
 				   rejected ? PROBE_COLD_UNKNOWN : 0);
 }
 
-/*
- * The id of a server that may be used before its registration is known. One
- * that is leaving rejects the probe, and its registration may be deleted
- * already.
- */
-static const char *get_backend_id(const struct http_message *response)
-{
-	return response->status == HTTP_STATUS_OK
-		       ? http_message_value(response, HTTP_ROLE_BACKEND_ID)
-		       : NULL;
-}
-
 static void handle_answer(struct probe *probe,
 			  const struct http_message *response)
 {
@@ -102,7 +90,8 @@
 	probe->down = false;
 	probe->last_answer = clock_monotonic_ns();
 	probe->options.probed(probe->options.ctx, response,
-			      get_backend_id(response),
+			      http_message_value(response,
+						 HTTP_ROLE_BACKEND_ID),
 			      get_cold_left_ms(response));
 }
 
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -24,8 +24,8 @@
 struct probe_options {
 	const struct relay_context *context;
 	/*
-	 * The server answered a probe: the response, its id, NULL if it did not
-	 * report one or is not healthy, and how long it stays cold,
+	 * A server answered a probe: the response, the id that it reports, NULL
+	 * if it reports none, and how long it stays cold,
 	 * PROBE_COLD_UNKNOWN if it did not tell.
 	 */
 	void (*probed)(void *ctx, const struct http_message *response,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -291,6 +291,8 @@
 	if (g_strcmp0(host->service, read->service) != 0) {
 		g_free(host->service);
 		host->service = g_strdup(read->service);
+		/* The server that is in use is of the former service. */
+		backend_side_reapply(relay->backend_side);
 	}
 	log_event(LOG_NOTICE, "settings_read", "host=%s service=%s", host->name,
 		  host->service);
--- /dev/null
+++ b/tests/relay/test_identity.cc
@@ -0,0 +1,140 @@
+#include "platform.h"
+
+#include <atomic>
+#include <thread>
+#include <unistd.h>
+
+/* Which server a request may run at: the registered one, and no other. */
+
+namespace
+{
+
+/* A route of the service that host 3 is of. */
+const char *const DOCS_ROUTE = R"(,["docs","mesh.example","/docs/","idempotent",
+"3s","1s",2,"docs",2])";
+
+bool is_replaced(Platform &in, int host)
+{
+	json_t *state = in.dump(host);
+	bool replaced = json_is_true(
+		json_object_get(json_object_get(state, "backend"), "replaced"));
+
+	json_decref(state);
+	return replaced;
+}
+
+/* The id of the server that a daemon uses; "" if none. */
+std::string server_in_use(Platform &in, int host)
+{
+	json_t *state = in.dump(host);
+	std::string id = json_string_value(
+		json_object_get(json_object_get(state, "backend"), "backend"));
+
+	json_decref(state);
+	return id;
+}
+
+/* Sends lookups through all hosts; each has to be served. */
+void send_lookups(Platform &in, int nr)
+{
+	for (int i = 0; i < nr; i++)
+		EXPECT_EQ(in.send_request(i % (int)in.hosts.size(), "GET",
+					  "/stock/1")
+				  .status,
+			  200);
+}
+
+/*
+ * A server crashes, and another one answers at its address whose entry is not
+ * there yet; it may be of any service. Guards against requests to it under the
+ * id that it tells itself, which makes its check of that id worthless.
+ */
+TEST(Identity, ServerWithoutAnEntryGetsNoRequests)
+{
+	Platform in(3, { "--service-ms", "2" });
+
+	in.start_all();
+	in.restart_server(0, "i-unknown");
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return is_replaced(in, 0);
+	}));
+	send_lookups(in, 60);
+	EXPECT_EQ(in.runs(0), 0u);
+	in.publish_entry(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+}
+
+/*
+ * The setting names another service before the entry of the new server is
+ * there, while the server in use goes on. Guards against requests of the new
+ * service to the server of the former one.
+ */
+TEST(Identity, ServerOfTheFormerServiceGetsNoRequestsOfTheNewOne)
+{
+	Platform in(4, { "--service-ms", "2" });
+	PlatformHost &host = in.hosts[0];
+	std::string former = host.id;
+
+	in.start_all(DOCS_ROUTE);
+	in.set(0, "service=docs");
+	process_signal(&host.daemon, SIGHUP);
+	/* Without another change of what is published. */
+	EXPECT_TRUE(eventually([&] { return server_in_use(in, 0).empty(); }));
+	host.service = "docs";
+	in.restart_server(0, "i-docs");
+	in.publish_entry(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(1, "GET", "/docs/1");
+		return in.runs(0) > 0;
+	}));
+	EXPECT_EQ(in.last_run(0, "target"), "/docs/1");
+	in.delete_item("servers/" + former);
+}
+
+/*
+ * Requests wait for a slot of a server, and its address goes over to another
+ * service meanwhile. Guards against requests that were accepted for one server
+ * and start at its successor.
+ */
+TEST(Identity, QueuedRequestsDoNotStartAtTheNextService)
+{
+	Platform in(4, { "--service-ms", "600", "--slots", "4" });
+	PlatformHost &host = in.hosts[0];
+	std::vector<std::thread> callers;
+	std::atomic<int> served{ 0 }, refused{ 0 };
+
+	in.start_all();
+	in.publish_entry(1, "draining");
+	in.publish_entry(2, "draining");
+	EXPECT_TRUE(eventually([&] {
+		return call(in.hosts[1].operators, "GET",
+			    "/explain?host=mesh.example&path=/stock/1")
+			       .body.find(" 1 in service") != std::string::npos;
+	}));
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([&] {
+			int status =
+				in.send_request(1, "POST", "/orders/1", "x")
+					.status;
+
+			served += status == 200;
+			refused += status == 503;
+		});
+	usleep(300000);
+	/* The same server is registered for another service. */
+	in.set(0, "service=docs");
+	process_signal(&host.daemon, SIGHUP);
+	host.service = "docs";
+	in.publish_entry(0);
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_EQ(served + refused, 8);
+	EXPECT_GE(refused, 4);
+	EXPECT_EQ(in.runs(0), (size_t)served);
+}
+
+} // namespace
