Take a server's entry by its own order, not by the store's

Cause: a daemon took the entry with the highest revision of the store for the newest one. The store carries some writes out seconds late, so a heartbeat that was sent before the announcement came after it. The order is in the entry: the start of the server, then its sequence. It was compared only for a store that was restored, and only within one start. Related paths had the same cause: the start before under the same id, writes after the entry is gone, the announcement of a former start, a crashed boot at the same address, pushes of daemons that know less, and boots that were forgotten with the last registration of an address.

Change: lib/mesh/entry_judge.c decides for each entry, from the store or another daemon, whether it is news, by its id and by its address. What is no news is replaced by what is known, held with a rank of start and sequence, so that daemons that know less follow. The time of a start may be too early, as clocks go back: a start that goes on writing becomes the present one, and its rank tells the others. A server whose start differs is a new one to the daemon beside it.

Boots.AddressWithoutARegistrationIsForgotten asserted that the boots of an address are forgotten with its last registration. That let a late write of a crashed boot back in. Boots.AddressesWithoutARegistrationAreKeptUpToALimit checks instead that they are kept, and that memory has a limit.

--- a/lib/mesh/view.c
+++ b/lib/mesh/view.c
@@ -150,6 +150,13 @@
 	return NULL;
 }
 
+bool mesh_config_has_service(const struct mesh_config *config,
+			     const struct mesh_target *target)
+{
+	return config &&
+	       g_hash_table_contains(config->services, target->service);
+}
+
 struct mesh_target *mesh_target_ref(struct mesh_target *target)
 {
 	g_atomic_int_inc(&target->refs);
@@ -208,6 +215,20 @@
 	       !g_hash_table_contains(view->evacuated_zones, target->zone);
 }
 
+struct entry_order mesh_target_order(const struct mesh_target *target)
+{
+	return (struct entry_order){ target->started_ms, target->revision };
+}
+
+static bool is_later(const struct mesh_target *target,
+		     const struct mesh_target *known)
+{
+	const struct entry_order known_order = mesh_target_order(known);
+	const struct entry_order order = mesh_target_order(target);
+
+	return entry_order_compare(&known_order, &order) == ENTRY_LATER;
+}
+
 const struct mesh_target *mesh_view_find_target(const struct mesh_view *view,
 						const char *address,
 						const char *service)
@@ -221,7 +242,7 @@
 		if (strcmp(target->address, address) != 0 ||
 		    strcmp(target->service, service) != 0)
 			continue;
-		if (!newest || target->revision > newest->revision)
+		if (!newest || is_later(target, newest))
 			newest = target;
 	}
 	return newest;
--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "base/cleanup.h"
+#include "mesh/entry_order.h"
 #include "mesh/organisation.h"
 
 /*
@@ -86,6 +87,7 @@
 	bool draining;	      /* it announced that it is stopping */
 	int64_t cold_left_ms; /* warm-up left at registration; 0: warm */
 	int64_t started_ms;   /* wall time of its start; 0: unknown */
+	int64_t sequence;     /* of this registration, since that start */
 	/* Of the store, when it accepted this registration; 0: unknown. */
 	int64_t revision;
 };
@@ -124,10 +126,20 @@
 mesh_config_find_route(const struct mesh_config *config, const char *host,
 		       const char *path);
 
+/* Whether the configuration, which may be NULL, has the target's service. */
+bool mesh_config_has_service(const struct mesh_config *config,
+			     const struct mesh_target *target);
+
 struct mesh_target *mesh_target_ref(struct mesh_target *target);
 void mesh_target_unref(struct mesh_target *target);
 DEFINE_CLEANUP(struct mesh_target, mesh_target_unref)
 
+/*
+ * The place of a registration among those of other servers at its address: by
+ * the start, then by the store's revision.
+ */
+struct entry_order mesh_target_order(const struct mesh_target *target);
+
 struct mesh_view *mesh_view_new(struct mesh_config *config);
 struct mesh_view *mesh_view_ref(struct mesh_view *view);
 void mesh_view_unref(struct mesh_view *view);
@@ -139,7 +151,7 @@
 
 /*
  * The target of the service at an address, or NULL. Among several, it is the
- * one whose registration the store accepted last.
+ * last one in their order (mesh_target_order()).
  */
 const struct mesh_target *mesh_view_find_target(const struct mesh_view *view,
 						const char *address,
--- a/relay/backend_side_internal.h
+++ b/relay/backend_side_internal.h
@@ -27,8 +27,9 @@
 	 * answers at its address may be of another service, once the address
 	 * is used again.
 	 */
-	char *backend_id; /* NULL: none is registered */
-	char *service;	  /* of that registration; NULL: none */
+	char *backend_id;   /* NULL: none is registered */
+	char *service;	    /* of that registration; NULL: none */
+	int64_t started_ms; /* Unix ms of that server's start; 0: unknown */
 	/* The last health probe was answered by another server. */
 	bool is_replaced;
 	int nr_jobs;
--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -41,7 +41,8 @@
 	};
 	bool is_new = !side->backend_id ||
 		      strcmp(side->backend_id, target->id) != 0 ||
-		      strcmp(side->service, target->service) != 0;
+		      strcmp(side->service, target->service) != 0 ||
+		      side->started_ms != target->started_ms;
 
 	admit_set_policy(side->admit, &options, now);
 	side->slots = target->slots;
@@ -52,6 +53,7 @@
 	forget_backend(side);
 	side->backend_id = g_strdup(target->id);
 	side->service = g_strdup(target->service);
+	side->started_ms = target->started_ms;
 	backend_pool_close_idle(side->pool);
 	backend_load_reset(&side->load);
 	/* A newly registered server counts as cold until a probe reports. */
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -58,6 +58,7 @@
 		.held = item->held,
 		/* Others may not know the value of a held item yet. */
 		.deleted = !item->value ||
+			   item->delete_deadline <= batch->now ||
 			   (!item->held &&
 			    item->delete_deadline != DEADLINE_NEVER),
 	};
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -67,7 +67,8 @@
 
 	build.view = mesh_view_new(control->config);
 	feed_each_after(control->feed, 0, add_item, &build);
-	nr_former = boots_remove_former(control->boots, build.view);
+	nr_former = boots_remove_former(entry_judge_boots(control->judge),
+					build.view);
 	control->built_at = now;
 	log_event(LOG_INFO, "view",
 		  "version=%" PRId64 " revision=%" PRId64
@@ -416,7 +417,7 @@
 	control->targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)mesh_target_unref);
-	control->boots = boots_new();
+	control->judge = entry_judge_new();
 	control->build_timer.fire = on_build_timer;
 	control->expiry_timer.fire = on_expiry_timer;
 	control->crashes =
--- a/relay/mesh_control_internal.h
+++ b/relay/mesh_control_internal.h
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 #include "base/timer.h"
-#include "mesh/boots.h"
+#include "mesh/entry_judge.h"
 #include "mesh/feed.h"
 #include "relay/feed_peers.h"
 #include "relay/mesh_control.h"
@@ -36,7 +36,7 @@
 	struct mesh_config *config;
 	GBytes *config_value; /* that config was decoded from */
 	GHashTable *targets;  /* key -> struct mesh_target */
-	struct boots *boots;
+	struct entry_judge *judge;
 	bool own_registered; /* the local server has, at least once */
 	int64_t bootstrap_deadline;
 	struct timer build_timer;
@@ -67,22 +67,12 @@
 		     GBytes *value, int64_t revision, int64_t held,
 		     int64_t deadline);
 
-/* The rank of what is held in place of a server's entry. */
-int64_t mesh_entry_rank(const struct feed_item *item);
-
 /* Decodes a configuration; takes it if its version is the highest known. */
 bool mesh_apply_config(struct mesh_control *control, GBytes *value);
 
 /* Sets the timer that carries out pending deletions. */
 void mesh_set_expiry(struct mesh_control *control);
 
-/*
- * Whether an entry of a server comes from the copy from which the store was
- * restored, since what is known of that server is newer.
- */
-bool mesh_is_from_copy(const struct mesh_control *control, const char *key,
-		       GBytes *value, int64_t revision);
-
 /*
  * Keeps what was known in an older era and is not among the keys of a full
  * read at a revision: servers and evacuations for a time, the configuration for
--- a/relay/mesh_era.c
+++ b/relay/mesh_era.c
@@ -15,23 +15,6 @@
 /* The rank of a held evacuation; it has no versions. */
 #define EVACUATION_RANK 1
 
-bool mesh_is_from_copy(const struct mesh_control *control, const char *key,
-		       GBytes *value, int64_t revision)
-{
-	const struct feed_item *item = feed_find(control->feed, key);
-	GBytes *known;
-
-	if (!item)
-		return false;
-	/* In one era, only what is held may be newer than the store. */
-	if (position_era(revision) <= position_era(item->revision) &&
-	    !item->held)
-		return false;
-	known = item->value && g_bytes_get_size(item->value) ? item->value
-							     : item->last;
-	return known && platform_entry_is_known(known, value);
-}
-
 struct missing {
 	struct mesh_control *control;
 	GHashTable *keys; /* NULL: none */
--- a/relay/mesh_items.c
+++ b/relay/mesh_items.c
@@ -43,14 +43,14 @@
 }
 
 /*
- * Applies a server's entry; returns whether more than a heartbeat came. A
- * server that still writes its entry is no former boot of its address.
+ * Applies a server's entry, NULL if it is unreadable; returns whether more than
+ * a heartbeat came. A server that still writes its entry is no former boot of
+ * its address.
  */
 static bool apply_target(struct mesh_control *control, const char *key,
-			 const char *id, GBytes *value, int64_t revision)
+			 struct mesh_target *target)
 {
 	struct mesh_target *old = g_hash_table_lookup(control->targets, key);
-	struct mesh_target *target = platform_decode_target(id, value);
 
 	if (!target) {
 		/*
@@ -64,12 +64,11 @@
 	}
 	if (!strcmp(target->address, control->host->backend_text))
 		control->own_registered = true;
-	target->revision = revision;
-	if (same_target(old, target) && !boots_is_former(control->boots, old)) {
-		mesh_target_unref(target);
+	if (same_target(old, target) &&
+	    !boots_is_former(entry_judge_boots(control->judge), old))
 		return false;
-	}
-	g_hash_table_insert(control->targets, g_strdup(key), target);
+	g_hash_table_insert(control->targets, g_strdup(key),
+			    mesh_target_ref(target));
 	return true;
 }
 
@@ -88,31 +87,142 @@
 	return true;
 }
 
+/* What is known of a server, also when its entry is gone; NULL: nothing. */
+static GBytes *known_entry(const struct feed_item *item)
+{
+	if (!item)
+		return NULL;
+	return item->value && g_bytes_get_size(item->value) ? item->value
+							    : item->last;
+}
+
+/* The order of what is known of a server; false: nothing is. */
+static bool known_order(const struct mesh_control *control, const char *key,
+			struct entry_order *order)
+{
+	GBytes *known = known_entry(feed_find(control->feed, key));
+
+	return known && platform_entry_order(known, order);
+}
+
+/* The rank of what is known, if it is held in place of the store's entry. */
+static int64_t entry_rank(const struct mesh_control *control, const char *key,
+			  const char *id)
+{
+	struct entry_order order;
+
+	return known_order(control, key, &order)
+		       ? entry_judge_rank(control->judge, id, &order)
+		       : 1;
+}
+
 /*
- * Goes on with what is known of a server instead of its entry in the copy. If
- * both say the same, nothing needs to be sent to daemons that read the copy.
+ * Goes on with what is known of a server instead of its entry in the store. If
+ * both say the same, nothing needs to be sent to other daemons.
  */
 static void hold_entry(struct mesh_control *control, const char *key,
-		       const char *id, GBytes *value, int64_t revision)
+		       const struct mesh_target *target, int64_t rank)
 {
 	const struct feed_item *item = feed_find(control->feed, key);
-	CLEANUP(mesh_target_unrefp)
-	struct mesh_target *target = platform_decode_target(id, value);
 	const struct mesh_target *known =
 		g_hash_table_lookup(control->targets, key);
 	int64_t end = item->delete_deadline;
 
-	if (target && feed_has_value(control->feed, key) &&
-	    same_target(known, target)) {
+	if (feed_has_value(control->feed, key) && same_target(known, target)) {
 		g_autoptr(GBytes) same = g_bytes_ref(item->value);
 
-		feed_write(control->feed, key, same, revision, false);
+		feed_write(control->feed, key, same, target->revision, false);
 		return;
 	}
 	/* What was kept as unknown to others is in the copy after all. */
 	if (!position_revision(item->revision))
 		end = DEADLINE_NEVER;
-	feed_hold(control->feed, key, revision, mesh_entry_rank(item), end);
+	feed_hold(control->feed, key, target->revision, rank, end);
+}
+
+/*
+ * Holds the entry of a former boot as deleted, so that the other daemons do not
+ * take it either.
+ */
+static void drop_entry(struct mesh_control *control, const char *key,
+		       int64_t revision, int64_t rank)
+{
+	feed_hold(control->feed, key, revision, rank, clock_monotonic_ns());
+	mesh_set_expiry(control);
+	mesh_schedule_build(control);
+}
+
+/*
+ * A start that is earlier by its time goes on writing, so it is the present
+ * one. Others take the entry from here, in spite of its time.
+ */
+static void take_over(struct mesh_control *control, const char *key,
+		      GBytes *value, struct mesh_target *target, int64_t rank)
+{
+	apply_target(control, key, target);
+	feed_hold_value(control->feed, key, value, target->revision, rank,
+			DEADLINE_NEVER);
+	mesh_schedule_build(control);
+}
+
+static void log_verdict(enum entry_verdict verdict,
+			const struct mesh_target *target,
+			const struct entry_order *known)
+{
+	static const char *const names[] = {
+		[ENTRY_TAKEN] = "taken",
+		[ENTRY_RULED_OUT] = "older-than-known",
+		[ENTRY_OF_FORMER_BOOT] = "former-boot",
+		[ENTRY_TAKEN_OVER] = "goes-on-writing",
+	};
+
+	log_event(LOG_INFO, "entry_late",
+		  "backend=%s verdict=%s draining=%d revision=%" PRId64
+		  " started=%" PRId64 " sequence=%" PRId64
+		  " known_started=%" PRId64 " known_sequence=%" PRId64,
+		  log_quote(target->id), names[verdict], target->draining,
+		  position_revision(target->revision), target->started_ms,
+		  target->sequence, known ? known->started_ms : 0,
+		  known ? known->sequence : 0);
+}
+
+/*
+ * Keeps what is known of a server if the entry is no news: the store carries
+ * out some writes late, and it may have been restored from an older copy.
+ * Returns whether the entry needs no further handling.
+ */
+static bool handle_disorder(struct mesh_control *control, const char *key,
+			    GBytes *value, struct mesh_target *target)
+{
+	struct entry_order order;
+	const struct entry_order *known =
+		known_order(control, key, &order) ? &order : NULL;
+	enum entry_verdict verdict;
+	int64_t rank = 0;
+
+	verdict = entry_judge_write(control->judge, control->config, target,
+				    known, &rank);
+	if (verdict == ENTRY_TAKEN)
+		return false;
+	log_verdict(verdict, target, known);
+	if (verdict == ENTRY_RULED_OUT)
+		hold_entry(control, key, target, rank);
+	else if (verdict == ENTRY_OF_FORMER_BOOT)
+		drop_entry(control, key, target->revision, rank);
+	else
+		take_over(control, key, value, target, rank);
+	return true;
+}
+
+/* Decodes a server's entry; NULL if it is unreadable. */
+static struct mesh_target *decode_target(const char *id, GBytes *value,
+					 int64_t revision)
+{
+	struct mesh_target *target = platform_decode_target(id, value);
+
+	if (target)
+		target->revision = revision;
+	return target;
 }
 
 /*
@@ -129,6 +239,7 @@
 		      GBytes *value, int64_t revision)
 {
 	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
+	CLEANUP(mesh_target_unrefp) struct mesh_target *target = NULL;
 	bool changed = true;
 	const char *name;
 
@@ -144,11 +255,10 @@
 	}
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
-		if (mesh_is_from_copy(control, key, value, revision)) {
-			hold_entry(control, key, name, value, revision);
+		target = decode_target(name, value, revision);
+		if (target && handle_disorder(control, key, value, target))
 			return;
-		}
-		changed = apply_target(control, key, name, value, revision) ||
+		changed = apply_target(control, key, target) ||
 			  !feed_has_value(control->feed, key);
 		/* What names no server is not passed on to the others. */
 		if (!g_hash_table_contains(control->targets, key))
@@ -184,13 +294,30 @@
 		timers_set(&control->timers, &control->expiry_timer, next);
 }
 
-int64_t mesh_entry_rank(const struct feed_item *item)
+/*
+ * Applies what another daemon holds of a server; returns false if this one
+ * knows more and holds that.
+ */
+static bool apply_held_entry(struct mesh_control *control, const char *key,
+			     const char *id, GBytes *value, int64_t revision,
+			     int64_t held)
 {
-	GBytes *known = item->value && g_bytes_get_size(item->value)
-				? item->value
-				: item->last;
+	const struct feed_item *item = feed_find(control->feed, key);
+	int64_t rank = entry_rank(control, key, id);
+	CLEANUP(mesh_target_unrefp)
+	struct mesh_target *target =
+		value ? decode_target(id, value, revision) : NULL;
 
-	return 1 + (known ? platform_entry_sequence(known) : 0);
+	if (known_entry(item) && rank > held) {
+		feed_hold(control->feed, key, revision, rank,
+			  item->delete_deadline);
+		return false;
+	}
+	if (target)
+		entry_judge_learn(control->judge, target, held);
+	if (value)
+		apply_target(control, key, target);
+	return true;
 }
 
 void mesh_apply_held(struct mesh_control *control, const char *key,
@@ -204,8 +331,9 @@
 		return;
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
-		if (value)
-			apply_target(control, key, name, value, revision);
+		if (!apply_held_entry(control, key, name, value, revision,
+				      held))
+			return;
 		break;
 	case PLATFORM_ITEM_CONFIG:
 		if (value && !mesh_apply_config(control, value) &&
--- a/tests/mesh/test_boots.cc
+++ b/tests/mesh/test_boots.cc
@@ -29,10 +29,18 @@
 
 	void put(const std::string &id, int64_t revision,
 		 const std::string &service = "shop",
-		 const std::string &address = "10.0.0.1:80")
+		 const std::string &address = "10.0.0.1:80",
+		 int64_t started_ms = 0)
 	{
 		remove(id);
-		entries.insert({ id, revision, service, address });
+		entries.insert({ id, revision, service, address, started_ms });
+	}
+
+	/* A registration of the usual service and address. */
+	void put_start(const std::string &id, int64_t revision,
+		       int64_t started_ms)
+	{
+		put(id, revision, "shop", "10.0.0.1:80", started_ms);
 	}
 
 	void remove(const std::string &id)
@@ -72,6 +80,7 @@
 		std::string id;
 		int64_t revision;
 		std::string service, address;
+		int64_t started_ms;
 
 		bool operator<(const Entry &other) const
 		{
@@ -90,6 +99,7 @@
 		target->ip = g_strdup("10.0.0.1");
 		target->zone = g_strdup("z1");
 		target->revision = entry.revision;
+		target->started_ms = entry.started_ms;
 		return target;
 	}
 
@@ -133,6 +143,42 @@
 	EXPECT_EQ(in.current(), "crashed ");
 }
 
+/*
+ * The store carries out a write of a crashed boot after its successor has
+ * registered. Guards against the crashed boot in place of the present one.
+ */
+TEST(Boots, LateWriteOfAFormerBootChangesNothing)
+{
+	Registrations in;
+
+	in.put_start("crashed", 5, 100);
+	EXPECT_EQ(in.current(), "crashed ");
+	in.put_start("present", 9, 200);
+	EXPECT_EQ(in.current(), "present ");
+	in.put_start("crashed", 12, 100);
+	EXPECT_EQ(in.current(), "present ");
+	/* Nor does another one, when the present boot has left. */
+	in.remove("present");
+	EXPECT_EQ(in.current(), "");
+	in.put_start("crashed", 15, 100);
+	EXPECT_EQ(in.current(), "");
+}
+
+/*
+ * A daemon starts after the late write of a crashed boot. Guards against a
+ * daemon that takes the order of the store's revisions for that of the boots.
+ */
+TEST(Boots, LateWriteIsOfAFormerBootForADaemonThatStarts)
+{
+	for (const char *crashed : { "a", "z" }) {
+		Registrations in;
+
+		in.put_start(crashed, 12, 100);
+		in.put_start("present", 9, 200);
+		EXPECT_EQ(in.current(), "present ");
+	}
+}
+
 /* Guards against an entry of another writer that hides a server. */
 TEST(Boots, EntryOfAnUnknownServiceSupersedesNothing)
 {
@@ -145,19 +191,30 @@
 	EXPECT_EQ(in.current(), "a ");
 }
 
-/* Guards against memory that grows with each address that was ever in use. */
-TEST(Boots, AddressWithoutARegistrationIsForgotten)
+/*
+ * Guards against a late write of a former boot that counts after the present
+ * one has left, and against memory that grows with each address ever in use.
+ */
+TEST(Boots, AddressesWithoutARegistrationAreKeptUpToALimit)
 {
+	const int limit = 4096;
 	struct mesh_target former = {};
 	Registrations in;
 
+	former.id = (char *)"former";
 	former.address = (char *)"10.0.0.1:80";
-	former.revision = 4;
 	in.put("a", 5);
 	EXPECT_EQ(in.current(), "a ");
-	EXPECT_TRUE(boots_is_former(in.boots, &former));
 	in.remove("a");
 	EXPECT_EQ(in.current(), "");
+	EXPECT_TRUE(boots_is_former(in.boots, &former));
+	for (int i = 1; i < limit; i++)
+		in.put("b" + std::to_string(i), 9, "shop",
+		       "10.0.0.2:" + std::to_string(i));
+	in.current();
+	EXPECT_TRUE(boots_is_former(in.boots, &former));
+	in.put("c", 10, "shop", "10.0.0.3:80");
+	in.current();
 	EXPECT_FALSE(boots_is_former(in.boots, &former));
 }
 
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -469,7 +469,11 @@
 		g_autoptr(GBytes) a = g_bytes_new(known, strlen(known));
 		g_autoptr(GBytes) b = g_bytes_new(value, strlen(value));
 
-		return platform_entry_is_known(a, b);
+		struct entry_order from, to;
+
+		return platform_entry_order(a, &from) &&
+		       platform_entry_order(b, &to) &&
+		       entry_order_compare(&from, &to) == ENTRY_FORMER;
 	};
 	const char *known = R"({"born":5,"sequence":7})";
 
--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -205,7 +205,8 @@
 			 tenants + "}");
 }
 
-void Platform::publish_entry(int index, const std::string &phase)
+void Platform::publish_write(int index, const std::string &phase, int sequence,
+			     long born)
 {
 	PlatformHost &host = hosts[(size_t)index];
 
@@ -214,7 +215,13 @@
 			 host.backend + R"(","zone":")" + host.zone +
 			 R"(","resource_version":"v1","max_concurrency":4,
 "phase":")" + phase + R"(","warmup_left":"0ms","sequence":)" +
-			 std::to_string(++host.sequence) + R"(,"born":5})");
+			 std::to_string(sequence) + R"(,"born":)" +
+			 std::to_string(born) + "}");
+}
+
+void Platform::publish_entry(int index, const std::string &phase)
+{
+	publish_write(index, phase, ++hosts[(size_t)index].sequence, 5);
 }
 
 void Platform::set(int index, const std::string &line)
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -51,6 +51,9 @@
 			    int body_max_bytes = 1000000);
 	/* Publishes the entry of a host's server. */
 	void publish_entry(int host, const std::string &phase = "ready");
+	/* The same as a given write of a given start, such as a late one. */
+	void publish_write(int host, const std::string &phase, int sequence,
+			   long born);
 	void delete_item(const std::string &key);
 	void put_item(const std::string &key, const std::string &value);
 	json_int_t store_calls();
