Hold the newest configuration also while the store has no eras

What callers saw: the store carries out an older configuration last, and a daemon that starts after that serves by it: 404 for the routes that it lacks, without end, as the running daemons keep the newest and say nothing.

Cause: the order of configurations is their version. Running daemons compare it, but left the older one in their replicas as the store has it, and so passed it on to daemons that start. Only after a restore did they hold the newest.

Change: the one in force is held in place of an older or unreadable one in any era, so daemons that start get it with the first push.

--- a/relay/mesh_items.c
+++ b/relay/mesh_items.c
@@ -74,13 +74,13 @@
 
 /*
  * The newest configuration stays in force although the store has an older or
- * unreadable one. Other daemons that start shall get it too. Without eras, no
- * acknowledged version is lost, so the replica is as the store has it.
+ * unreadable one, as it was restored or has carried out a write late. Other
+ * daemons that start shall get the newest too.
  */
 static bool hold_config(struct mesh_control *control, const char *key,
 			int64_t revision)
 {
-	if (!control->config || !position_era(revision))
+	if (!control->config)
 		return false;
 	feed_hold_value(control->feed, key, control->config_value, revision,
 			control->config->version + 1, DEADLINE_NEVER);
--- a/tests/relay/test_late_writes.cc
+++ b/tests/relay/test_late_writes.cc
@@ -358,4 +358,29 @@
 	test.expect_in_service();
 }
 
+/*
+ * An older configuration is carried out last. Guards against a daemon that
+ * starts and gets it from the store, or from a daemon that knows better.
+ */
+TEST(LateWrites, OlderConfigurationDoesNotReachADaemonThatStarts)
+{
+	LateWrites test;
+	Platform &in = test.in;
+
+	in.publish_config(3, R"(,["new","mesh.example","/new/","idempotent",
+"3s","1s",2,"shop",2])");
+	EXPECT_TRUE(eventually([&] {
+		return in.send_request(1, "GET", "/new/1").status == 200;
+	}));
+	in.publish_config(2);
+	usleep(1000000);
+	test.restart_daemon(0);
+	EXPECT_TRUE(eventually([&] {
+		return in.send_request(0, "GET", "/new/1").status == 200;
+	}));
+	usleep(1500000);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(in.send_request(i, "GET", "/new/1").status, 200);
+}
+
 } // namespace
