Cancel a probe in flight when another server is registered

What callers saw: a server that had just registered was out of use for 100 ms (backend_replaced), or counted as warm, by the answer to a probe that was sent to the server before it.

Cause: the answer to a probe says who answers now, and was taken as news because it came after the registration. The probe had been sent before it. The load is a daemon that reads a registration while a probe waits for its answer.

Change: probe_restart() cancels the probe in flight and sends another one.

Evidence: Identity.ProbeOfTheFormerServerSaysNothingOfTheNext failed before (6 of 6 registrations were followed by backend_replaced) and passed in 3 of 3 runs after.

--- a/relay/probe.c
+++ b/relay/probe.c
@@ -183,6 +183,10 @@
 
 void probe_restart(struct probe *probe, struct admit *admit, int64_t now)
 {
+	/* The probe in flight was sent to the server before this one. */
+	if (probe->conn)
+		backend_pool_cancel(probe->pool, probe->conn);
+	probe->conn = NULL;
 	probe->down = false;
 	/* It is new or was out of service, and has got no requests lately. */
 	probe->last_warm = now;
--- a/tests/relay/raw_backend.cc
+++ b/tests/relay/raw_backend.cc
@@ -111,9 +111,13 @@
 
 bool RawBackend::serve_probe(int fd)
 {
+	std::string answer = probe_answer;
+
 	nr_probes++;
+	while (hold_probes && !stopped)
+		usleep(1000);
 	if (endless_probe.empty())
-		return send(fd, probe_answer);
+		return send(fd, answer);
 	send_endlessly(fd, "", endless_probe);
 	return false;
 }
--- a/tests/relay/raw_backend.h
+++ b/tests/relay/raw_backend.h
@@ -54,6 +54,8 @@
 	/* The bytes of an answer to a probe. */
 	std::string probe_answer = "HTTP/1.1 200 OK\r\nX-Warmup-Ms: 0\r\n"
 				   "Content-Length: 0\r\n\r\n";
+	/* Probes that have arrived are not answered while it is set. */
+	std::atomic<bool> hold_probes{ false };
 	/* Probes are answered by this unit without end, unless it is empty. */
 	std::string endless_probe;
 
--- a/tests/relay/test_identity.cc
+++ b/tests/relay/test_identity.cc
@@ -1,4 +1,5 @@
 #include "platform.h"
+#include "raw_backend.h"
 
 #include <atomic>
 #include <thread>
@@ -68,6 +69,50 @@
 	}));
 }
 
+std::string probe_answer(const std::string &id)
+{
+	return "HTTP/1.1 200 OK\r\nX-Warmup-Ms: 0\r\nX-Instance-Id: " + id +
+	       "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/*
+ * A probe that was sent to a server is answered after its successor is
+ * registered. Guards against a successor that is out of use by that answer.
+ */
+TEST(Identity, ProbeOfTheFormerServerSaysNothingOfTheNext)
+{
+	Platform in(3, { "--service-ms", "2" });
+	PlatformHost &host = in.hosts[0];
+
+	in.start_all();
+	in.stop_server(0);
+	RawBackend server(host.backend, [](RawBackend &self, int fd,
+					   const RawBackend::Request &next) {
+		return self.send(fd, RawBackend::answer(next.id, ""));
+	});
+	/* A probe waits for 1 s at most, and an entry takes part of that. */
+	for (int i = 0; i < 6; i++) {
+		int nr_before = server.nr_probes;
+
+		server.probe_answer = probe_answer(host.id);
+		server.hold_probes = true;
+		EXPECT_TRUE(eventually([&] {
+			in.send_request(0, "GET", "/stock/1");
+			return server.nr_probes > nr_before;
+		}));
+		host.id = "i-next-" + std::to_string(i);
+		server.probe_answer = probe_answer(host.id);
+		in.publish_entry(0);
+		EXPECT_TRUE(eventually(
+			[&] { return server_in_use(in, 0) == host.id; }));
+		server.hold_probes = false;
+		for (int k = 0; k < 30; k++) {
+			EXPECT_FALSE(is_replaced(in, 0));
+			usleep(10000);
+		}
+	}
+}
+
 /*
  * The setting names another service before the entry of the new server is
  * there, while the server in use goes on. Guards against requests of the new
