--- a/lib/mesh/host.h
+++ b/lib/mesh/host.h
@@ -39,7 +39,12 @@
 	int64_t memory_bytes;	 /* that the daemon may use; 0: unknown */
 	int descriptors_max;	 /* that the daemon may use; 0: unknown */
 	int64_t stop_grace_ms;	 /* from SIGTERM to SIGKILL */
-	bool first_start;	 /* the whole fleet starts for the first time */
+	/*
+	 * From the end of a server to the use of its address by one of another
+	 * service, at least; 0: not known.
+	 */
+	int64_t reuse_after_ms;
+	bool first_start; /* the whole fleet starts for the first time */
 };
 
 struct mesh_host *mesh_host_new(void);
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -13,13 +13,6 @@
 /* A server that made a call is reported as making calls for this long. */
 #define MAKES_CALLS_NS (60 * NS_PER_SEC)
 
-/*
- * Added to the cold time that a server reports. It is rounded to whole
- * milliseconds and already old when it arrives; a report that was 9 ms short
- * let a server be overloaded while it was still cold.
- */
-#define COLD_MARGIN_NS (100 * NS_PER_MS)
-
 /* Answers. */
 
 static void fill_load(const struct backend_side *side,
@@ -104,7 +97,7 @@
 		  " left_ms=%" PRId64 " cost_us=%" PRId64
 		  " expected_us=%" PRId64 " report_age_ms=%" PRId64,
 		  log_quote(job->request.request_id),
-		  side->backend_id ? side->backend_id : "none",
+		  side->server.id ? side->server.id : "none",
 		  failure_get(reason)->name, admit_running(side->admit),
 		  admit_queued(side->admit), side->slots,
 		  admit_wait_ns(side->admit) / NS_PER_MS,
@@ -130,7 +123,7 @@
 
 	log_event(LOG_WARNING, "backend_ended", "host=%s backend=%s",
 		  side->context->host->name,
-		  side->backend_id ? side->backend_id : "none");
+		  side->server.id ? side->server.id : "none");
 	side->life++;
 	backend_load_reset(&side->load);
 	admit_backend_lost(side->admit, admit_life(side->admit), now);
@@ -155,48 +148,6 @@
 	backend_pool_close_idle(side->pool);
 }
 
-/*
- * Notes which server answers at the address. Another one than the registered
- * server is in use once its own registration is known: until then its service
- * is not.
- */
-static void note_identity(struct backend_side *side, const char *backend_id)
-{
-	bool is_replaced;
-
-	if (!backend_id || !side->backend_id)
-		return;
-	is_replaced = strcmp(backend_id, side->backend_id) != 0;
-	if (is_replaced && !side->is_replaced)
-		log_event(LOG_NOTICE, "backend_replaced",
-			  "registered=%s answers=%s", side->backend_id,
-			  log_quote(backend_id));
-	side->is_replaced = is_replaced;
-}
-
-/* Applies the result of a probe: which server answers, its load, cold time. */
-static void on_probed(void *ctx, const struct http_message *response,
-		      const char *backend_id, int64_t cold_left_ms)
-{
-	struct backend_side *side = ctx;
-	int64_t now = clock_monotonic_ns();
-
-	note_identity(side, backend_id);
-	if (side->is_replaced) {
-		/* Its load and cold time are not the registered server's. */
-		backend_side_start_next(side);
-		return;
-	}
-	backend_load_note(&side->load, response, now);
-	if (cold_left_ms > 0)
-		probe_set_cold(side->probe, side->admit,
-			       now + cold_left_ms * NS_PER_MS + COLD_MARGIN_NS,
-			       now);
-	else if (!cold_left_ms)
-		probe_set_cold(side->probe, side->admit, now, now);
-	backend_side_start_next(side);
-}
-
 /* Running a job. */
 
 static enum admit_outcome admit_outcome_of(enum failure_reason reason)
@@ -242,7 +193,7 @@
 		  " reason=%s status=%d waited_us=%" PRId64 " ran_us=%" PRId64
 		  " running=%d queued=%d",
 		  log_quote(job->request.request_id),
-		  side->backend_id ? side->backend_id : "none", job->admit.life,
+		  side->server.id ? side->server.id : "none", job->admit.life,
 		  failure_get(reason)->name, status,
 		  (job->admit.started - job->admit.arrival) / NS_PER_US,
 		  (now - job->admit.started) / NS_PER_US,
@@ -295,8 +246,8 @@
 	bool has_organisations =
 		side->view->config && side->view->config->organisations;
 	GString *head =
-		backend_message_head(request, side->backend_id,
-				     left / NS_PER_MS, has_organisations);
+		backend_message_head(request, side->server.id, left / NS_PER_MS,
+				     has_organisations);
 
 	counter_add(&side->admitted, 1);
 	cds_list_add_tail(&job->node, &side->running);
@@ -322,8 +273,8 @@
 {
 	if (backend_side_is_draining(side))
 		return FAILURE_TARGET_DRAINING;
-	if (!side->backend_id ||
-	    strcmp(job->request.service, side->service) != 0)
+	if (!side->server.id ||
+	    strcmp(job->request.service, side->server.service) != 0)
 		return FAILURE_VERSION;
 	if (probe_is_down(side->probe))
 		return FAILURE_BACKEND_REFUSED;
@@ -486,8 +437,8 @@
 	 * that it is draining: after a restart of all hosts, callers would
 	 * avoid it for a second.
 	 */
-	return side->draining || side->is_replaced ||
-	       (side->backend_id && !side->in_service);
+	return side->draining || side->server.is_replaced ||
+	       (side->server.id && !side->in_service);
 }
 
 int backend_side_nr_jobs(const struct backend_side *side)
@@ -579,7 +530,7 @@
 	};
 	struct probe_options probe = {
 		.context = context,
-		.probed = on_probed,
+		.probed = backend_side_probed,
 		.ended = on_backend_ended,
 		.silent = on_backend_silent,
 		.ctx = side,
@@ -599,8 +550,8 @@
 json_t *backend_side_dump(const struct backend_side *side)
 {
 	return json_pack("{s:s, s:b, s:b, s:b, s:i, s:i, s:I, s:o, s:o}",
-			 "backend", side->backend_id ? side->backend_id : "",
-			 "replaced", side->is_replaced, "in_service",
+			 "backend", side->server.id ? side->server.id : "",
+			 "replaced", side->server.is_replaced, "in_service",
 			 side->in_service, "draining", side->draining, "jobs",
 			 side->nr_jobs, "connections",
 			 (int)backend_pool_nr_conns(side->pool),
--- a/relay/backend_side_internal.h
+++ b/relay/backend_side_internal.h
@@ -4,6 +4,7 @@
 #include "relay/backend_load.h"
 #include "relay/backend_pool.h"
 #include "relay/backend_side.h"
+#include "relay/local_server.h"
 #include "relay/losses.h"
 #include "relay/probe.h"
 #include "retry/retry.h"
@@ -12,7 +13,8 @@
  * Shared by the files of the backend side: backend_side.c admits, runs and
  * answers requests, backend_outcome.c judges the server by their results,
  * backend_load.c estimates its speed and outstanding work,
- * backend_view.c applies the published configuration and the server's entry.
+ * backend_view.c applies the published configuration and the server's entry,
+ * backend_probed.c the results of health probes.
  */
 
 struct backend_side {
@@ -22,16 +24,7 @@
 	struct probe *probe;
 	struct admit *admit;
 	struct cds_list_head running;
-	/*
-	 * The registered server, which alone may get requests. Whichever one
-	 * answers at its address may be of another service, once the address
-	 * is used again.
-	 */
-	char *backend_id;   /* NULL: none is registered */
-	char *service;	    /* of that registration; NULL: none */
-	int64_t started_ms; /* Unix ms of that server's start; 0: unknown */
-	/* The last health probe was answered by another server. */
-	bool is_replaced;
+	struct local_server server;
 	int nr_jobs;
 	size_t long_bytes; /* usual length of the long answers of its jobs */
 	int slots;
@@ -52,6 +45,9 @@
 /* Starts queued jobs as far as slots and the cold rate allow. */
 void backend_side_start_next(struct backend_side *side);
 
+/* Applies the result of a probe: which server answers, its load, cold time. */
+void backend_side_probed(void *ctx, const struct probe_answer *answer);
+
 /* Counts the result of a run; the status is 0 if there was no response. */
 void backend_side_record_outcome(struct backend_side *side,
 				 const struct relay_job *job,
--- a/relay/backend_view.c
+++ b/relay/backend_view.c
@@ -23,13 +23,6 @@
 				     side->context->host->service);
 }
 
-static void forget_backend(struct backend_side *side)
-{
-	g_clear_pointer(&side->backend_id, g_free);
-	g_clear_pointer(&side->service, g_free);
-	side->is_replaced = false;
-}
-
 static void apply_target(struct backend_side *side,
 			 const struct mesh_target *target, int64_t now)
 {
@@ -39,21 +32,13 @@
 		.queue_max = target->slots * QUEUE_PER_SLOT,
 		.limit_policy = &admit_limit_fixed,
 	};
-	bool is_new = !side->backend_id ||
-		      strcmp(side->backend_id, target->id) != 0 ||
-		      strcmp(side->service, target->service) != 0 ||
-		      side->started_ms != target->started_ms;
 
 	admit_set_policy(side->admit, &options, now);
 	side->slots = target->slots;
-	if (!is_new)
+	if (!local_server_register(&side->server, target))
 		return;
 	log_event(LOG_NOTICE, "backend_registered", "backend=%s slots=%d",
 		  target->id, target->slots);
-	forget_backend(side);
-	side->backend_id = g_strdup(target->id);
-	side->service = g_strdup(target->service);
-	side->started_ms = target->started_ms;
 	backend_pool_close_idle(side->pool);
 	backend_load_reset(&side->load);
 	/* A newly registered server counts as cold until a probe reports. */
@@ -105,7 +90,7 @@
 	if (target)
 		apply_target(side, target, now);
 	else
-		forget_backend(side);
+		local_server_forget(&side->server);
 	if (view->config)
 		apply_answer_limit(side);
 	if (target && !side->in_service && mesh_view_in_service(view, target))
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -84,15 +84,20 @@
 static void handle_answer(struct probe *probe,
 			  const struct http_message *response)
 {
+	const struct probe_answer answer = {
+		.response = response,
+		.backend_id =
+			http_message_value(response, HTTP_ROLE_BACKEND_ID),
+		.cold_left_ms = get_cold_left_ms(response),
+		.sent = probe->started,
+	};
+
 	if (probe->down)
 		log_event(LOG_NOTICE, "backend_back", "host=%s",
 			  probe->options.context->host->name);
 	probe->down = false;
 	probe->last_answer = clock_monotonic_ns();
-	probe->options.probed(probe->options.ctx, response,
-			      http_message_value(response,
-						 HTTP_ROLE_BACKEND_ID),
-			      get_cold_left_ms(response));
+	probe->options.probed(probe->options.ctx, &answer);
 }
 
 static void on_answer(enum http_end end, struct http_message *response,
--- a/relay/probe.h
+++ b/relay/probe.h
@@ -21,15 +21,18 @@
 /* The server rejected the probe, and its answer has no cold time. */
 #define PROBE_COLD_UNKNOWN (-1)
 
+struct probe_answer {
+	const struct http_message *response;
+	const char *backend_id; /* that the server reports; NULL: none */
+	/* How long it stays cold; PROBE_COLD_UNKNOWN if it did not tell. */
+	int64_t cold_left_ms;
+	int64_t sent; /* when the probe was sent; monotonic ns */
+};
+
 struct probe_options {
 	const struct relay_context *context;
-	/*
-	 * A server answered a probe: the response, the id that it reports, NULL
-	 * if it reports none, and how long it stays cold,
-	 * PROBE_COLD_UNKNOWN if it did not tell.
-	 */
-	void (*probed)(void *ctx, const struct http_message *response,
-		       const char *backend_id, int64_t cold_left_ms);
+	/* A server answered a probe. */
+	void (*probed)(void *ctx, const struct probe_answer *answer);
 	/* The server refuses connections, so its process has ended. */
 	void (*ended)(void *ctx);
 	/* The server answers neither probes nor requests. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -288,6 +288,7 @@
 	host->cold_overage = read->cold_overage;
 	host->cold_slack = read->cold_slack;
 	host->stop_grace_ms = read->stop_grace_ms;
+	host->reuse_after_ms = read->reuse_after_ms;
 	if (g_strcmp0(host->service, read->service) != 0) {
 		g_free(host->service);
 		host->service = g_strdup(read->service);
@@ -310,6 +311,11 @@
 	reload_settings(relay);
 }
 
+static void refresh_settings(void *ctx)
+{
+	check_settings(ctx);
+}
+
 static void on_settings_timer(struct timer *timer, int64_t now)
 {
 	struct relay *relay =
@@ -440,6 +446,7 @@
 	relay->context.account = memory_limits_new(host, &relay->metrics);
 	relay->context.stop_deadline = DEADLINE_NEVER;
 	relay->context.report_crash = on_crashed;
+	relay->context.refresh_settings = refresh_settings;
 	relay->context.ctx = relay;
 	relay->stop_timer.fire = on_stop_timer;
 	relay->settings_timer.fire = on_settings_timer;
--- a/tests/relay/test_identity.cc
+++ b/tests/relay/test_identity.cc
@@ -113,6 +113,65 @@
 	}
 }
 
+/*
+ * Daemon and server of a host start again, and the new entry takes its time.
+ * Guards against a host that serves nothing until then, as after a restart of
+ * all hosts: a daemon that has seen no other server goes by its settings.
+ */
+TEST(Identity, NextBootIsUsedBeforeItsEntryByADaemonThatStarts)
+{
+	Platform in(3, { "--service-ms", "2" });
+
+	in.start_all();
+	process_kill(&in.hosts[0].daemon);
+	in.restart_server(0, "i-next");
+	in.start_daemon(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+	EXPECT_EQ(server_in_use(in, 0), "i-next");
+	send_lookups(in, 30);
+	in.publish_entry(0);
+	usleep(1000000);
+	EXPECT_EQ(server_in_use(in, 0), "i-next");
+}
+
+/*
+ * The same for a daemon that goes on, within the time in which an address is
+ * not used again. Guards also against a server of the next service, whose
+ * settings came without a signal.
+ */
+TEST(Identity, NextBootIsUsedUntilItsAddressMayBeUsedAgain)
+{
+	Platform in(3, { "--service-ms", "2" });
+	size_t before;
+
+	in.more_settings = "bounds.reuse_after=3s\n";
+	in.start_all();
+	in.restart_server(0, "i-next");
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+	EXPECT_EQ(server_in_use(in, 0), "i-next");
+	in.stop_server(0);
+	usleep(4000000);
+	in.restart_server(0, "i-late");
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return is_replaced(in, 0);
+	}));
+	send_lookups(in, 30);
+	EXPECT_EQ(in.runs(0), 0u);
+	/* As quickly as the first one, but of another service. */
+	in.restart_server(1, "i-docs");
+	in.set(1, "service=docs");
+	before = in.runs(1);
+	send_lookups(in, 60);
+	EXPECT_EQ(in.runs(1), before);
+}
+
 /*
  * The setting names another service before the entry of the new server is
  * there, while the server in use goes on. Guards against requests of the new
