Write entries late in the soak, and check that daemons agree on the servers

The soak now publishes earlier writes of a server and new starts under its id, also with an earlier time, in series with the other faults. At the end all daemons have to use all servers, and none that leaves, after late heartbeats.

A first form of the new checks counted the host of another service and failed for that reason alone.

--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -221,7 +221,9 @@
 
 void Platform::publish_entry(int index, const std::string &phase)
 {
-	publish_write(index, phase, ++hosts[(size_t)index].sequence, 5);
+	PlatformHost &host = hosts[(size_t)index];
+
+	publish_write(index, phase, ++host.sequence, host.born);
 }
 
 void Platform::set(int index, const std::string &line)
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -21,6 +21,7 @@
 	std::string settings, log;
 	std::string peers; /* where daemons send requests */
 	int sequence = 0;  /* of the server's last entry */
+	long born = 5;	   /* Unix ms of the server's start, in its entries */
 	std::string backend, backend_control;
 	struct process daemon = {}, server = {};
 	/* Between other daemons and this one; between it and the store. */
--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -21,6 +21,18 @@
 const int HOSTS = 4;
 const int CALLERS = 6;
 
+/* Hosts of the service that the callers use; the last one is of another. */
+const int SERVING_HOSTS = 3;
+
+/* Between two starts of a server, in its entries. */
+const long START_STEP_MS = 1000;
+
+/* Between two writes of a server. */
+const useconds_t HEARTBEAT_US = 900000;
+
+/* Writes after which all daemons agree on the present start of a server. */
+const int WRITES_TO_AGREE = 8;
+
 /* The results of the callers, by request id and by status. */
 struct Results {
 	std::mutex lock;
@@ -110,7 +122,7 @@
 						       "slow&ms=300", "none" };
 		int host = draw(0, HOSTS - 1);
 
-		switch (draw(0, 10)) {
+		switch (draw(0, 12)) {
 		case 0:
 			count_fault("daemon killed");
 			restart(host, SIGKILL);
@@ -158,6 +170,14 @@
 		case 9:
 			restore_store();
 			break;
+		case 10:
+			count_fault("server entry written late");
+			write_late(host);
+			break;
+		case 11:
+			count_fault("server started again under its id");
+			start_again(host);
+			break;
 		default:
 			count_fault("configuration published");
 			publish_config();
@@ -171,6 +191,78 @@
 				   R"("idempotent","3s","1s",2,"shop",2])");
 	}
 
+	/* The store carries out an earlier write, perhaps of another start. */
+	void write_late(int host)
+	{
+		const PlatformHost &server = platform.hosts[(size_t)host];
+		const char *phase = draw(0, 1) ? "ready" : "draining";
+
+		if (draw(0, 2))
+			platform.publish_write(host, phase,
+					       server.sequence - draw(1, 3),
+					       server.born);
+		else
+			platform.publish_write(host, phase,
+					       server.sequence + draw(0, 3),
+					       server.born - START_STEP_MS);
+	}
+
+	/* The time of day of the host may have gone back meanwhile. */
+	void start_again(int host)
+	{
+		PlatformHost &server = platform.hosts[(size_t)host];
+
+		server.born +=
+			draw(0, 4) ? 2 * START_STEP_MS : -START_STEP_MS / 2;
+		server.sequence = 0;
+		platform.publish_entry(host);
+	}
+
+	/*
+	 * How many daemons have as many servers in service as wanted, once they
+	 * have had time to agree.
+	 */
+	int count_in_service(int wanted)
+	{
+		std::string text = " " + std::to_string(wanted) + " in service";
+		int nr = 0;
+
+		for (const PlatformHost &host : platform.hosts)
+			nr += eventually([&] {
+				return call(host.operators, "GET",
+					    "/explain?host=mesh.example&path="
+					    "/stock/1")
+					       .body.find(text) !=
+				       std::string::npos;
+			});
+		return nr;
+	}
+
+	/*
+	 * Each server writes often enough that a start with an earlier time is
+	 * the present one. Then one leaves, and its heartbeats come late.
+	 */
+	void check_agreement(CheckResult &ready, CheckResult &leaving)
+	{
+		for (int round = 0; round < WRITES_TO_AGREE; round++) {
+			for (int i = 0; i < HOSTS; i++)
+				platform.publish_entry(i);
+			usleep(HEARTBEAT_US);
+		}
+		ready.violated += HOSTS - count_in_service(SERVING_HOSTS);
+		platform.publish_entry(0, "draining");
+		usleep(HEARTBEAT_US);
+		for (int late = 1; late <= 3; late++)
+			platform.publish_write(0, "ready",
+					       platform.hosts[0].sequence -
+						       late,
+					       platform.hosts[0].born);
+		usleep(HEARTBEAT_US);
+		leaving.violated += HOSTS - count_in_service(SERVING_HOSTS - 1);
+		usleep(HEARTBEAT_US);
+		leaving.violated += HOSTS - count_in_service(SERVING_HOSTS - 1);
+	}
+
 	/* Restores the copy or takes another one. */
 	void restore_store()
 	{
@@ -235,6 +327,10 @@
 		CheckResult config = { "every daemon has the newest "
 				       "configuration",
 				       HOSTS, 0 };
+		CheckResult ready = { "every daemon uses all servers", HOSTS,
+				      0 };
+		CheckResult leaving = { "no daemon uses a server that leaves",
+					2 * HOSTS, 0 };
 		std::vector<CheckResult> checks;
 		int violated = 0;
 
@@ -255,6 +351,7 @@
 		for (int i = 0; i < HOSTS; i++)
 			config.violated += !eventually(
 				[&] { return has_newest_config(i); });
+		check_agreement(ready, leaving);
 		for (const auto &fault : faults)
 			printf("fault: %s: %d\n", fault.first.c_str(),
 			       fault.second);
@@ -269,6 +366,8 @@
 			printf("answers %d: %d\n", status.first, status.second);
 		checks.push_back(serving);
 		checks.push_back(config);
+		checks.push_back(ready);
+		checks.push_back(leaving);
 		for (const CheckResult &check : checks) {
 			printf("invariant: %s: checked %ld, violated %ld%s\n",
 			       check.invariant, check.checked, check.violated,
