--- a/lib/mesh/view.h
+++ b/lib/mesh/view.h
@@ -78,7 +78,7 @@
 /* A backend server with the values that it registered. */
 struct mesh_target {
 	gint refs;
-	char *id; /* differs for each start of the server */
+	char *id; /* differs for most starts of the server */
 	char *service;
 	char *address; /* IP:PORT, reachable from its own host only */
 	char *ip;      /* of its host, where that host's daemon listens */
--- a/tests/relay/raw_backend.cc
+++ b/tests/relay/raw_backend.cc
@@ -109,10 +109,22 @@
 	return head.substr(at, head.find("\r\n", at) - at);
 }
 
+void RawBackend::set_probe_answer(const std::string &bytes)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	probe_answer = bytes;
+}
+
 bool RawBackend::serve_probe(int fd)
 {
-	std::string answer = probe_answer;
+	std::string answer;
 
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		answer = probe_answer;
+	}
 	nr_probes++;
 	while (hold_probes && !stopped)
 		usleep(1000);
--- a/tests/relay/raw_backend.h
+++ b/tests/relay/raw_backend.h
@@ -51,6 +51,8 @@
 	std::atomic<int> nr_runs{ 0 }; /* requests that are no probes */
 	std::atomic<int> nr_probes{ 0 };
 	std::atomic<size_t> endless_bytes{ 0 };
+	/* Changes the bytes of an answer to a probe while it runs. */
+	void set_probe_answer(const std::string &bytes);
 	/* The bytes of an answer to a probe. */
 	std::string probe_answer = "HTTP/1.1 200 OK\r\nX-Warmup-Ms: 0\r\n"
 				   "Content-Length: 0\r\n\r\n";
@@ -68,7 +70,7 @@
 	Serve serve;
 	int listener;
 	std::atomic<bool> stopped{ false };
-	std::mutex lock; /* guards the two below */
+	std::mutex lock; /* guards the two below and probe_answer */
 	std::list<std::thread> threads;
 	std::list<int> fds;
 	std::thread acceptor;
--- a/tests/relay/test_identity.cc
+++ b/tests/relay/test_identity.cc
@@ -94,14 +94,14 @@
 	for (int i = 0; i < 6; i++) {
 		int nr_before = server.nr_probes;
 
-		server.probe_answer = probe_answer(host.id);
+		server.set_probe_answer(probe_answer(host.id));
 		server.hold_probes = true;
 		EXPECT_TRUE(eventually([&] {
 			in.send_request(0, "GET", "/stock/1");
 			return server.nr_probes > nr_before;
 		}));
 		host.id = "i-next-" + std::to_string(i);
-		server.probe_answer = probe_answer(host.id);
+		server.set_probe_answer(probe_answer(host.id));
 		in.publish_entry(0);
 		EXPECT_TRUE(eventually(
 			[&] { return server_in_use(in, 0) == host.id; }));
