Take no next boot for known while the settings can't be read

A server with another id was taken for the next boot of the registered one also when the settings file was gone or could not be read, by the service that it had named before: a server of another service could get requests (by reading of the code; not seen). Whether the file could be read is now part of the decision. Identity.NextBootIsNotUsedWithoutSettings and LocalServer.SettingsThatName* pass.

--- a/relay/backend_probed.c
+++ b/relay/backend_probed.c
@@ -28,9 +28,9 @@
 	};
 	g_autofree char *former = NULL;
 
-	if (local_server_is_other(&side->server, answer.id))
-		context->refresh_settings(context->ctx);
-	answer.service = context->host->service;
+	if (local_server_is_other(&side->server, answer.id) &&
+	    context->refresh_settings(context->ctx))
+		answer.service = context->host->service;
 	former = g_strdup(side->server.id);
 	switch (local_server_answered(&side->server, &answer)) {
 	case LOCAL_SERVER_SAME:
@@ -46,7 +46,7 @@
 		log_event(LOG_NOTICE, "backend_replaced",
 			  "registered=%s answers=%s service=%s",
 			  side->server.registered_id, log_quote(answer.id),
-			  answer.service);
+			  answer.service ? answer.service : "unknown");
 		break;
 	}
 }
--- a/relay/local_server.h
+++ b/relay/local_server.h
@@ -33,7 +33,7 @@
 	int64_t sent;	 /* when the probe was sent */
 	int64_t now;
 	int64_t reuse_after_ns; /* 0: an address may be used again at once */
-	/* The service of this host, by settings read after the answer. */
+	/* By settings read after the answer; NULL: they can't be read. */
 	const char *service;
 };
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -31,6 +31,7 @@
 	struct metrics metrics;
 	const char *settings_path;
 	struct timespec settings_changed;
+	bool settings_are_read; /* the last time that they changed */
 	struct backend_side *backend_side;
 	struct peers *peers;
 	struct peer_links *links;
@@ -267,9 +268,9 @@
 
 /*
  * Applies the settings that can change in a running daemon. Addresses do not
- * change until it restarts.
+ * change until it restarts. Returns whether the file could be read.
  */
-static void reload_settings(struct relay *relay)
+static bool reload_settings(struct relay *relay)
 {
 	struct mesh_host *host = (struct mesh_host *)relay->context.host;
 	CLEANUP(mesh_host_freep) struct mesh_host *read = NULL;
@@ -281,8 +282,9 @@
 		log_event(LOG_ERR, "settings_refused", "errors=%zu",
 			  findings.nr_errors);
 	findings_release(&findings);
+	relay->settings_are_read = read != NULL;
 	if (!read)
-		return;
+		return false;
 	host->retry_ratio = read->retry_ratio;
 	host->retry_slack = read->retry_slack;
 	host->cold_overage = read->cold_overage;
@@ -297,23 +299,25 @@
 	}
 	log_event(LOG_NOTICE, "settings_read", "host=%s service=%s", host->name,
 		  host->service);
+	return true;
 }
 
-static void check_settings(struct relay *relay)
+static bool check_settings(struct relay *relay)
 {
 	struct stat info;
 
-	if (stat(relay->settings_path, &info) ||
-	    (info.st_mtim.tv_sec == relay->settings_changed.tv_sec &&
-	     info.st_mtim.tv_nsec == relay->settings_changed.tv_nsec))
-		return;
+	if (stat(relay->settings_path, &info))
+		return false;
+	if (info.st_mtim.tv_sec == relay->settings_changed.tv_sec &&
+	    info.st_mtim.tv_nsec == relay->settings_changed.tv_nsec)
+		return relay->settings_are_read;
 	relay->settings_changed = info.st_mtim;
-	reload_settings(relay);
+	return reload_settings(relay);
 }
 
-static void refresh_settings(void *ctx)
+static bool refresh_settings(void *ctx)
 {
-	check_settings(ctx);
+	return check_settings(ctx);
 }
 
 static void on_settings_timer(struct timer *timer, int64_t now)
@@ -431,6 +435,7 @@
 	relay->settings_path = settings_path;
 	if (!stat(settings_path, &info))
 		relay->settings_changed = info.st_mtim;
+	relay->settings_are_read = true;
 	timers_init(&relay->timers);
 	metrics_init(&relay->metrics);
 	relay->context.host = host;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -38,8 +38,11 @@
 	int64_t stop_deadline;
 	/* Reports a crash of the local backend server to the other daemons. */
 	void (*report_crash)(void *ctx, const struct quarantine_entry *entry);
-	/* Applies the settings if their file has changed. */
-	void (*refresh_settings)(void *ctx);
+	/*
+	 * Applies the settings if their file has changed; false if it can't be
+	 * read, so that they may be those of before.
+	 */
+	bool (*refresh_settings)(void *ctx);
 	void *ctx;
 };
 
--- a/tests/relay/test_identity.cc
+++ b/tests/relay/test_identity.cc
@@ -172,6 +172,31 @@
 	EXPECT_EQ(in.runs(1), before);
 }
 
+/* Guards against a service that settings named which are gone by now. */
+TEST(Identity, NextBootIsNotUsedWithoutSettings)
+{
+	Platform in(3, { "--service-ms", "2" });
+	PlatformHost &host = in.hosts[0];
+	std::string gone = host.settings + ".gone";
+
+	in.more_settings = "bounds.reuse_after=3s\n";
+	in.start_all();
+	ASSERT_EQ(rename(host.settings.c_str(), gone.c_str()), 0);
+	in.restart_server(0, "i-next");
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return is_replaced(in, 0);
+	}));
+	send_lookups(in, 30);
+	EXPECT_EQ(in.runs(0), 0u);
+	ASSERT_EQ(rename(gone.c_str(), host.settings.c_str()), 0);
+	in.publish_entry(0);
+	EXPECT_TRUE(eventually([&] {
+		in.send_request(0, "GET", "/stock/1");
+		return in.runs(0) > 0;
+	}));
+}
+
 /*
  * The setting names another service before the entry of the new server is
  * there, while the server in use goes on. Guards against requests of the new
