--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -347,6 +347,17 @@
 	return answer;
 }
 
+int Platform::nr_in_service(int host)
+{
+	std::string text = call(hosts[(size_t)host].operators, "GET",
+				"/explain?host=mesh.example&path=/stock/1")
+				   .body;
+	size_t end = text.find(" in service");
+	size_t begin = text.rfind(' ', end - 1);
+
+	return end == std::string::npos ? -1 : atoi(text.c_str() + begin);
+}
+
 json_t *Platform::dump(int index)
 {
 	return json_loads(call(hosts[(size_t)index].operators, "GET", "/dump")
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -95,6 +95,8 @@
 				      const std::string &fields = "");
 	/* The ids of the requests that a host's server ran. */
 	std::vector<std::string> run_ids(int host);
+	/* How many servers of the lookups' service a daemon has in service. */
+	int nr_in_service(int host);
 	/* The state dump of a daemon; the caller owns the reference. */
 	json_t *dump(int host);
 	/* The number of requests that a server ran; a member of the last. */
--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -224,16 +224,11 @@
 	 */
 	int count_in_service(int wanted)
 	{
-		std::string text = " " + std::to_string(wanted) + " in service";
 		int nr = 0;
 
-		for (const PlatformHost &host : platform.hosts)
+		for (int i = 0; i < HOSTS; i++)
 			nr += eventually([&] {
-				return call(host.operators, "GET",
-					    "/explain?host=mesh.example&path="
-					    "/stock/1")
-					       .body.find(text) !=
-				       std::string::npos;
+				return platform.nr_in_service(i) == wanted;
 			});
 		return nr;
 	}
--- a/tests/relay/test_late_writes.cc
+++ b/tests/relay/test_late_writes.cc
@@ -72,9 +72,7 @@
 
 	bool is_in_service(int at)
 	{
-		return call(in.hosts[(size_t)at].operators, "GET",
-			    "/explain?host=mesh.example&path=/stock/1")
-			       .body.find(" 3 in service") != std::string::npos;
+		return in.nr_in_service(at) == 3;
 	}
 
 	void restart_daemon(int at)
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -353,6 +353,21 @@
 	}
 }
 
+/* Expects that a lookup and an order run and that neither is answered. */
+void expect_lost(Platform &in, const RawBackend &server, int host,
+		 const std::string &name)
+{
+	int before = server.nr_runs;
+
+	EXPECT_NE(in.send_request(host, "GET", "/stock/1", "", 1000).status,
+		  200)
+		<< name;
+	EXPECT_NE(in.send_request(host, "POST", "/orders/1", "x", 1000).status,
+		  200)
+		<< name;
+	EXPECT_GT(server.nr_runs, before) << name;
+}
+
 /*
  * Guards against an answer that broke off and looks complete to the caller, on
  * the server's own host and when it passes another daemon.
@@ -407,21 +422,8 @@
 	ASSERT_TRUE(wait_for_server(in, 3));
 	for (size_t i = 0; i < std::size(cases); i++) {
 		broken = (int)i;
-		for (int host : { 0, 3 }) {
-			int before = server->nr_runs;
-
-			EXPECT_NE(in.send_request(host, "GET", "/stock/1", "",
-						  1000)
-					  .status,
-				  200)
-				<< cases[i].name;
-			EXPECT_NE(in.send_request(host, "POST", "/orders/1",
-						  "x", 1000)
-					  .status,
-				  200)
-				<< cases[i].name;
-			EXPECT_GT(server->nr_runs, before) << cases[i].name;
-		}
+		for (int host : { 0, 3 })
+			expect_lost(in, *server, host, cases[i].name);
 	}
 }
 
@@ -462,21 +464,8 @@
 	ASSERT_TRUE(wait_for_server(in, 3));
 	for (int missing = 1; missing <= (int)rest.size() + 2; missing += 3) {
 		cut = missing;
-		for (int host : { 0, 3 }) {
-			int before = server->nr_runs;
-
-			EXPECT_NE(in.send_request(host, "GET", "/stock/1", "",
-						  1000)
-					  .status,
-				  200)
-				<< missing;
-			EXPECT_NE(in.send_request(host, "POST", "/orders/1",
-						  "x", 1000)
-					  .status,
-				  200)
-				<< missing;
-			EXPECT_GT(server->nr_runs, before) << missing;
-		}
+		for (int host : { 0, 3 })
+			expect_lost(in, *server, host, std::to_string(missing));
 	}
 }
 
