--- a/tests/relay/test_stop.cc
+++ b/tests/relay/test_stop.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 extern "C" {
 #include "base/clock.h"
 #include "net/address.h"
@@ -130,4 +132,34 @@
 	}
 }
 
+/*
+ * A server is at work on a request of a daemon that stops, while the host of
+ * the server falls silent for longer than the time after which its link is
+ * given up. No other server takes the request. Guards against a request that
+ * may be repeated being answered as failed although its answer is to come.
+ */
+TEST(Stop, RequestAtWorkOnASilentHostIsAnswered)
+{
+	const int caller = 0, runner = 1;
+	Platform in(2, { "--service-ms", "3500" });
+	CallerAnswer answer;
+	std::thread thread;
+
+	in.start_all(R"(,["long","mesh.example","/long/","idempotent","9s",
+"7s",2,"shop",2])");
+	in.publish_entry(caller, "draining");
+	EXPECT_TRUE(eventually([&] { return in.nr_in_service(caller) == 1; }));
+	thread = std::thread([&] {
+		answer = in.send_request(caller, "GET", "/long/1", "", 9000);
+	});
+	EXPECT_TRUE(eventually([&] { return in.runs(runner) == 1; }));
+	process_signal(&in.hosts[caller].daemon, SIGTERM);
+	process_signal(&in.hosts[runner].daemon, SIGSTOP);
+	usleep(2000000);
+	process_signal(&in.hosts[runner].daemon, SIGCONT);
+	thread.join();
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(in.runs(runner), 1U);
+}
+
 } // namespace
