Count the store's absence from the last read of any daemon

Callers saw refusals and lost links for up to 2 s after an absence of the store of more than 3 s: the view of most daemons fell from 82 servers to 3 to 30 of them, although all lived.

Cause: a reader judged the absence by its own failed calls. One that had started or taken over the reading late in it found less than 2 s, so it deleted the expired entries at once, and its pushes made all other daemons do so.

All daemons now note each read and each failure that readers announce. A read is the end of an outage if somebody failed since the last known one and that is 2 s ago, or if no read is known. Time without a failure is no outage, so a takeover of the reading holds nothing back.

--- a/relay/feed_peers.c
+++ b/relay/feed_peers.c
@@ -308,6 +308,7 @@
 	root->read_at = received->read_age_ms < 0
 				? 0
 				: now - received->read_age_ms * NS_PER_MS;
+	peers->options.ops->store_state(peers->options.ctx, root->read_at);
 	if (peer && received->read_age_ms < 0)
 		peer->reader_seen_at =
 			MIN(peer->reader_seen_at, now - READERS_STALE_NS);
--- a/relay/feed_peers.h
+++ b/relay/feed_peers.h
@@ -33,6 +33,11 @@
 			size_t nr);
 	/* This daemon shall read the store from now on, or stop doing so. */
 	void (*role)(void *ctx, bool reads);
+	/*
+	 * Another daemon read the store at a time (monotonic ns); 0: it cannot
+	 * read it.
+	 */
+	void (*store_state)(void *ctx, int64_t read_at);
 };
 
 struct feed_peers_options {
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -11,9 +11,6 @@
 #include "platform/platform.h"
 #include "relay/mesh_control_internal.h"
 
-/* No entry expires in an outage that is shorter than this. */
-#define EXPIRY_HOLD_OUTAGE_NS (2 * NS_PER_SEC)
-
 /* Minimum time between two views; limits the cost of bursts of changes. */
 #define BUILD_INTERVAL_NS (50 * NS_PER_MS)
 
@@ -122,7 +119,8 @@
 
 	if (platform_item_kind(key, &name) != PLATFORM_ITEM_TARGET)
 		return 0;
-	return control->hold_deadline;
+	return MAX(control->outage.hold_deadline,
+		   control->restore_hold_deadline);
 }
 
 /* The store. */
@@ -177,25 +175,48 @@
 		feed_peers_confirmed(control->peers, confirmed);
 }
 
+/* A daemon, this one or another, read the store. */
+static void note_store_read(struct mesh_control *control, int64_t at)
+{
+	int64_t before = control->outage.read_at;
+	int64_t hold = control->outage.hold_deadline;
+
+	store_outage_note_read(&control->outage, at);
+	if (control->outage.hold_deadline == hold)
+		return;
+	log_event(LOG_NOTICE, "expiry_hold",
+		  "unread_ms=%" PRId64 " hold_ms=%" PRId64,
+		  before ? (at - before) / NS_PER_MS : -1,
+		  MAX(0, control->outage.hold_deadline - clock_monotonic_ns()) /
+			  NS_PER_MS);
+}
+
 static void on_lost(void *ctx)
 {
 	struct mesh_control *control = ctx;
 
 	log_event(LOG_WARNING, "store_lost", "revision=%" PRId64,
 		  position_revision(feed_revision(control->feed)));
+	store_outage_note_failure(&control->outage, clock_monotonic_ns());
 	feed_peers_store_lost(control->peers);
 }
 
+static void on_answered(void *ctx)
+{
+	struct mesh_control *control = ctx;
+
+	note_store_read(control, clock_monotonic_ns());
+}
+
 static void on_recovered(void *ctx)
 {
 	struct mesh_control *control = ctx;
 	int64_t now = clock_monotonic_ns();
-	int64_t away = now - store_reader_lost_since(control->reader);
 
-	log_event(LOG_NOTICE, "store_regained", "away_ms=%" PRId64,
-		  away / NS_PER_MS);
-	if (away >= EXPIRY_HOLD_OUTAGE_NS)
-		control->hold_deadline = now + EXPIRY_HOLD_NS;
+	log_event(LOG_NOTICE, "store_regained",
+		  "away_ms=%" PRId64 " hold_ms=%" PRId64,
+		  (now - store_reader_lost_since(control->reader)) / NS_PER_MS,
+		  MAX(0, control->outage.hold_deadline - now) / NS_PER_MS);
 }
 
 static int64_t on_known_era(void *ctx)
@@ -217,6 +238,7 @@
 	.changes = on_changes,
 	.complete = on_complete,
 	.lost = on_lost,
+	.answered = on_answered,
 	.recovered = on_recovered,
 	.is_bootstrapping = on_is_bootstrapping,
 	.known_era = on_known_era,
@@ -300,11 +322,23 @@
 		store_reader_stop(control->reader);
 }
 
+static void on_store_state(void *ctx, int64_t read_at)
+{
+	struct mesh_control *control = ctx;
+
+	if (read_at)
+		note_store_read(control, read_at);
+	else
+		store_outage_note_failure(&control->outage,
+					  clock_monotonic_ns());
+}
+
 static const struct feed_peers_ops peers_ops = {
 	.entry = on_entry,
 	.advanced = on_advanced,
 	.crashes = on_crashes,
 	.role = on_role,
+	.store_state = on_store_state,
 };
 
 /* The thread. */
--- a/relay/mesh_control_internal.h
+++ b/relay/mesh_control_internal.h
@@ -7,6 +7,7 @@
 #include "base/timer.h"
 #include "mesh/entry_judge.h"
 #include "mesh/feed.h"
+#include "mesh/store_outage.h"
 #include "relay/feed_peers.h"
 #include "relay/mesh_control.h"
 #include "relay/store_reader.h"
@@ -18,12 +19,6 @@
  * (mesh/position.h).
  */
 
-/*
- * Server entries that expired in the store during an outage are kept for this
- * time after it. A server that is still running registers again within it.
- */
-#define EXPIRY_HOLD_NS (2 * NS_PER_SEC)
-
 struct mesh_control {
 	const struct mesh_host *host;
 	const struct mesh_control_ops *ops;
@@ -42,9 +37,11 @@
 	struct timer build_timer;
 	struct timer expiry_timer;
 	int64_t built_at;
-	int64_t hold_deadline; /* server entries are not deleted before it */
-	pthread_mutex_t lock;  /* guards crashes and dump */
-	GArray *crashes;       /* struct quarantine_entry to report */
+	/* Server entries are not deleted before the end of either hold. */
+	struct store_outage outage;
+	int64_t restore_hold_deadline; /* after a restore of the store */
+	pthread_mutex_t lock;	       /* guards crashes and dump */
+	GArray *crashes;	       /* struct quarantine_entry to report */
 	char *dump;
 };
 
--- a/relay/mesh_era.c
+++ b/relay/mesh_era.c
@@ -52,7 +52,7 @@
 		break;
 	case PLATFORM_ITEM_TARGET:
 		feed_delete(feed, item->key, missing->held_at,
-			    MIN(end, missing->now + EXPIRY_HOLD_NS));
+			    MIN(end, missing->now + STORE_OUTAGE_HOLD_NS));
 		break;
 	default:
 		return;
@@ -123,7 +123,8 @@
 	if (!known || position_era(revision) <= position_era(known))
 		return;
 	feed_peers_end_era(control->peers, known);
-	control->hold_deadline = clock_monotonic_ns() + EXPIRY_HOLD_NS;
+	control->restore_hold_deadline =
+		clock_monotonic_ns() + STORE_OUTAGE_HOLD_NS;
 	log_event(LOG_NOTICE, "store_restored",
 		  "era=%" PRId64 " revision=%" PRId64 " former_era=%" PRId64
 		  " former_revision=%" PRId64,
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -133,6 +133,7 @@
 static void mark_reachable(struct store_reader *reader)
 {
 	reader->retry_delay = 0;
+	reader->options.ops->answered(reader->options.ctx);
 	if (!reader->lost_since)
 		return;
 	reader->options.ops->recovered(reader->options.ctx);
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -34,7 +34,9 @@
 			 int64_t confirmed);
 	/* A call failed after a successful one. */
 	void (*lost)(void *ctx);
-	/* A call succeeded after failed ones. */
+	/* A call succeeded; called before its changes are handed over. */
+	void (*answered)(void *ctx);
+	/* A call succeeded after failed ones; called after answered. */
 	void (*recovered)(void *ctx);
 	/*
 	 * Whether the fleet starts for the first time and the local server has
