Go on waiting for a request on a link that was given up

A caller got 502 while a server was at work on its request, with more than a second left; after a SIGTERM that is LOST.

Cause: when a link to another daemon was judged lost, the requests on it that may be repeated failed and were cancelled. If no other server took one of them (links refused, no time, no share of retries left), it ended. But a link without a byte for 1.2 s shows only that nothing is heard: the other daemon may be suspended or short of bandwidth, and answer yet. Evidence: the users' logs, and reason=link-lost held_ms=1451 left_ms=7548 in the test.

Such a request is now sent elsewhere as before, but its attempt stays in progress, as that of an order did already. It ends with an answer, with the connection, or at its deadline. A connection that was never established is closed as before, since a request in it must not arrive late.

--- a/relay/call.c
+++ b/relay/call.c
@@ -398,6 +398,25 @@
 		hedge(attempt->call);
 }
 
+/*
+ * Tries another daemon, as after a failed attempt. The attempt goes on: its
+ * server may be at work, and the others may refuse the request.
+ */
+static void on_peer_unanswered(struct peer_call *peer)
+{
+	struct attempt *attempt = caa_container_of(peer, struct attempt, peer);
+	struct call *call = attempt->call;
+	int64_t now = clock_monotonic_ns();
+
+	log_event(LOG_INFO, "attempt_unanswered",
+		  "id=%s attempt=%d backend=%s took_ms=%" PRId64
+		  " left_ms=%" PRId64,
+		  call_id(call), attempt->number, attempt->backend,
+		  (now - attempt->started) / NS_PER_MS,
+		  (call->deadline - now) / NS_PER_MS);
+	handle_failed_attempt(call, FAILURE_LINK_LOST, true);
+}
+
 /* The body if it is long enough to be sent without a copy; else NULL. */
 static GBytes *share_body(struct call *call)
 {
@@ -426,6 +445,7 @@
 	attempt->started = clock_monotonic_ns();
 	attempt->peer.done = on_peer_done;
 	attempt->peer.silent = on_peer_silent;
+	attempt->peer.unanswered = on_peer_unanswered;
 	attempt->job.done = on_local_done;
 	cds_list_add_tail(&attempt->node, &call->attempts);
 	call->nr_attempts++;
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -266,45 +266,49 @@
 	send_held(link, now);
 }
 
-/* Detaches the calls that run at most once, so that they can still end. */
+/* Detaches the sent calls, so that they can still end. */
 static void detach_calls(struct peer_link *link)
 {
 	struct peer_call *call, *next;
 
 	cds_list_for_each_entry_safe (call, next, &link->calls, node) {
-		if (!call->at_most_once)
-			continue;
 		call->detached = true;
 		cds_list_del(&call->node);
 		cds_list_add_tail(&call->node, &link->detached);
 	}
 }
 
-/* Fails the sent calls, and cancels them at the other daemon. */
-static void fail_sent(struct peer_link *link)
+static struct peer_call *next_unanswered(const struct peer_link *link)
 {
-	while (!cds_list_empty(&link->calls)) {
-		struct peer_call *call =
-			cds_list_first_entry(&link->calls, struct peer_call,
-					     node);
+	struct peer_call *call;
 
-		rpc_abandon(call->conn, &call->rpc);
-		send_cancel(call);
-		end_call(call);
-		call->done(call, RPC_LOST, NULL);
+	cds_list_for_each_entry (call, &link->detached, node)
+		if (!call->at_most_once && !call->loss_reported)
+			return call;
+	return NULL;
+}
+
+/* Reports the loss to each detached call that may be sent elsewhere too. */
+static void report_unanswered(struct peer_link *link)
+{
+	struct peer_call *call;
+
+	while ((call = next_unanswered(link))) {
+		call->loss_reported = true;
+		call->unanswered(call);
 	}
 }
 
 /*
- * Ends the calls on an open connection that the link gives up. It stays open
- * while calls wait on it that run at most once.
+ * Gives up an open connection. It stays open while calls wait on it, whose
+ * answers may come yet. On one that is not established nothing was sent, and
+ * the calls must not be sent late.
  */
 static void give_up_sent(struct peer_link *link, struct rpc_conn *conn)
 {
-	detach_calls(link);
-	if (has_detached(link, conn))
-		fail_sent(link);
-	else
+	if (rpc_conn_established(conn))
+		detach_calls(link);
+	if (!has_detached(link, conn))
 		rpc_conn_close(conn);
 }
 
@@ -323,6 +327,7 @@
 		give_up_sent(link, conn);
 	rpc_conn_unref(conn);
 	fail_held(link);
+	report_unanswered(link);
 }
 
 static void abandon_conn(struct peer_link *link)
@@ -490,6 +495,7 @@
 	call->detached = false;
 	call->ended = false;
 	call->silence_reported = false;
+	call->loss_reported = false;
 	call->rpc.done = on_done;
 	call->rpc.deadline = DEADLINE_NEVER;
 	call->conn = get_conn(link);
--- a/relay/peer_links.h
+++ b/relay/peer_links.h
@@ -40,6 +40,13 @@
 	 * The request stays in progress.
 	 */
 	void (*silent)(struct peer_call *call);
+	/*
+	 * Called at most once, when the link was given up, for a request that
+	 * may run more than once. It stays in progress, since the other daemon
+	 * may have passed it on and answer it yet; done follows at the latest
+	 * when the connection is lost.
+	 */
+	void (*unanswered)(struct peer_call *call);
 	/*
 	 * The body of the request, which is referred to until it is sent.
 	 * NULL: the body is copied.
@@ -57,6 +64,7 @@
 	bool detached; /* waits on a connection that the link gave up */
 	bool ended;
 	bool silence_reported; /* silent was called */
+	bool loss_reported;    /* unanswered was called */
 };
 
 struct peer_links *peer_links_new(const struct relay_context *context,
