--- a/lib/mesh/store_outage.h
+++ b/lib/mesh/store_outage.h
@@ -23,6 +23,7 @@
 struct store_outage {
 	int64_t read_at;       /* last known read by any daemon; 0: none */
 	int64_t failed_at;     /* last known failure to read; 0: none */
+	int64_t left_at;       /* last known read before the last outage */
 	int64_t returned_at;   /* first read after the last outage; 0: none */
 	int64_t hold_deadline; /* deletions take effect from then on */
 };
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -178,16 +178,18 @@
 /* A daemon, this one or another, read the store. */
 static void note_store_read(struct mesh_control *control, int64_t at)
 {
-	int64_t before = control->outage.read_at;
-	int64_t hold = control->outage.hold_deadline;
+	struct store_outage *outage = &control->outage;
+	int64_t hold = outage->hold_deadline;
 
-	store_outage_note_read(&control->outage, at);
-	if (control->outage.hold_deadline == hold)
+	store_outage_note_read(outage, at);
+	if (outage->hold_deadline == hold)
 		return;
 	log_event(LOG_NOTICE, "expiry_hold",
 		  "unread_ms=%" PRId64 " hold_ms=%" PRId64,
-		  before ? (at - before) / NS_PER_MS : -1,
-		  MAX(0, control->outage.hold_deadline - clock_monotonic_ns()) /
+		  outage->left_at
+			  ? (outage->returned_at - outage->left_at) / NS_PER_MS
+			  : -1,
+		  MAX(0, outage->hold_deadline - clock_monotonic_ns()) /
 			  NS_PER_MS);
 }
 
