Pass on entries that were read without the changes before them

A daemon went on without 20 servers for 4.5 s, until it was restarted itself.

Cause: an entry that says the same as the one known is taken for a heartbeat and is not sent to other daemons. That holds only for a daemon that has seen all changes between the two. One that knew the entry from before the outage and read all items after it has not: the entry was deleted and written again. Others that had been sent the deletion were told by this daemon that they had all changes up to the last revision, and kept the deletion.

Entries of a full read, and those that another daemon pushed as changed, now count as changed. MeshItems.EntryOfAFullReadIsPassedOn failed before.

--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -136,7 +136,7 @@
 
 		if (change->value)
 			mesh_apply_write(control, change->key, change->value,
-					 change->revision);
+					 change->revision, confirmed != 0);
 		else
 			mesh_apply_delete(control, change->key,
 					  change->revision,
@@ -284,7 +284,8 @@
 					? now + entry->hold_ms * NS_PER_MS
 					: DEADLINE_NEVER);
 	else if (value)
-		mesh_apply_write(control, entry->key, value, entry->revision);
+		mesh_apply_write(control, entry->key, value, entry->revision,
+				 false);
 	else
 		log_event(LOG_ERR, "entry_unpackable", "key=%s",
 			  log_quote(entry->key));
--- a/relay/mesh_control_internal.h
+++ b/relay/mesh_control_internal.h
@@ -48,9 +48,13 @@
 /* Builds a view soon; the first change after a quiet period at once. */
 void mesh_schedule_build(struct mesh_control *control);
 
-/* Applies an item of the store, unless a newer one is known. */
+/*
+ * Applies an item of the store, unless a newer one is known. One that comes
+ * without the changes before it may follow a deletion that only other daemons
+ * know of, so it is passed on to them also if it changes nothing here.
+ */
 void mesh_apply_write(struct mesh_control *control, const char *key,
-		      GBytes *value, int64_t revision);
+		      GBytes *value, int64_t revision, bool after_all_changes);
 
 /* Applies a deletion, unless a newer item is known. */
 void mesh_apply_delete(struct mesh_control *control, const char *key,
--- a/relay/mesh_items.c
+++ b/relay/mesh_items.c
@@ -236,7 +236,7 @@
 }
 
 void mesh_apply_write(struct mesh_control *control, const char *key,
-		      GBytes *value, int64_t revision)
+		      GBytes *value, int64_t revision, bool after_all_changes)
 {
 	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
 	CLEANUP(mesh_target_unrefp) struct mesh_target *target = NULL;
@@ -274,7 +274,8 @@
 	default:
 		return;
 	}
-	feed_write(control->feed, key, value, revision, changed);
+	feed_write(control->feed, key, value, revision,
+		   changed || !after_all_changes);
 	if (changed)
 		mesh_schedule_build(control);
 }
