Pass on the hold of a deletion also where its value is not known

Cause: the rest of the hold was sent with the value that it keeps. A daemon that had started after the return knew a deleted server only by its deletion, which another daemon had sent it with its hold, and passed that on as one that takes effect at once.

The time at which a deletion takes effect now belongs to the deletion, with or without a value. Feed.DeletionOfAnUnknownItemKeepsItsHold failed before.

--- a/lib/mesh/feed.c
+++ b/lib/mesh/feed.c
@@ -186,13 +186,22 @@
 		return false;
 	set_order(feed, item, revision, 0);
 	item->changed = revision;
+	item->deletion_deadline = MIN(item->delete_deadline, deadline);
 	if (item->value)
-		item->delete_deadline = MIN(item->delete_deadline, deadline);
+		item->delete_deadline = item->deletion_deadline;
 	else if (is_new)
 		drop_value(feed, item);
 	return true;
 }
 
+int64_t feed_hold_left(const struct feed_item *item, int64_t now)
+{
+	int64_t deadline =
+		item->value ? item->delete_deadline : item->deletion_deadline;
+
+	return deadline == DEADLINE_NEVER ? 0 : MAX(0, deadline - now);
+}
+
 bool feed_hold_value(struct feed *feed, const char *key, GBytes *value,
 		     int64_t revision, int64_t rank, int64_t deadline)
 {
@@ -235,6 +244,7 @@
 		set_order(feed, item, revision, 0);
 		item->changed = revision;
 		item->delete_deadline = deadline;
+		item->deletion_deadline = deadline;
 		any_deleted = true;
 	}
 	return any_deleted;
--- a/lib/mesh/feed.h
+++ b/lib/mesh/feed.h
@@ -27,6 +27,11 @@
 	int64_t held;	 /* rank of a held item; 0: as the store has it */
 	/* When a pending deletion takes effect; value is kept until then. */
 	int64_t delete_deadline;
+	/*
+	 * When the last deletion takes effect on daemons that have the value;
+	 * this one need not have had it.
+	 */
+	int64_t deletion_deadline;
 	/* The value before the item was deleted or emptied, or NULL. */
 	GBytes *last;
 };
@@ -65,6 +70,9 @@
 bool feed_delete(struct feed *feed, const char *key, int64_t revision,
 		 int64_t deadline);
 
+/* How long a deleted item is still used by daemons that have its value. */
+int64_t feed_hold_left(const struct feed_item *item, int64_t now);
+
 /*
  * Applies a complete list of the keys with the prefix as of revision: items
  * that are not listed and not newer than revision are deleted at the deadline.
--- a/relay/feed_push.c
+++ b/relay/feed_push.c
@@ -61,13 +61,11 @@
 			   item->delete_deadline <= batch->now ||
 			   (!item->held &&
 			    item->delete_deadline != DEADLINE_NEVER),
+		.hold_ms = feed_hold_left(item, batch->now) / NS_PER_MS,
 	};
 
 	if (batch->entries->len == FEED_ITEMS_MAX)
 		return;
-	if (item->value && item->delete_deadline != DEADLINE_NEVER)
-		entry.hold_ms =
-			MAX(0, item->delete_deadline - batch->now) / NS_PER_MS;
 	if (!entry.deleted)
 		set_value(batch, &entry, item->value);
 	g_array_append_val(batch->entries, entry);
--- a/tests/mesh/test_feed.cc
+++ b/tests/mesh/test_feed.cc
@@ -184,6 +184,29 @@
 	EXPECT_EQ(in.items()["a"], "written");
 }
 
+/*
+ * Guards against a daemon that knows a deleted server only by its deletion, and
+ * passes that on as one that takes effect at once.
+ */
+TEST(Feed, DeletionOfAnUnknownItemKeepsItsHold)
+{
+	const int64_t ms = NS_PER_MS;
+	Feed in;
+
+	EXPECT_TRUE(feed_delete(in.feed, "a", 3, 100 * ms));
+	EXPECT_EQ(feed_hold_left(feed_find(in.feed, "a"), 40 * ms), 60 * ms);
+	EXPECT_EQ(feed_hold_left(feed_find(in.feed, "a"), 200 * ms), 0);
+	/* The same once the value of a known item has been dropped. */
+	EXPECT_TRUE(in.write("b", "x", 4));
+	EXPECT_TRUE(feed_delete(in.feed, "b", 5, 100 * ms));
+	EXPECT_EQ(feed_hold_left(feed_find(in.feed, "b"), 40 * ms), 60 * ms);
+	EXPECT_TRUE(feed_expire(in.feed, 100 * ms));
+	EXPECT_EQ(feed_hold_left(feed_find(in.feed, "b"), 100 * ms), 0);
+	/* An item that is there has none. */
+	EXPECT_TRUE(in.write("b", "x", 6));
+	EXPECT_EQ(feed_hold_left(feed_find(in.feed, "b"), 50 * ms), 0);
+}
+
 /* Guards against daemons that do not notice that they hold different items. */
 TEST(Feed, DigestTellsHeldItemsApart)
 {
