Let the daemons know of a leaving server before the store is restored

RestoreOnce.DelayedResponsesOfTheFormerEraAreDropped failed once beside a load of 28: 18 requests reached the server that drains. Its log: the store was restored before any daemon had read that entry (former_revision=106, the entry has 107), so none could keep it. The test waited for the configuration only, which is written just before. It now waits until the server gets no requests, as the test of servers that left does; the check itself is unchanged.

--- a/tests/relay/test_restore.cc
+++ b/tests/relay/test_restore.cc
@@ -293,6 +293,7 @@
 	in.publish_config(2);
 	in.publish_entry(0, "draining");
 	ASSERT_TRUE(is_everywhere(2));
+	ASSERT_TRUE(is_out(0));
 	in.restore_store();
 	ASSERT_TRUE(know_era(2));
 	in.store->fault("mixed");
