Read values of state dumps by one accessor in the process tests

Cause: ten test programs read numbers, booleans and strings out of a daemon's state dump by code of their own, in 20 places; most took a missing value for 0 or false.

Platform::dump_number() and Platform::dump_text() take a path of members. A missing number is -1, so a check for 0 or false also fails if the daemon sent no dump. The six places that read the state of a backend server by hand use Platform::server_state() or state_number().

--- a/tests/relay/platform.cc
+++ b/tests/relay/platform.cc
@@ -39,6 +39,15 @@
 	return port;
 }
 
+/* The value at a path of members; null if there is none. */
+static const json_t *value_at(const json_t *value,
+			      const std::vector<const char *> &path)
+{
+	for (const char *member : path)
+		value = json_object_get(value, member);
+	return value;
+}
+
 Platform::Platform(int count, const std::vector<std::string> &backend,
 		   bool links)
     : backend_options(backend)
@@ -263,13 +272,12 @@
 		}));
 		ASSERT_TRUE(eventually([&] {
 			json_t *state = dump((int)i);
-			json_t *backend = json_object_get(state, "backend");
-			json_t *peers = json_object_get(
-				json_object_get(state, "control"), "peers");
-			bool done =
-				json_is_true(json_object_get(backend,
-							     "in_service")) &&
-				json_array_size(peers) + 1 == hosts.size();
+			const json_t *peers =
+				value_at(state, { "control", "peers" });
+			const json_t *in_service =
+				value_at(state, { "backend", "in_service" });
+			bool done = json_is_true(in_service) &&
+				    json_array_size(peers) + 1 == hosts.size();
 
 			json_decref(state);
 			return done;
@@ -365,12 +373,43 @@
 			  0, nullptr);
 }
 
+json_int_t Platform::dump_number(int index,
+				 const std::vector<const char *> &path)
+{
+	json_t *state = dump(index);
+	const json_t *value = value_at(state, path);
+	json_int_t number = -1;
+
+	if (json_is_boolean(value))
+		number = json_is_true(value);
+	else if (json_is_integer(value))
+		number = json_integer_value(value);
+	json_decref(state);
+	return number;
+}
+
+std::string Platform::dump_text(int index,
+				const std::vector<const char *> &path)
+{
+	json_t *state = dump(index);
+	const char *text = json_string_value(value_at(state, path));
+	std::string copy = text ? text : "";
+
+	json_decref(state);
+	return copy;
+}
+
+json_t *Platform::server_state(int index)
+{
+	return json_loads(call(hosts[(size_t)index].backend_control, "GET",
+			       "/state")
+				  .body.c_str(),
+			  0, nullptr);
+}
+
 std::vector<std::string> Platform::run_ids(int index)
 {
-	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
+	json_t *state = server_state(index);
 	std::vector<std::string> ids;
 	json_t *run;
 	size_t i;
@@ -383,10 +422,7 @@
 
 size_t Platform::runs(int index)
 {
-	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
+	json_t *state = server_state(index);
 	size_t nr = json_array_size(json_object_get(state, "runs"));
 
 	json_decref(state);
@@ -395,10 +431,7 @@
 
 std::string Platform::last_run(int index, const char *member)
 {
-	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
+	json_t *state = server_state(index);
 	json_t *array = json_object_get(state, "runs");
 	size_t nr = json_array_size(array);
 	const char *text = nr ? json_string_value(json_object_get(
@@ -412,10 +445,7 @@
 
 json_int_t Platform::state_number(int index, const char *member)
 {
-	json_t *state = json_loads(call(hosts[(size_t)index].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
+	json_t *state = server_state(index);
 	json_int_t value = json_integer_value(json_object_get(state, member));
 
 	json_decref(state);
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -99,9 +99,18 @@
 	int nr_in_service(int host);
 	/* The state dump of a daemon; the caller owns the reference. */
 	json_t *dump(int host);
+	/*
+	 * A number, or a boolean as 0 or 1, at a path of members in the state
+	 * dump of a daemon; -1 if there is none.
+	 */
+	json_int_t dump_number(int host, const std::vector<const char *> &path);
+	/* A string at a path of members in the dump; "" if there is none. */
+	std::string dump_text(int host, const std::vector<const char *> &path);
 	/* The number of requests that a server ran; a member of the last. */
 	size_t runs(int host);
 	std::string last_run(int host, const char *member);
+	/* The state of a host's server; the caller owns the reference. */
+	json_t *server_state(int host);
 	/* A number from the server's state. */
 	json_int_t state_number(int host, const char *member);
 	void fault(int host, const std::string &query);
--- a/tests/relay/soak.cc
+++ b/tests/relay/soak.cc
@@ -273,13 +273,8 @@
 	/* Whether a daemon has the configuration that was published last. */
 	bool has_newest_config(int host)
 	{
-		json_t *state = platform.dump(host);
-		json_int_t in_force = json_integer_value(
-			json_object_get(json_object_get(state, "callers"),
-					"version"));
-
-		json_decref(state);
-		return in_force == version;
+		return platform.dump_number(host, { "callers", "version" }) ==
+		       version;
 	}
 
 	void call_loop(int caller)
--- a/tests/relay/test_departure.cc
+++ b/tests/relay/test_departure.cc
@@ -5,19 +5,6 @@
 namespace
 {
 
-/* A number or a boolean of a part of a daemon's state. */
-json_int_t state_of(Platform &in, int host, const char *part,
-		    const char *member)
-{
-	json_t *state = in.dump(host);
-	json_t *value = json_object_get(json_object_get(state, part), member);
-	json_int_t number = json_is_boolean(value) ? json_is_true(value)
-						   : json_integer_value(value);
-
-	json_decref(state);
-	return number;
-}
-
 const int NR_HOSTS = 9;
 
 /* A zone in which no daemon reads the store: there are two that do. */
@@ -26,7 +13,8 @@
 	bool has_reader[3] = {};
 
 	for (int i = 0; i < NR_HOSTS; i++)
-		has_reader[i % 3] |= state_of(in, i, "control", "reads_store");
+		has_reader[i % 3] |=
+			in.dump_number(i, { "control", "reads_store" }) == 1;
 	for (int zone = 0; zone < 3; zone++)
 		if (!has_reader[zone])
 			return zone;
@@ -58,12 +46,13 @@
 	usleep(1500000);
 	in.publish_config(2);
 	EXPECT_TRUE(eventually([&] {
-		return state_of(in, (zone + 1) % 3, "callers", "version") == 2;
+		return in.dump_number((zone + 1) % 3,
+				      { "callers", "version" }) == 2;
 	}));
 	/* One that is not told notices it after a second, from its silence. */
 	usleep(500000);
 	for (int i = 0; i < NR_HOSTS; i++)
-		EXPECT_EQ(state_of(in, i, "callers", "version"), 2) << i;
+		EXPECT_EQ(in.dump_number(i, { "callers", "version" }), 2) << i;
 }
 
 } // namespace
--- a/tests/relay/test_identity.cc
+++ b/tests/relay/test_identity.cc
@@ -16,23 +16,13 @@
 
 bool is_replaced(Platform &in, int host)
 {
-	json_t *state = in.dump(host);
-	bool replaced = json_is_true(
-		json_object_get(json_object_get(state, "backend"), "replaced"));
-
-	json_decref(state);
-	return replaced;
+	return in.dump_number(host, { "backend", "replaced" }) == 1;
 }
 
 /* The id of the server that a daemon uses; "" if none. */
 std::string server_in_use(Platform &in, int host)
 {
-	json_t *state = in.dump(host);
-	std::string id = json_string_value(
-		json_object_get(json_object_get(state, "backend"), "backend"));
-
-	json_decref(state);
-	return id;
+	return in.dump_text(host, { "backend", "backend" });
 }
 
 /* Sends lookups through all hosts; each has to be served. */
--- a/tests/relay/test_late_writes.cc
+++ b/tests/relay/test_late_writes.cc
@@ -34,25 +34,13 @@
 	/* The revision that a daemon knows. */
 	json_int_t revision(int at)
 	{
-		json_t *state = in.dump(at);
-		json_int_t revision = json_integer_value(
-			json_object_get(json_object_get(state, "control"),
-					"revision"));
-
-		json_decref(state);
-		return revision;
+		return in.dump_number(at, { "control", "revision" });
 	}
 
 	/* The id of the server that a daemon uses; "" if none. */
 	std::string server_in_use(int at)
 	{
-		json_t *state = in.dump(at);
-		std::string id = json_string_value(
-			json_object_get(json_object_get(state, "backend"),
-					"backend"));
-
-		json_decref(state);
-		return id;
+		return in.dump_text(at, { "backend", "backend" });
 	}
 
 	void write(const char *phase, int sequence, long born)
--- a/tests/relay/test_organisations.cc
+++ b/tests/relay/test_organisations.cc
@@ -257,15 +257,8 @@
 int find_owner(Platform &in)
 {
 	for (size_t i = 0; i < in.hosts.size(); i++) {
-		json_t *state = in.dump((int)i);
-		json_t *quota =
-			json_object_get(json_object_get(state, "callers"),
-					"quota");
-		json_int_t buckets =
-			json_integer_value(json_object_get(quota, "buckets"));
-
-		json_decref(state);
-		if (buckets)
+		if (in.dump_number((int)i, { "callers", "quota", "buckets" }) >
+		    0)
 			return (int)i;
 	}
 	return -1;
@@ -357,10 +350,7 @@
 /* The runs of a host's server for an organisation. */
 int runs_for(Platform &in, int host, const std::string &organisation)
 {
-	json_t *state = json_loads(call(in.hosts[(size_t)host].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
+	json_t *state = in.server_state(host);
 	json_t *run;
 	int nr = 0;
 	size_t i;
--- a/tests/relay/test_placement.cc
+++ b/tests/relay/test_placement.cc
@@ -10,19 +10,6 @@
 /* Host 3 sends; hosts 0 and 6 have the servers in its zone. */
 const int SENDER = 3, QUICK = 0, SLOW = 6;
 
-/* A number at a path of members in a daemon's state. */
-double state_of(Platform &in, int host, std::vector<const char *> path)
-{
-	json_t *state = in.dump(host), *value = state;
-	double number;
-
-	for (const char *member : path)
-		value = json_object_get(value, member);
-	number = json_number_value(value);
-	json_decref(state);
-	return number;
-}
-
 /* Sends requests by four callers at a time; returns how many were answered. */
 int send_requests(Platform &in, int nr_each)
 {
@@ -59,15 +46,14 @@
 	in.fault(SLOW, "pace&ms=400");
 	EXPECT_EQ(send_requests(in, 40), 160);
 	EXPECT_LT(in.runs(SLOW) * 2, in.runs(QUICK));
-	EXPECT_GT(state_of(in, SENDER,
-			   { "callers", "placement", "by_estimate" }),
+	EXPECT_GT(in.dump_number(SENDER,
+				 { "callers", "placement", "by_estimate" }),
 		  100);
 	/* The pace explains its run times, so the work is still 20 ms. */
-	EXPECT_NEAR(state_of(in, SENDER,
-			     { "callers", "placement", "routes", "stock",
-			       "work_us" }),
+	EXPECT_NEAR(in.dump_number(SENDER, { "callers", "placement", "routes",
+					     "stock", "work_us" }),
 		    20000, 15000);
-	EXPECT_EQ(state_of(in, QUICK, { "backend", "load", "work_us" }), 0);
+	EXPECT_EQ(in.dump_number(QUICK, { "backend", "load", "work_us" }), 0);
 	metrics = call(in.hosts[SENDER].operators, "GET", "/metrics").body;
 	EXPECT_NE(metrics.find("godwitspur_placements_total{by=\"load\"}"),
 		  std::string::npos);
@@ -81,7 +67,7 @@
 TEST(Placement, MalformedReportsAreIgnored)
 {
 	Platform in(7, { "--service-ms", "5" });
-	double decided;
+	json_int_t decided;
 
 	in.start_all();
 	for (int host : { 0, 1, 2, 4, 5, 6 })
@@ -89,13 +75,13 @@
 	/* Until the last correct report of each server is too old. */
 	usleep(16000000);
 	EXPECT_EQ(send_requests(in, 5), 20);
-	decided =
-		state_of(in, SENDER, { "callers", "placement", "by_estimate" });
+	decided = in.dump_number(SENDER,
+				 { "callers", "placement", "by_estimate" });
 	EXPECT_EQ(send_requests(in, 10), 40);
-	EXPECT_EQ(state_of(in, SENDER,
-			   { "callers", "placement", "by_estimate" }),
+	EXPECT_EQ(in.dump_number(SENDER,
+				 { "callers", "placement", "by_estimate" }),
 		  decided);
-	EXPECT_GT(state_of(in, QUICK, { "backend", "load", "malformed" }), 0);
+	EXPECT_GT(in.dump_number(QUICK, { "backend", "load", "malformed" }), 0);
 }
 
 } // namespace
--- a/tests/relay/test_relay.cc
+++ b/tests/relay/test_relay.cc
@@ -142,13 +142,7 @@
 	ASSERT_EQ(call(in.store->control, "POST", "/forget").status, 200);
 	in.store->fault("none");
 	EXPECT_TRUE(eventually([&] {
-		json_t *state = in.dump(0);
-		json_t *backend = json_object_get(state, "backend");
-		bool out =
-			json_is_false(json_object_get(backend, "in_service"));
-
-		json_decref(state);
-		return out;
+		return in.dump_number(0, { "backend", "in_service" }) == 0;
 	}));
 }
 
@@ -162,19 +156,8 @@
 	in.publish_entry(0, "draining");
 	in.put_item("op/evacuate/z1", "{}");
 	EXPECT_TRUE(eventually([&] {
-		json_t *first = in.dump(0), *second = in.dump(1);
-		bool out = json_is_false(
-				   json_object_get(json_object_get(first,
-								   "backend"),
-						   "in_service")) &&
-			   json_is_false(
-				   json_object_get(json_object_get(second,
-								   "backend"),
-						   "in_service"));
-
-		json_decref(first);
-		json_decref(second);
-		return out;
+		return in.dump_number(0, { "backend", "in_service" }) == 0 &&
+		       in.dump_number(1, { "backend", "in_service" }) == 0;
 	}));
 	before = in.runs(0) + in.runs(1);
 	for (int i = 0; i < 30; i++)
@@ -191,13 +174,7 @@
 /* Whether a daemon counts its server as in service. */
 bool is_in_service(Platform &in, int host)
 {
-	json_t *state = in.dump(host);
-	bool in_service =
-		json_is_true(json_object_get(json_object_get(state, "backend"),
-					     "in_service"));
-
-	json_decref(state);
-	return in_service;
+	return in.dump_number(host, { "backend", "in_service" }) == 1;
 }
 
 /*
@@ -338,15 +315,9 @@
 {
 	for (int i = 0; i < 3; i++)
 		EXPECT_TRUE(eventually([&] {
-			json_t *state = in.dump(i);
-			bool is_last =
-				in.hosts[(size_t)i].id ==
-				json_string_value(json_object_get(
-					json_object_get(state, "backend"),
-					"backend"));
-
-			json_decref(state);
-			return is_last && is_in_service(in, i);
+			return in.dump_text(i, { "backend", "backend" }) ==
+				       in.hosts[(size_t)i].id &&
+			       is_in_service(in, i);
 		})) << i;
 }
 
@@ -777,7 +748,6 @@
 {
 	Platform in = make(2, "50");
 	std::vector<std::thread> callers;
-	json_t *state;
 
 	in.start_all();
 	for (int i = 0; i < 24; i++)
@@ -788,16 +758,8 @@
 	for (std::thread &caller : callers)
 		caller.join();
 	for (int i = 0; i < 2; i++) {
-		state = json_loads(call(in.hosts[(size_t)i].backend_control,
-					"GET", "/state")
-					   .body.c_str(),
-				   0, nullptr);
-		EXPECT_LE(json_integer_value(
-				  json_object_get(state, "most_running")),
-			  4);
-		EXPECT_EQ(json_integer_value(json_object_get(state, "shed")),
-			  0);
-		json_decref(state);
+		EXPECT_LE(in.state_number(i, "most_running"), 4);
+		EXPECT_EQ(in.state_number(i, "shed"), 0);
 	}
 }
 
@@ -823,13 +785,7 @@
 	close(fd);
 	for (int i = 0; i < 4; i++)
 		EXPECT_TRUE(eventually([&] {
-			json_t *state = in.dump(i);
-			json_t *backend = json_object_get(state, "backend");
-			json_int_t jobs = json_integer_value(
-				json_object_get(backend, "jobs"));
-
-			json_decref(state);
-			return jobs == 0;
+			return in.dump_number(i, { "backend", "jobs" }) == 0;
 		}));
 }
 
@@ -973,13 +929,7 @@
 {
 	Platform in = make(4);
 	auto left_to_others = [&] {
-		json_t *state = in.dump(3);
-		bool left = json_is_false(
-			json_object_get(json_object_get(state, "control"),
-					"reads_store"));
-
-		json_decref(state);
-		return left;
+		return in.dump_number(3, { "control", "reads_store" }) == 0;
 	};
 
 	in.start_all();
@@ -1008,15 +958,9 @@
 	in.start_all();
 	EXPECT_TRUE(eventually([&] {
 		readers = 0;
-		for (int i = 0; i < 6; i++) {
-			json_t *state = in.dump(i);
-
-			readers += json_is_true(
-				json_object_get(json_object_get(state,
-								"control"),
-						"reads_store"));
-			json_decref(state);
-		}
+		for (int i = 0; i < 6; i++)
+			readers += in.dump_number(i, { "control",
+						       "reads_store" }) == 1;
 		return readers == 2;
 	}));
 	before = in.store_calls();
--- a/tests/relay/test_reports.cc
+++ b/tests/relay/test_reports.cc
@@ -66,13 +66,8 @@
 void wait_for_version(Platform &in, int host, int version)
 {
 	EXPECT_TRUE(eventually([&] {
-		json_t *state = in.dump(host);
-		json_int_t served = json_integer_value(
-			json_object_get(json_object_get(state, "callers"),
-					"version"));
-
-		json_decref(state);
-		return served == version;
+		return in.dump_number(host, { "callers", "version" }) ==
+		       version;
 	}));
 }
 
@@ -1245,13 +1240,7 @@
 "idempotent","3s","1s",2,"shop",2])";
 	Platform in(4);
 	auto left = [&](int host) {
-		json_t *state = in.dump(host);
-		bool out = json_is_false(
-			json_object_get(json_object_get(state, "backend"),
-					"in_service"));
-
-		json_decref(state);
-		return out;
+		return in.dump_number(host, { "backend", "in_service" }) == 0;
 	};
 	size_t before;
 
--- a/tests/relay/test_restore.cc
+++ b/tests/relay/test_restore.cc
@@ -75,19 +75,9 @@
 		}));
 	}
 
-	json_int_t number(int host, const char *part, const char *member)
-	{
-		json_t *state = in.dump(host);
-		json_int_t value = json_integer_value(
-			json_object_get(json_object_get(state, part), member));
-
-		json_decref(state);
-		return value;
-	}
-
 	json_int_t version(int host)
 	{
-		return number(host, "callers", "version");
+		return in.dump_number(host, { "callers", "version" });
 	}
 
 	/* Whether all daemons have the version within the time bound. */
@@ -276,7 +266,8 @@
 	{
 		return eventually([&] {
 			for (int i = 0; i < HOSTS; i++)
-				if (number(i, "control", "era") != era)
+				if (in.dump_number(i, { "control", "era" }) !=
+				    era)
 					return false;
 			return true;
 		});
@@ -328,8 +319,9 @@
 	in.delete_item("servers/" + in.hosts[2].id);
 	in.publish_entry(2);
 	signal_first(SIGCONT);
-	EXPECT_TRUE(
-		eventually([&] { return number(0, "control", "era") == 2; }));
+	EXPECT_TRUE(eventually([&] {
+		return in.dump_number(0, { "control", "era" }) == 2;
+	}));
 	usleep(1500000);
 	process_signal(&in.hosts[LAST].daemon, SIGCONT);
 	EXPECT_TRUE(know_era(2));
--- a/tests/relay/test_store_outage.cc
+++ b/tests/relay/test_store_outage.cc
@@ -18,24 +18,12 @@
 
 	bool reads_store(int host)
 	{
-		json_t *state = in.dump(host);
-		bool reads = json_is_true(
-			json_object_get(json_object_get(state, "control"),
-					"reads_store"));
-
-		json_decref(state);
-		return reads;
+		return in.dump_number(host, { "control", "reads_store" }) == 1;
 	}
 
 	json_int_t revision(int host)
 	{
-		json_t *state = in.dump(host);
-		json_int_t revision = json_integer_value(
-			json_object_get(json_object_get(state, "control"),
-					"revision"));
-
-		json_decref(state);
-		return revision;
+		return in.dump_number(host, { "control", "revision" });
 	}
 
 	/* The entries expire while the store answers nobody. */
