Send records and queued output by one function

Cause: net_output_write() and write_some() each had the loop that sends again after a signal and ends when the socket is full.

send_parts() does both; a record's parts are sent with sendmsg(), as the queued output was. Same bytes, same limits.

Measured: test_net, test_messages and the programs of tests/relay pass.

--- a/lib/net/output.c
+++ b/lib/net/output.c
@@ -61,6 +61,23 @@
 	memory_hold_set(&output->hold, output->hold.bytes - copied);
 }
 
+/*
+ * Sends parts without waiting for room in the socket. Returns the bytes sent, 0
+ * when the socket is full, or -1.
+ */
+static ssize_t send_parts(int fd, struct iovec *parts, size_t nr)
+{
+	struct msghdr message = { .msg_iov = parts, .msg_iovlen = nr };
+	ssize_t n;
+
+	do
+		n = sendmsg(fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+	while (n < 0 && errno == EINTR);
+	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+		return 0;
+	return n;
+}
+
 /*
  * Writes at most bytes_max of the output and removes what was written. Returns
  * the bytes written, or -1.
@@ -71,7 +88,6 @@
 
 	while (done < bytes_max) {
 		struct iovec parts[WRITE_PARTS];
-		struct msghdr message = { .msg_iov = parts };
 		size_t nr = 0, left = bytes_max - done;
 		struct output_part *part;
 		ssize_t n;
@@ -86,14 +102,11 @@
 			parts[nr].iov_len = MIN(len - part->done, left);
 			left -= parts[nr++].iov_len;
 		}
-		message.msg_iovlen = nr;
-		n = sendmsg(fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			break;
+		n = send_parts(fd, parts, nr);
 		if (n < 0)
 			return -1;
+		if (!n)
+			break;
 		remove_sent(output, (size_t)n);
 		done += (size_t)n;
 	}
@@ -152,15 +165,13 @@
 	size_t done = 0;
 
 	while (done < len) {
-		ssize_t n = send(fd, data + done, len - done,
-				 MSG_NOSIGNAL | MSG_DONTWAIT);
+		struct iovec part = { (void *)(data + done), len - done };
+		ssize_t n = send_parts(fd, &part, 1);
 
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			break;
 		if (n < 0)
 			return -1;
+		if (!n)
+			break;
 		done += (size_t)n;
 	}
 	return (ssize_t)done;
