Name the reason of a refused request in one place

Cause: the daemons of both modes mapped the verdict of admission to the reason of the failure by a function of their own, with the same text.

failure_of_refusal() stands in lib/retry, which has the table of the reasons and now depends on lib/admit.

Measured: test_retry, test_admit, the process tests of both modes and the lint pass.

--- a/godwitspur/target.c
+++ b/godwitspur/target.c
@@ -193,18 +193,6 @@
 	refuse_expired(target, &expired, now, replies);
 }
 
-static enum failure_reason admission_reason(enum admit_verdict verdict)
-{
-	switch (verdict) {
-	case ADMIT_REFUSED_DEADLINE:
-		return FAILURE_TARGET_DEADLINE;
-	case ADMIT_REFUSED_DRAINING:
-		return FAILURE_TARGET_DRAINING;
-	default:
-		return FAILURE_QUEUE_FULL;
-	}
-}
-
 static void admit_job(struct target *target, struct target_job *job,
 		      int64_t now, struct replies *replies)
 {
@@ -227,7 +215,7 @@
 		cds_list_add_tail(&job->node, &target->runnable);
 		pthread_cond_signal(&target->runnable_wake);
 	} else if (verdict != ADMIT_QUEUED) {
-		refuse_job(target, job, admission_reason(verdict), now,
+		refuse_job(target, job, failure_of_refusal(verdict), now,
 			   replies);
 	}
 }
--- a/lib/retry/failure.c
+++ b/lib/retry/failure.c
@@ -103,6 +103,18 @@
 	return &failures[reason];
 }
 
+enum failure_reason failure_of_refusal(enum admit_verdict verdict)
+{
+	switch (verdict) {
+	case ADMIT_REFUSED_DEADLINE:
+		return FAILURE_TARGET_DEADLINE;
+	case ADMIT_REFUSED_DRAINING:
+		return FAILURE_TARGET_DRAINING;
+	default:
+		return FAILURE_QUEUE_FULL;
+	}
+}
+
 bool failure_parse(enum failure_reason *reason, const char *name)
 {
 	for (size_t i = 0; i < FAILURE_REASONS; i++) {
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "admit/admit.h"
+
 /*
  * Outcomes of requests, the failures that may be retried, the retry budget and
  * the context that is propagated along a chain of calls. No I/O, no clock, no
@@ -108,6 +110,9 @@
 /* Parses the name of a reason; false for anything else. */
 bool failure_parse(enum failure_reason *reason, const char *name);
 
+/* The reason of a request that the backend server's queue refuses. */
+enum failure_reason failure_of_refusal(enum admit_verdict verdict);
+
 /* GET, HEAD, OPTIONS, PUT and DELETE; names are case-sensitive. */
 bool method_is_idempotent(const char *method);
 
--- a/relay/backend_side.c
+++ b/relay/backend_side.c
@@ -315,18 +315,6 @@
 	refuse_list(side, &expired, FAILURE_TARGET_DEADLINE);
 }
 
-static enum failure_reason admission_reason(enum admit_verdict verdict)
-{
-	switch (verdict) {
-	case ADMIT_REFUSED_DEADLINE:
-		return FAILURE_TARGET_DEADLINE;
-	case ADMIT_REFUSED_DRAINING:
-		return FAILURE_TARGET_DRAINING;
-	default:
-		return FAILURE_QUEUE_FULL;
-	}
-}
-
 static enum failure_reason arrival_reason(const struct backend_side *side,
 					  const struct relay_job *job,
 					  int64_t now)
@@ -391,7 +379,7 @@
 	if (verdict == ADMIT_RUN)
 		run_job(side, job);
 	else if (verdict != ADMIT_QUEUED)
-		refuse(side, job, admission_reason(verdict));
+		refuse(side, job, failure_of_refusal(verdict));
 	probe_note_request(side->probe);
 }
 
