Note each failed read of the store

Cause: only the first failure of a series was noted. A reader that the store had turned away before the outage took the reads of the daemons that stood in for it as later than its failure, so its own first read after the outage ended none, and it removed the expired servers everywhere.

--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -193,13 +193,21 @@
 			  NS_PER_MS);
 }
 
+/* Each failure counts: another daemon may have read the store since the last.
+ */
+static void on_failed(void *ctx)
+{
+	struct mesh_control *control = ctx;
+
+	store_outage_note_failure(&control->outage, clock_monotonic_ns());
+}
+
 static void on_lost(void *ctx)
 {
 	struct mesh_control *control = ctx;
 
 	log_event(LOG_WARNING, "store_lost", "revision=%" PRId64,
 		  position_revision(feed_revision(control->feed)));
-	store_outage_note_failure(&control->outage, clock_monotonic_ns());
 	feed_peers_store_lost(control->peers);
 }
 
@@ -239,6 +247,7 @@
 static const struct store_reader_ops reader_ops = {
 	.changes = on_changes,
 	.complete = on_complete,
+	.failed = on_failed,
 	.lost = on_lost,
 	.answered = on_answered,
 	.recovered = on_recovered,
--- a/relay/store_reader.c
+++ b/relay/store_reader.c
@@ -82,6 +82,7 @@
 		  reason, status);
 	reader->calling = false;
 	drop_client(reader);
+	reader->options.ops->failed(reader->options.ctx);
 	if (!reader->lost_since) {
 		reader->lost_since = reader->started;
 		reader->options.ops->lost(reader->options.ctx);
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -32,7 +32,9 @@
 	 */
 	void (*complete)(void *ctx, GHashTable *keys, int64_t revision,
 			 int64_t confirmed);
-	/* A call failed after a successful one. */
+	/* A call failed. */
+	void (*failed)(void *ctx);
+	/* A call failed after a successful one; called after failed. */
 	void (*lost)(void *ctx);
 	/* A call succeeded; called before its changes are handed over. */
 	void (*answered)(void *ctx);
--- a/tests/relay/test_store_outage.cc
+++ b/tests/relay/test_store_outage.cc
@@ -102,7 +102,11 @@
 		if (reads_store(i))
 			in.hosts[(size_t)i].store_proxy->set(Proxy::STALL_BOTH);
 	in.store->fault("outage");
-	usleep(3000 * MS);
+	/*
+	 * Long enough to count as an outage, and too short for a daemon that
+	 * has taken over in it.
+	 */
+	usleep(2400 * MS);
 	expire_entries();
 	in.store->fault("none");
 	expect_servers_kept(before);
@@ -125,4 +129,47 @@
 		})) << i;
 }
 
+/*
+ * Guards against a reader that failed before the outage, since the store turned
+ * it away, and goes on failing in it. Only its first failed call is noted, and
+ * that is older than the last read of the daemons that stood in for it. With
+ * the other first-ranked reader ended, nobody tells it of a later failure.
+ */
+TEST_F(StoreOutage, ReaderThatFailedEarlierTakesNoServerAway)
+{
+	int turned_away = -1, ended = -1;
+	json_int_t before;
+
+	in.start_all();
+	for (int i = 0; i < HOSTS; i++) {
+		if (!reads_store(i))
+			continue;
+		(turned_away < 0 ? turned_away : ended) = i;
+	}
+	ASSERT_GE(ended, 0);
+	in.hosts[(size_t)turned_away].store_proxy->set(Proxy::STALL_BOTH);
+	usleep(2500 * MS);
+	process_kill(&in.hosts[(size_t)ended].daemon);
+	usleep(2500 * MS);
+	before = revision(turned_away);
+	in.store->fault("outage");
+	usleep(3000 * MS);
+	/* The others notice the return late, so this one reads first. */
+	for (int i = 0; i < HOSTS; i++)
+		if (i != turned_away)
+			in.hosts[(size_t)i].store_proxy->set(Proxy::STALL_BOTH);
+	expire_entries();
+	in.store->fault("none");
+	in.hosts[(size_t)turned_away].store_proxy->set(Proxy::PASS);
+	EXPECT_TRUE(eventually([&] { return revision(turned_away) > before; }));
+	for (int round = 0; round < 3; round++) {
+		usleep(200 * MS);
+		for (int i = 0; i < HOSTS; i++) {
+			if (i != ended) {
+				EXPECT_EQ(in.nr_in_service(i), HOSTS - 1) << i;
+			}
+		}
+	}
+}
+
 } // namespace
