Ignore reads of the store from before the daemon's start

Cause: a daemon that starts just after an outage has heard of no failure. If another one told it of a read from before its start, it took the time since for one without an outage and lost the hold of expired entries.

StoreOutage.ReadFromBeforeTheStartDoesNotEndTheHold failed before.

--- a/lib/mesh/store_outage.c
+++ b/lib/mesh/store_outage.c
@@ -35,6 +35,8 @@
 
 void store_outage_note_read(struct store_outage *outage, int64_t at)
 {
+	if (at < outage->started_at)
+		return;
 	if (at > outage->read_at) {
 		if (ends_outage(outage, outage->read_at, at))
 			set_return(outage, outage->read_at, at);
--- a/lib/mesh/store_outage.h
+++ b/lib/mesh/store_outage.h
@@ -19,8 +19,9 @@
 /* A server that is still running has registered again by then. */
 #define STORE_OUTAGE_HOLD_NS (2 * NS_PER_SEC)
 
-/* Initialised to zero. */
+/* Initialised to zero, except for the start. */
 struct store_outage {
+	int64_t started_at;    /* of this daemon; earlier reads do not count */
 	int64_t read_at;       /* last known read by any daemon; 0: none */
 	int64_t failed_at;     /* last known failure to read; 0: none */
 	int64_t left_at;       /* last known read before the last outage */
@@ -28,7 +29,11 @@
 	int64_t hold_deadline; /* deletions take effect from then on */
 };
 
-/* Notes that a daemon read the store; the times may come out of order. */
+/*
+ * Notes that a daemon read the store; the times may come out of order. A read
+ * from before the start says nothing of the time in between, in which this
+ * daemon heard of no failure.
+ */
 void store_outage_note_read(struct store_outage *outage, int64_t at);
 
 /* Notes that a daemon could not read the store. */
--- a/relay/mesh_control.c
+++ b/relay/mesh_control.c
@@ -458,6 +458,7 @@
 	control->ctx = ctx;
 	control->loop = net_loop_new(&loop);
 	timers_init(&control->timers);
+	control->outage.started_at = clock_monotonic_ns();
 	control->bootstrap_deadline = clock_monotonic_ns() + BOOTSTRAP_MAX_NS;
 	control->feed = feed_new();
 	control->targets =
--- a/tests/mesh/test_store_outage.cc
+++ b/tests/mesh/test_store_outage.cc
@@ -117,4 +117,26 @@
 	EXPECT_EQ(outage.hold_deadline, after(6000) + STORE_OUTAGE_HOLD_NS);
 }
 
+/*
+ * Guards against a daemon that starts just after an outage, so that it knows of
+ * no failure, and is told of a read from before it: that read says nothing of
+ * the time in which this daemon did not run.
+ */
+TEST(StoreOutage, ReadFromBeforeTheStartDoesNotEndTheHold)
+{
+	struct store_outage outage = {};
+
+	outage.started_at = after(-100);
+	store_outage_note_read(&outage, START);
+	store_outage_note_read(&outage, after(-5000));
+	EXPECT_EQ(outage.hold_deadline, START + STORE_OUTAGE_HOLD_NS);
+
+	/* The same if that read is told first. */
+	outage = {};
+	outage.started_at = after(-100);
+	store_outage_note_read(&outage, after(-5000));
+	store_outage_note_read(&outage, START);
+	EXPECT_EQ(outage.hold_deadline, START + STORE_OUTAGE_HOLD_NS);
+}
+
 } // namespace
