Move the early end of attempts to a file of its own

What ends attempts for a stop, a caller that left or a changed key is in relay/call_end.c now, word for word; struct attempt is in relay/call_internal.h.

--- a/relay/call.c
+++ b/relay/call.c
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "relay/call.h"
+#include "relay/call_internal.h"
 #include "relay/memory_limits.h"
 
 /*
@@ -26,20 +26,6 @@
  */
 #define LONG_ANSWER_OVERFLOW_PERCENT 200
 
-/* One attempt: the request at one backend server's daemon. */
-struct attempt {
-	struct cds_list_head node;
-	struct call *call;
-	balance_handle target;
-	char backend[BALANCE_NAME_MAX]; /* id of the server */
-	bool is_local;
-	int number; /* of the daemons that the request was sent to */
-	int64_t started;
-	struct placement_expectation expected;
-	struct peer_call peer;
-	struct relay_job job;
-};
-
 static void on_call_timer(struct timer *timer, int64_t now);
 static enum failure_reason try_place(struct call *call);
 static void hedge(struct call *call);
@@ -84,7 +70,7 @@
 	timers_set(call->side->context->timers, &call->timer, deadline);
 }
 
-static void free_attempt(struct attempt *attempt)
+void call_free_attempt(struct attempt *attempt)
 {
 	cds_list_del(&attempt->node);
 	attempt->call->nr_attempts--;
@@ -105,8 +91,8 @@
 	return rank == 2 ? ADMIT_LOOKUP : ADMIT_BACKGROUND;
 }
 
-static void report_result(struct attempt *attempt, enum failure_reason reason,
-			  const struct relay_answer *answer)
+void call_report_result(struct attempt *attempt, enum failure_reason reason,
+			const struct relay_answer *answer)
 {
 	struct caller_side *side = attempt->call->side;
 	int64_t now = clock_monotonic_ns();
@@ -198,11 +184,7 @@
 	return !is_quarantined(call) && try_place(call) == FAILURE_NONE;
 }
 
-/*
- * Ends the request with a server's error answer, if there is one, or else with
- * the reason of the failure.
- */
-static void end_failed(struct call *call, enum failure_reason reason)
+void call_end_failed(struct call *call, enum failure_reason reason)
 {
 	if (call->failed_answer)
 		call_end(call, FAILURE_NONE, call->failed_answer);
@@ -259,7 +241,7 @@
 	if (retry_accepting_late(call, reason))
 		return;
 	if (!call->nr_attempts)
-		end_failed(call, reason);
+		call_end_failed(call, reason);
 }
 
 /*
@@ -315,8 +297,8 @@
 		  answer ? (int64_t)answer->backlog_us : -1);
 }
 
-static void end_attempt(struct attempt *attempt, enum failure_reason reason,
-			struct relay_answer *answer)
+void call_end_attempt(struct attempt *attempt, enum failure_reason reason,
+		      struct relay_answer *answer)
 {
 	struct call *call = attempt->call;
 	balance_handle target = attempt->target;
@@ -325,12 +307,12 @@
 
 	if (reason == FAILURE_NONE && is_worth_retrying(call, answer))
 		reason = FAILURE_BACKEND_FAILED;
-	report_result(attempt, reason, answer);
+	call_report_result(attempt, reason, answer);
 	failover_record(&get_service_state(call)->unless_unsound,
 			reason == FAILURE_TARGET_UNSOUND, clock_monotonic_ns());
 	if (reason != FAILURE_NONE)
 		log_attempt(attempt, reason, answer);
-	free_attempt(attempt);
+	call_free_attempt(attempt);
 	if (sent)
 		call->nr_sent++;
 	if (is_due_refusal(reason))
@@ -360,7 +342,7 @@
 {
 	struct attempt *attempt = caa_container_of(job, struct attempt, job);
 
-	end_attempt(attempt, answer_reason(answer), answer);
+	call_end_attempt(attempt, answer_reason(answer), answer);
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
@@ -382,10 +364,10 @@
 	struct attempt *attempt = caa_container_of(peer, struct attempt, peer);
 
 	if (!answer) {
-		end_attempt(attempt, status_reason(status), NULL);
+		call_end_attempt(attempt, status_reason(status), NULL);
 		return;
 	}
-	end_attempt(attempt, answer_reason(answer), answer);
+	call_end_attempt(attempt, answer_reason(answer), answer);
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
@@ -514,27 +496,7 @@
 		return;
 	}
 	call->may_have_run = true;
-	end_failed(call, FAILURE_DEADLINE);
-}
-
-/* Whether an attempt in progress may have reached a server. */
-static bool has_sent_attempt(const struct call *call)
-{
-	const struct attempt *attempt;
-
-	cds_list_for_each_entry (attempt, &call->attempts, node) {
-		if (!attempt->is_local ||
-		    attempt->job.admit.state != ADMIT_WAITING)
-			return true;
-	}
-	return false;
-}
-
-void call_end_for_stop(struct call *call)
-{
-	call->may_have_run |= has_sent_attempt(call);
-	end_failed(call, call->may_have_run ? FAILURE_DEADLINE
-					    : FAILURE_TARGET_DRAINING);
+	call_end_failed(call, FAILURE_DEADLINE);
 }
 
 void call_start(struct call *call)
@@ -549,49 +511,3 @@
 	if (reason != FAILURE_NONE)
 		call_end(call, reason, NULL);
 }
-
-void call_cancel(struct call *call)
-{
-	struct attempt *attempt, *next;
-
-	quota_side_cancel(&call->quota_wait);
-	timers_cancel(call->side->context->timers, &call->timer);
-	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
-		if (attempt->is_local)
-			backend_side_cancel(call->side->backend_side,
-					    &attempt->job);
-		else
-			peer_links_cancel(&attempt->peer);
-		report_result(attempt, FAILURE_CANCELLED, NULL);
-		free_attempt(attempt);
-	}
-}
-
-/* Ends an attempt of which nothing was sent. */
-static void abandon_unsent(struct attempt *attempt)
-{
-	peer_links_cancel(&attempt->peer);
-	end_attempt(attempt, FAILURE_KEY_REVOKED, NULL);
-}
-
-void call_recall(struct call *call)
-{
-	/* Attempts that replace recalled ones follow them in the list. */
-	int placed = call->nr_placed;
-	struct attempt *attempt, *next;
-
-	cds_list_for_each_entry_safe (attempt, next, &call->attempts, node) {
-		bool is_last = call->nr_attempts == 1;
-
-		if (attempt->number > placed)
-			return;
-		if (attempt->is_local)
-			backend_side_recall(call->side->backend_side,
-					    &attempt->job);
-		else if (!peer_links_recall(&attempt->peer))
-			abandon_unsent(attempt);
-		/* If the attempt has ended, so may have the call. */
-		if (is_last)
-			return;
-	}
-}
