Recall requests on a link that is given up

Callers saw nothing, but servers ran requests seconds late beside the attempts that had replaced them, with the time that was left as they were sent.

Cause: a request that may be repeated was no longer cancelled as its link was given up. If its daemon was suspended and had not read it, it ran once the daemon went on.

The other daemon is now asked to take back what it has not begun. A run at work goes on, so that its answer can come.

--- a/relay/call.c
+++ b/relay/call.c
@@ -362,12 +362,18 @@
 			 struct relay_answer *answer)
 {
 	struct attempt *attempt = caa_container_of(peer, struct attempt, peer);
+	enum failure_reason reason;
 
 	if (!answer) {
 		call_end_attempt(attempt, status_reason(status), NULL);
 		return;
 	}
-	call_end_attempt(attempt, answer_reason(answer), answer);
+	reason = answer_reason(answer);
+	/* It was recalled since its link was given up, not for its key. */
+	if (reason == FAILURE_KEY_REVOKED && attempt->is_unanswered &&
+	    !attempt->call->is_revoked)
+		reason = FAILURE_LINK_REFUSED;
+	call_end_attempt(attempt, reason, answer);
 	xdr_free((xdrproc_t)xdr_relay_answer, (char *)answer);
 }
 
@@ -396,6 +402,7 @@
 		  call_id(call), attempt->number, attempt->backend,
 		  (now - attempt->started) / NS_PER_MS,
 		  (call->deadline - now) / NS_PER_MS);
+	attempt->is_unanswered = true;
 	handle_failed_attempt(call, FAILURE_LINK_LOST, true);
 }
 
--- a/relay/call_internal.h
+++ b/relay/call_internal.h
@@ -15,7 +15,8 @@
 	balance_handle target;
 	char backend[BALANCE_NAME_MAX]; /* id of the server */
 	bool is_local;
-	int number; /* of the daemons that the request was sent to */
+	bool is_unanswered; /* its link was given up */
+	int number;	    /* of the daemons that the request was sent to */
 	int64_t started;
 	struct placement_expectation expected;
 	struct peer_call peer;
--- a/relay/peer_links.c
+++ b/relay/peer_links.c
@@ -288,13 +288,18 @@
 	return NULL;
 }
 
-/* Reports the loss to each detached call that may be sent elsewhere too. */
+/*
+ * Reports the loss to each detached call that may be sent elsewhere too. The
+ * other daemon is asked to refuse what it has not begun: it would run late,
+ * with the time that was left as it was sent.
+ */
 static void report_unanswered(struct peer_link *link)
 {
 	struct peer_call *call;
 
 	while ((call = next_unanswered(link))) {
 		call->loss_reported = true;
+		peer_links_recall(call);
 		call->unanswered(call);
 	}
 }
--- a/relay/peer_links.h
+++ b/relay/peer_links.h
@@ -43,8 +43,8 @@
 	/*
 	 * Called at most once, when the link was given up, for a request that
 	 * may run more than once. It stays in progress, since the other daemon
-	 * may have passed it on and answer it yet; done follows at the latest
-	 * when the connection is lost.
+	 * may have passed it on and answer it yet. One that it has not begun is
+	 * recalled. done follows at the latest when the connection is lost.
 	 */
 	void (*unanswered)(struct peer_call *call);
 	/*
--- a/tests/relay/test_stop.cc
+++ b/tests/relay/test_stop.cc
@@ -162,4 +162,38 @@
 	EXPECT_EQ(in.runs(runner), 1U);
 }
 
+/*
+ * Requests reach a daemon that is suspended, and are sent elsewhere meanwhile.
+ * Guards against the daemon running them once it goes on, beside the attempts
+ * that replace them and with the time that was left as they were sent.
+ */
+TEST(Link, SuspendedDaemonDoesNotRunWhatWentElsewhere)
+{
+	const int caller = 0, suspended = 1, other = 2;
+	Platform in(3, { "--service-ms", "4000" });
+	std::vector<std::thread> threads;
+
+	in.start_all(R"(,["long","mesh.example","/long/","idempotent","9s",
+"7s",2,"shop",2])");
+	in.publish_entry(caller, "draining");
+	EXPECT_TRUE(eventually([&] { return in.nr_in_service(caller) == 2; }));
+	size_t before = in.runs(suspended);
+
+	process_signal(&in.hosts[suspended].daemon, SIGSTOP);
+	for (int i = 0; i < 2; i++)
+		threads.emplace_back([&] {
+			EXPECT_EQ(in.send_request(caller, "GET", "/long/1", "",
+						  9000)
+					  .status,
+				  200);
+		});
+	usleep(2200000);
+	EXPECT_EQ(in.runs(other), 2U);
+	process_signal(&in.hosts[suspended].daemon, SIGCONT);
+	usleep(500000);
+	EXPECT_EQ(in.runs(suspended), before);
+	for (std::thread &thread : threads)
+		thread.join();
+}
+
 } // namespace
