Retry a lost attempt once, and return an error answer that is at hand

Callers saw up to one run more than needed, and waited for an error answer that their daemon had already.

Cause: an attempt on a link that was given up was handled as failed at that time and again as its connection closed, although its replacement was at work: two retries of the budget for one attempt. An error answer of the second server was kept back for the attempt on the silent link. The replacement was still sent under the condition that it can be answered within the objective, which holds for first attempts only.

The ids of requests that tests send from several threads are unique now.

--- a/relay/call.c
+++ b/relay/call.c
@@ -74,6 +74,7 @@
 {
 	cds_list_del(&attempt->node);
 	attempt->call->nr_attempts--;
+	attempt->call->nr_unanswered -= attempt->is_unanswered;
 	g_free(attempt);
 }
 
@@ -223,6 +224,16 @@
 	call->nr_excluded = kept;
 }
 
+/*
+ * Whether nothing is left to wait for. A server's error answer is not kept back
+ * for an attempt on a link that was given up.
+ */
+static bool is_over(const struct call *call)
+{
+	return !call->nr_attempts || (call->failed_answer &&
+				      call->nr_attempts == call->nr_unanswered);
+}
+
 /*
  * After a failed attempt: sends the request again if it may be, waits for its
  * other attempts, or ends it.
@@ -240,7 +251,7 @@
 	}
 	if (retry_accepting_late(call, reason))
 		return;
-	if (!call->nr_attempts)
+	if (is_over(call))
 		call_end_failed(call, reason);
 }
 
@@ -302,6 +313,8 @@
 {
 	struct call *call = attempt->call;
 	balance_handle target = attempt->target;
+	/* The request was sent elsewhere already, if another daemon took it. */
+	bool is_replaced = attempt->is_unanswered && call->nr_attempts > 1;
 	/* After a lost connection the daemon may have passed the request on. */
 	bool sent = answer ? answer->sent : reason == FAILURE_LINK_LOST;
 
@@ -327,8 +340,10 @@
 		keep_failed_answer(call, answer);
 	if (reason == FAILURE_NONE)
 		call_end(call, FAILURE_NONE, answer);
-	else
+	else if (!is_replaced)
 		handle_failed_attempt(call, reason, sent);
+	else if (is_over(call))
+		call_end_failed(call, reason);
 }
 
 static enum failure_reason answer_reason(const struct relay_answer *answer)
@@ -403,6 +418,7 @@
 		  (now - attempt->started) / NS_PER_MS,
 		  (call->deadline - now) / NS_PER_MS);
 	attempt->is_unanswered = true;
+	call->nr_unanswered++;
 	handle_failed_attempt(call, FAILURE_LINK_LOST, true);
 }
 
--- a/relay/call.h
+++ b/relay/call.h
@@ -96,9 +96,10 @@
 	bool is_revoked; /* its key was revoked; nothing more is sent */
 	struct cds_list_head attempts; /* in progress */
 	int nr_attempts;	       /* in progress */
-	int nr_placed;		       /* attempts sent to daemons */
-	int nr_sent;		       /* attempts that reached a server */
-	int nr_due_refused;	       /* refused as late or as unsound */
+	int nr_unanswered;  /* of these, on links that were given up */
+	int nr_placed;	    /* attempts sent to daemons */
+	int nr_sent;	    /* attempts that reached a server */
+	int nr_due_refused; /* refused as late or as unsound */
 	balance_handle excluded[BALANCE_EXCLUDED_MAX];
 	size_t nr_excluded;
 	/* By index in excluded: refused as late or as unsound. */
--- a/relay/call_request.c
+++ b/relay/call_request.c
@@ -29,7 +29,7 @@
 	request->time_left_ms = MAX(left / NS_PER_MS, INT64_C(1));
 	request->objective_left_ms = (call->objective - now) / NS_PER_MS;
 	if (call->nr_placed <= due_placed_max && !call->nr_sent &&
-	    !call->hedged && !call->accepts_late) {
+	    !call->nr_unanswered && !call->hedged && !call->accepts_late) {
 		request->due_left_ms = MAX((call->due - now) / NS_PER_MS, 0);
 		request->unless_unsound = failover_enabled(
 			&caller_side_service(call->side, call->service_index)
--- a/tests/relay/platform.h
+++ b/tests/relay/platform.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_PLATFORM_H
 #define RELAY_PLATFORM_H
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -136,7 +137,7 @@
 	std::string directory;
 	std::vector<std::string> backend_options;
 	std::string ports[5];
-	int next_id = 0;
+	std::atomic<int> next_id{ 0 }; /* tests send from several threads */
 };
 
 #endif
--- a/tests/relay/test_stop.cc
+++ b/tests/relay/test_stop.cc
@@ -132,6 +132,19 @@
 	}
 }
 
+/* Waits until a daemon has all servers in service, and then all but its own. */
+void take_out_of_service(Platform &in, int host)
+{
+	int nr = 0;
+
+	for (const PlatformHost &other : in.hosts)
+		nr += other.service == "shop";
+	EXPECT_TRUE(eventually([&] { return in.nr_in_service(host) == nr; }));
+	in.publish_entry(host, "draining");
+	EXPECT_TRUE(
+		eventually([&] { return in.nr_in_service(host) == nr - 1; }));
+}
+
 /*
  * A server is at work on a request of a daemon that stops, while the host of
  * the server falls silent for longer than the time after which its link is
@@ -147,8 +160,7 @@
 
 	in.start_all(R"(,["long","mesh.example","/long/","idempotent","9s",
 "7s",2,"shop",2])");
-	in.publish_entry(caller, "draining");
-	EXPECT_TRUE(eventually([&] { return in.nr_in_service(caller) == 1; }));
+	take_out_of_service(in, caller);
 	thread = std::thread([&] {
 		answer = in.send_request(caller, "GET", "/long/1", "", 9000);
 	});
@@ -162,6 +174,49 @@
 	EXPECT_EQ(in.runs(runner), 1U);
 }
 
+/*
+ * The host of a server falls silent for longer than the time after which its
+ * link is given up, and its daemon ends then. Guards against one lost attempt
+ * that causes two retries, the second while the first is at work.
+ */
+TEST(Link, LostAttemptIsRetriedOnce)
+{
+	const int hosts = 6, caller = 0;
+	Platform in(hosts, { "--service-ms", "4000" });
+	CallerAnswer answer;
+	std::thread thread;
+	int runner = -1;
+	auto all_runs = [&] {
+		size_t runs = 0;
+
+		for (int i = 0; i < hosts; i++)
+			runs += in.runs(i);
+		return runs;
+	};
+
+	in.start_all(R"(,["long","mesh.example","/long/","idempotent","9s",
+"7s",2,"shop",4])");
+	take_out_of_service(in, caller);
+	thread = std::thread([&] {
+		answer = in.send_request(caller, "GET", "/long/1", "", 9000);
+	});
+	EXPECT_TRUE(eventually([&] {
+		for (int i = 0; i < hosts && runner < 0; i++)
+			if (in.runs(i))
+				runner = i;
+		return runner >= 0;
+	}));
+	process_signal(&in.hosts[(size_t)runner].daemon, SIGSTOP);
+	usleep(2200000);
+	size_t before = all_runs();
+
+	process_kill(&in.hosts[(size_t)runner].daemon);
+	usleep(500000);
+	EXPECT_EQ(all_runs(), before);
+	thread.join();
+	EXPECT_EQ(answer.status, 200);
+}
+
 /*
  * Requests reach a daemon that is suspended, and are sent elsewhere meanwhile.
  * Guards against the daemon running them once it goes on, beside the attempts
@@ -175,8 +230,7 @@
 
 	in.start_all(R"(,["long","mesh.example","/long/","idempotent","9s",
 "7s",2,"shop",2])");
-	in.publish_entry(caller, "draining");
-	EXPECT_TRUE(eventually([&] { return in.nr_in_service(caller) == 2; }));
+	take_out_of_service(in, caller);
 	size_t before = in.runs(suspended);
 
 	process_signal(&in.hosts[suspended].daemon, SIGSTOP);
