Pass on late entries of a full read, too

Cause: the rule for entries that were read without the changes before them was missing where the entry is older than the one known and says the same. MeshItems.LateEntryOfAFullReadIsPassedOn failed before.

--- a/relay/mesh_items.c
+++ b/relay/mesh_items.c
@@ -118,10 +118,11 @@
 
 /*
  * Goes on with what is known of a server instead of its entry in the store. If
- * both say the same, nothing needs to be sent to other daemons.
+ * both say the same, it is a heartbeat to daemons with all changes before it.
  */
 static void hold_entry(struct mesh_control *control, const char *key,
-		       const struct mesh_target *target, int64_t rank)
+		       const struct mesh_target *target, int64_t rank,
+		       bool after_all_changes)
 {
 	const struct feed_item *item = feed_find(control->feed, key);
 	const struct mesh_target *known =
@@ -131,7 +132,8 @@
 	if (feed_has_value(control->feed, key) && same_target(known, target)) {
 		g_autoptr(GBytes) same = g_bytes_ref(item->value);
 
-		feed_write(control->feed, key, same, target->revision, false);
+		feed_write(control->feed, key, same, target->revision,
+			   !after_all_changes);
 		return;
 	}
 	/* What was kept as unknown to others is in the copy after all. */
@@ -192,7 +194,8 @@
  * Returns whether the entry needs no further handling.
  */
 static bool handle_disorder(struct mesh_control *control, const char *key,
-			    GBytes *value, struct mesh_target *target)
+			    GBytes *value, struct mesh_target *target,
+			    bool after_all_changes)
 {
 	struct entry_order order;
 	const struct entry_order *known =
@@ -206,7 +209,7 @@
 		return false;
 	log_verdict(verdict, target, known);
 	if (verdict == ENTRY_RULED_OUT)
-		hold_entry(control, key, target, rank);
+		hold_entry(control, key, target, rank, after_all_changes);
 	else if (verdict == ENTRY_OF_FORMER_BOOT)
 		drop_entry(control, key, target->revision, rank);
 	else
@@ -256,7 +259,8 @@
 	switch (platform_item_kind(key, &name)) {
 	case PLATFORM_ITEM_TARGET:
 		target = decode_target(name, value, revision);
-		if (target && handle_disorder(control, key, value, target))
+		if (target && handle_disorder(control, key, value, target,
+					      after_all_changes))
 			return;
 		changed = apply_target(control, key, target) ||
 			  !feed_has_value(control->feed, key);
--- a/tests/relay/test_mesh_items.cc
+++ b/tests/relay/test_mesh_items.cc
@@ -74,6 +74,16 @@
 	EXPECT_EQ(replica.changed(), 120);
 }
 
+/* Guards against the same by an entry that is older than the one known. */
+TEST(MeshItems, LateEntryOfAFullReadIsPassedOn)
+{
+	Replica replica;
+
+	replica.write(100, 5, false);
+	replica.write(120, 4, false);
+	EXPECT_EQ(replica.changed(), 120);
+}
+
 /* Guards against heartbeats that are sent to all daemons. */
 TEST(MeshItems, HeartbeatIsNotPassedOn)
 {
--- a/tests/relay/test_store_outage.cc
+++ b/tests/relay/test_store_outage.cc
@@ -16,6 +16,16 @@
 struct StoreOutage : public testing::Test {
 	Platform in{ HOSTS, { "--service-ms", "2" }, true };
 
+	/* Starts all daemons and waits until they have all servers. */
+	void start()
+	{
+		in.start_all();
+		for (int i = 0; i < HOSTS; i++)
+			EXPECT_TRUE(eventually([&] {
+				return in.nr_in_service(i) == HOSTS - 1;
+			})) << i;
+	}
+
 	bool reads_store(int host)
 	{
 		return in.dump_number(host, { "control", "reads_store" }) == 1;
@@ -71,7 +81,7 @@
 	const int started = HOSTS - 1;
 	json_int_t before;
 
-	in.start_all();
+	start();
 	before = revision(0);
 	in.store->fault("outage");
 	usleep(2500 * MS);
@@ -96,7 +106,7 @@
 {
 	json_int_t before;
 
-	in.start_all();
+	start();
 	before = revision(0);
 	for (int i = 0; i < HOSTS; i++)
 		if (reads_store(i))
@@ -118,7 +128,7 @@
  */
 TEST_F(StoreOutage, ServerThatIsGoneLeavesAfterTheHold)
 {
-	in.start_all();
+	start();
 	in.store->fault("outage");
 	usleep(2500 * MS);
 	in.delete_item("servers/" + in.hosts[0].id);
@@ -140,7 +150,7 @@
 	int turned_away = -1, ended = -1;
 	json_int_t before;
 
-	in.start_all();
+	start();
 	for (int i = 0; i < HOSTS; i++) {
 		if (!reads_store(i))
 			continue;
