--- a/tests/relay/crowd.cc
+++ b/tests/relay/crowd.cc
@@ -25,8 +25,9 @@
 	return in;
 }
 
-Crowd::Crowd(const std::string &address, const std::string &bytes, int size)
-    : payload(bytes)
+Crowd::Crowd(const std::string &address, const std::string &bytes, int size,
+	     size_t nr)
+    : payload(bytes), per_pass(nr)
 {
 	sockaddr_in in = parse(address);
 
@@ -48,9 +49,11 @@
 
 bool Crowd::send_some()
 {
-	bool done = true;
+	started = std::min(members.size(), started + per_pass);
+	bool done = started == members.size();
 
-	for (Member &member : members) {
+	for (size_t i = 0; i < started; i++) {
+		Member &member = members[i];
 		size_t left = payload.size() - member.sent;
 		ssize_t n = left ? send(member.fd, payload.data() + member.sent,
 					std::min<size_t>(left, 1000000),
@@ -128,9 +131,13 @@
 void Usage::sample()
 {
 	std::error_code error;
-	size_t nr = 0;
+	size_t nr = 0, unread;
 
-	peak = std::max(peak, status_bytes("VmRSS:") + unread_bytes());
+	unread = unread_bytes();
+	if (status_bytes("VmRSS:") + unread > peak) {
+		peak = status_bytes("VmRSS:") + unread;
+		peak_unread = unread;
+	}
 	peak = std::max(peak, status_bytes("VmHWM:"));
 	for (const auto &entry :
 	     std::filesystem::directory_iterator(directory + "/fd", error)) {
@@ -145,6 +152,11 @@
 	return peak;
 }
 
+size_t Usage::unread_at_peak() const
+{
+	return peak_unread;
+}
+
 size_t Usage::peak_descriptors() const
 {
 	return descriptors;
--- a/tests/relay/crowd.h
+++ b/tests/relay/crowd.h
@@ -1,17 +1,20 @@
 #ifndef RELAY_CROWD_H
 #define RELAY_CROWD_H
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 /*
  * Callers that respect no limits: connections that all send the same bytes as
- * fast as they are accepted and stay open afterwards.
+ * fast as they are accepted and stay open afterwards. With per_pass, only so
+ * many more connections begin to send at each call of send_some().
  */
 class Crowd
 {
       public:
-	Crowd(const std::string &address, const std::string &payload, int size);
+	Crowd(const std::string &address, const std::string &payload, int size,
+	      size_t per_pass = SIZE_MAX / 2);
 	~Crowd();
 
 	/* Sends what the sockets accept. Returns whether all was sent. */
@@ -25,6 +28,7 @@
 		size_t sent;
 	};
 	std::string payload;
+	size_t per_pass, started = 0;
 	std::vector<Member> members;
 };
 
@@ -43,6 +47,7 @@
 	 * received and it had not read at the time of a sample.
 	 */
 	size_t peak_bytes() const;
+	size_t unread_at_peak() const; /* the part that was not read */
 	size_t peak_descriptors() const;
 
       private:
@@ -51,7 +56,7 @@
 
 	std::string directory;
 	std::vector<std::string> keys; /* addresses as in /proc/net/tcp */
-	size_t peak = 0;
+	size_t peak = 0, peak_unread = 0;
 	size_t descriptors = 0;
 };
 
--- a/tests/relay/test_memory.cc
+++ b/tests/relay/test_memory.cc
@@ -3,8 +3,7 @@
  * descriptors. Each test guards against a process that exits, or outgrows its
  * machine, because of what such callers make it hold.
  */
-#include "crowd.h"
-#include "platform.h"
+#include "crowd_platform.h"
 
 #include <arpa/inet.h>
 
@@ -14,153 +13,69 @@
 #define DESCRIPTORS_MAX 400
 #define DESCRIPTORS_FOR_FILES 200
 
-/* A route to the service "docs", which only the last host has. */
-static const char *const docs_row =
-	R"(,["docs","mesh.example","/docs/","idempotent","3s","1s",2,"docs",2])";
-
-static std::string head(const std::string &path, const std::string &framing)
-{
-	return "POST " + path +
-	       " HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: crowd\r\n" +
-	       framing + "\r\n\r\n";
-}
-
-static std::string announced(const std::string &path, size_t length,
-			     size_t sent)
-{
-	return head(path, "Content-Length: " + std::to_string(length)) +
-	       std::string(sent, 'x');
-}
-
-static std::string chunks(const std::string &path, size_t size, size_t nr,
-			  const std::string &extension = "")
-{
-	std::string text = head(path, "Transfer-Encoding: chunked");
-	char line[32];
-
-	snprintf(line, sizeof(line), "%zx", size);
-	for (size_t i = 0; i < nr; i++)
-		text += line + extension + "\r\n" + std::string(size, 'x') +
-			"\r\n";
-	return text;
-}
-
-/* Starts hosts of which the last one is limited, and has the service. */
-static void start(Platform &in, const std::string &limits, int body_max)
-{
-	int last = (int)in.hosts.size() - 1;
-
-	for (size_t i = 0; i < in.hosts.size(); i++) {
-		if ((int)i < last)
-			continue;
-		in.hosts[i].service = "docs";
-		in.set((int)i, "service=docs");
-		in.set((int)i, limits);
-	}
-	in.start_all(docs_row, body_max);
-}
-
-static Usage usage_of(const PlatformHost &host)
-{
-	return Usage(host.daemon.pid, { host.callers, host.peers });
-}
-
-/* Sends until all is sent or refused, for at most 20 s, and a second more. */
-static void run(const std::vector<Crowd *> &crowds, Usage &usage)
-{
-	bool done = false;
-
-	for (int i = 0; i < 2000 && !done; i++) {
-		done = true;
-		for (Crowd *crowd : crowds)
-			done &= crowd->send_some();
-		usage.sample();
-		usleep(10000);
-	}
-	for (int i = 0; i < 20; i++) {
-		usage.sample();
-		usleep(50000);
-	}
-}
-
-/* While the crowd is still connected, an ordinary request is answered. */
-static void expect_served(Platform &in, const Usage &usage, size_t memory_max)
-{
-	int last = (int)in.hosts.size() - 1;
-
-	printf("peak: %zu bytes, %zu descriptors\n", usage.peak_bytes(),
-	       usage.peak_descriptors());
-	EXPECT_EQ(waitpid(in.hosts[(size_t)last].daemon.pid, nullptr, WNOHANG),
-		  0);
-	EXPECT_LE(usage.peak_bytes(), memory_max);
-	EXPECT_TRUE(eventually([&] {
-		return in.send_request(last, "POST", "/docs/1", "small")
-			       .status == 200;
-	}));
-}
-
 static void check_callers(const std::string &payload)
 {
 	Platform in(1, { "--service-ms", "100", "--slots", "4" });
 
-	start(in, "limits.memory_mb=64", BODY_BYTES);
-	Usage usage = usage_of(in.hosts[0]);
+	crowd_start(in, { "limits.memory_mb=64" }, BODY_BYTES);
+	Usage usage = crowd_usage(in.hosts[0]);
 	Crowd crowd(in.hosts[0].callers, payload, CROWD);
-	run({ &crowd }, usage);
-	expect_served(in, usage, MEMORY_MAX);
+	crowd_run({ &crowd }, usage);
+	crowd_expect_served(in, usage, MEMORY_MAX);
 }
 
 TEST(Memory, HoldsWithAnnouncedBodiesOneByteShort)
 {
-	check_callers(announced("/docs/1", BODY_BYTES, BODY_BYTES - 1));
+	check_callers(crowd_announced("/docs/1", BODY_BYTES, BODY_BYTES - 1));
 }
 
 TEST(Memory, HoldsWithAnnouncedBodiesFiftyBytesShort)
 {
-	check_callers(announced("/docs/1", BODY_BYTES, BODY_BYTES - 50));
+	check_callers(crowd_announced("/docs/1", BODY_BYTES, BODY_BYTES - 50));
 }
 
 TEST(Memory, HoldsWithLargeChunksWithoutEnd)
 {
-	check_callers(chunks("/docs/1", 50000, 20));
+	check_callers(crowd_chunks("/docs/1", 50000, 20));
 }
 
 TEST(Memory, HoldsWithOneLargeChunkOneByteShort)
 {
-	std::string payload = chunks("/docs/1", BODY_BYTES, 1);
+	std::string payload = crowd_chunks("/docs/1", BODY_BYTES, 1);
 
 	check_callers(payload.substr(0, payload.size() - 3));
 }
 
 TEST(Memory, HoldsWithWholeBodiesAtOnce)
 {
-	check_callers(announced("/docs/1", BODY_BYTES, BODY_BYTES));
+	check_callers(crowd_announced("/docs/1", BODY_BYTES, BODY_BYTES));
 }
 
 TEST(Memory, HoldsWithChunksOfOneByte)
 {
-	check_callers(chunks("/docs/1", 1, 200000));
+	check_callers(crowd_chunks("/docs/1", 1, 200000));
 }
 
 TEST(Memory, HoldsWithLongChunkExtensions)
 {
-	check_callers(
-		chunks("/docs/1", 10, 200, ";a=" + std::string(4000, 'x')));
+	check_callers(crowd_chunks("/docs/1", 10, 200,
+				   ";a=" + std::string(4000, 'x')));
 }
 
 TEST(Memory, HoldsWithBodiesAnnouncedOverTheLimit)
 {
-	check_callers(announced("/docs/1", 100 * BODY_BYTES, BODY_BYTES));
+	check_callers(crowd_announced("/docs/1", 100 * BODY_BYTES, BODY_BYTES));
 }
 
 TEST(Memory, HoldsWithBodiesSentOverTheLimit)
 {
-	check_callers(chunks("/docs/1", 50000, 40));
+	check_callers(crowd_chunks("/docs/1", 50000, 40));
 }
 
 TEST(Memory, HoldsWithMessageHeadsWithoutEnd)
 {
-	std::string text = head("/docs/1", "A: " + std::string(15000, 'x'));
+	std::string text =
+		crowd_head("/docs/1", "A: " + std::string(15000, 'x'));
 
 	check_callers(text.substr(0, text.size() - 2));
 }
@@ -172,13 +87,13 @@
 
 	const size_t length = 8 * BODY_BYTES;
 
-	start(in, "limits.memory_mb=64", (int)length);
-	Usage usage = usage_of(in.hosts[3]);
-	std::string payload = announced("/docs/1", length, length);
+	crowd_start(in, { "limits.memory_mb=64" }, (int)length);
+	Usage usage = crowd_usage(in.hosts[3]);
+	std::string payload = crowd_announced("/docs/1", length, length);
 	Crowd first(in.hosts[0].callers, payload, CROWD / 10);
 	Crowd second(in.hosts[1].callers, payload, CROWD / 10);
-	run({ &first, &second }, usage);
-	expect_served(in, usage, MEMORY_MAX);
+	crowd_run({ &first, &second }, usage);
+	crowd_expect_served(in, usage, MEMORY_MAX);
 }
 
 /* Requests from other daemons of which the last byte never comes. */
@@ -197,29 +112,30 @@
 				   0 };
 	Platform in(1);
 
-	start(in, "limits.memory_mb=64", BODY_BYTES);
-	Usage usage = usage_of(in.hosts[0]);
+	crowd_start(in, { "limits.memory_mb=64" }, BODY_BYTES);
+	Usage usage = crowd_usage(in.hosts[0]);
 	Crowd crowd(in.hosts[0].peers,
 		    std::string((const char *)words, sizeof(words)) +
 			    std::string(BODY_BYTES + 4 - 1 - sizeof(words),
 					'x'),
 		    CROWD);
-	run({ &crowd }, usage);
-	expect_served(in, usage, MEMORY_MAX);
+	crowd_run({ &crowd }, usage);
+	crowd_expect_served(in, usage, MEMORY_MAX);
 }
 
 TEST(Memory, HoldsWithBodiesFromCallersAndOtherDaemons)
 {
 	Platform in(4, { "--service-ms", "100", "--slots", "4" });
 
-	start(in, "limits.memory_mb=64", BODY_BYTES);
-	Usage usage = usage_of(in.hosts[3]);
-	std::string whole = announced("/docs/1", BODY_BYTES, BODY_BYTES);
+	crowd_start(in, { "limits.memory_mb=64" }, BODY_BYTES);
+	Usage usage = crowd_usage(in.hosts[3]);
+	std::string whole = crowd_announced("/docs/1", BODY_BYTES, BODY_BYTES);
 	Crowd first(in.hosts[0].callers, whole, CROWD);
 	Crowd second(in.hosts[3].callers,
-		     announced("/docs/1", BODY_BYTES, BODY_BYTES - 1), CROWD);
-	run({ &first, &second }, usage);
-	expect_served(in, usage, MEMORY_MAX);
+		     crowd_announced("/docs/1", BODY_BYTES, BODY_BYTES - 1),
+		     CROWD);
+	crowd_run({ &first, &second }, usage);
+	crowd_expect_served(in, usage, MEMORY_MAX);
 }
 
 /* Callers that send requests one after the other and read no response. */
@@ -229,27 +145,27 @@
 			 std::to_string(BODY_BYTES) });
 	std::string payload;
 
-	start(in, "limits.memory_mb=64", BODY_BYTES);
-	Usage usage = usage_of(in.hosts[0]);
+	crowd_start(in, { "limits.memory_mb=64" }, BODY_BYTES);
+	Usage usage = crowd_usage(in.hosts[0]);
 	for (int i = 0; i < 100; i++)
 		payload += "GET /docs/1 HTTP/1.1\r\nHost: mesh.example\r\n"
 			   "X-Request-Id: crowd\r\n\r\n";
 	Crowd crowd(in.hosts[0].callers, payload, CROWD);
-	run({ &crowd }, usage);
-	expect_served(in, usage, MEMORY_MAX);
+	crowd_run({ &crowd }, usage);
+	crowd_expect_served(in, usage, MEMORY_MAX);
 }
 
 TEST(Memory, HoldsDescriptorsWithIdleConnections)
 {
 	Platform in(1);
 
-	start(in, "limits.max_fds=" + std::to_string(DESCRIPTORS_MAX),
-	      BODY_BYTES);
-	Usage usage = usage_of(in.hosts[0]);
+	crowd_start(in, { "limits.max_fds=" + std::to_string(DESCRIPTORS_MAX) },
+		    BODY_BYTES);
+	Usage usage = crowd_usage(in.hosts[0]);
 	Crowd crowd(in.hosts[0].callers, "GET /docs/1 HTTP/1.1\r\n",
 		    2 * DESCRIPTORS_MAX);
-	run({ &crowd }, usage);
-	expect_served(in, usage, 4 * MEMORY_MAX);
+	crowd_run({ &crowd }, usage);
+	crowd_expect_served(in, usage, 4 * MEMORY_MAX);
 	EXPECT_LE(usage.peak_descriptors(),
 		  (size_t)(DESCRIPTORS_MAX - DESCRIPTORS_FOR_FILES));
 }
@@ -262,9 +178,9 @@
 
 	for (int i = 0; i < hosts; i++)
 		in.set(i, "limits.memory_mb=110");
-	start(in, "limits.memory_mb=110", body_max);
-	Usage first = usage_of(in.hosts[0]);
-	Usage last = usage_of(in.hosts[(size_t)hosts - 1]);
+	crowd_start(in, { "limits.memory_mb=110" }, body_max);
+	Usage first = crowd_usage(in.hosts[0]);
+	Usage last = crowd_usage(in.hosts[(size_t)hosts - 1]);
 	EXPECT_EQ(in.send_request(0, "POST", "/docs/1",
 				  std::string((size_t)body_max, 'x'), 3000)
 			  .status,
