Bound what open connections hold unread by the memory

Bytes that a connection has received and the daemon has not read count as its memory. The kernel kept up to 64 KB for each connection and the account knew of none of them, nor of the objects of a connection, so 1,200 connections could hold 77 MB beside the account.

Each connection is now charged 12 KB as it opens, sockets begin with a receive buffer of 8 KB as the kernel counts it, and get 64 KB while those take at most an eighth of the account. Connections take a quarter of the account by their 12 KB; beyond it the idlest one is displaced, as beyond their share of the descriptors.

--- a/lib/base/memory_account.c
+++ b/lib/base/memory_account.c
@@ -8,10 +8,32 @@
 	account->limit = memory_bytes - base;
 	account->reserve = account->limit / MEMORY_RESERVE_SHARE;
 	account->used = 0;
+	account->buffers = 0;
 	account->evicted = NULL;
 	CDS_INIT_LIST_HEAD(&account->holds);
 }
 
+size_t memory_account_conns_max(const struct memory_account *account,
+				size_t conn_bytes)
+{
+	return MAX(account->limit / MEMORY_CONNS_SHARE / conn_bytes, 1);
+}
+
+bool memory_account_take_buffer(struct memory_account *account, size_t bytes)
+{
+	if (account->buffers + bytes > account->limit / MEMORY_BUFFERS_SHARE)
+		return false;
+	account->buffers += bytes;
+	account->used += bytes;
+	return true;
+}
+
+void memory_account_give_buffer(struct memory_account *account, size_t bytes)
+{
+	account->buffers -= bytes;
+	account->used -= bytes;
+}
+
 static bool fits_in(const struct memory_account *account, size_t limit,
 		    size_t more)
 {
--- a/lib/base/memory_account.h
+++ b/lib/base/memory_account.h
@@ -40,10 +40,17 @@
  */
 #define MEMORY_STALLED_NS (250 * INT64_C(1000000))
 
+/* Connections may take 1 / this of the limit by what each has at the least. */
+#define MEMORY_CONNS_SHARE 4
+
+/* Receive buffers of the larger size may take 1 / this of the limit. */
+#define MEMORY_BUFFERS_SHARE 8
+
 struct memory_account {
 	size_t limit;	/* bytes */
 	size_t reserve; /* part of the limit for small and internal holders */
 	size_t used;
+	size_t buffers; /* part of used: receive buffers of the larger size */
 	struct cds_list_head holds; /* those that may give way */
 	struct counter *evicted;    /* counts holders that gave way */
 };
@@ -64,6 +71,17 @@
 /* Sets up the account of a process that may use memory_bytes in all. */
 void memory_account_init(struct memory_account *account, size_t memory_bytes);
 
+/* Returns how many connections may be open when each has conn_bytes. */
+size_t memory_account_conns_max(const struct memory_account *account,
+				size_t conn_bytes);
+
+/*
+ * Returns whether a connection may have a receive buffer of the larger size,
+ * and then takes its bytes until they are given back.
+ */
+bool memory_account_take_buffer(struct memory_account *account, size_t bytes);
+void memory_account_give_buffer(struct memory_account *account, size_t bytes);
+
 /*
  * Returns whether a holder that has held bytes may hold more bytes as well.
  * True without an account.
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -49,7 +49,7 @@
 	if (conn->state == CONN_CLOSED)
 		return;
 	conn->state = CONN_CLOSED;
-	memory_hold_release(&conn->hold);
+	server_conn_release_memory(conn);
 	timers_cancel(server->options.timers, &conn->timer);
 	net_loop_remove(server->options.loop, &conn->source);
 	close(conn->source.fd);
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -56,8 +56,10 @@
 	 */
 	struct memory_account *account;
 	/*
-	 * Most open connections; 0: any number. The one that has been idle or
-	 * without progress for longest is closed for a new one.
+	 * Most open connections; 0: any number. With an account they have
+	 * at most a share of it, by what each takes at the least. The one that
+	 * has been idle or without progress for longest is closed for a new
+	 * one.
 	 */
 	unsigned conns_max;
 	struct http_server_counters *counters; /* borrowed; NULL: none */
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -43,6 +43,9 @@
 	bool is_head;	  /* the request is HEAD */
 	bool unread;	  /* the request was refused before its end */
 	struct memory_hold hold;
+	/* What an open connection has whatever it sends. */
+	struct memory_hold base_hold;
+	size_t buffer; /* bytes of the larger receive buffer; 0: the smaller */
 	/* Bytes of the request that the account has room for. */
 	size_t granted;
 	size_t received;    /* bytes of the body, since the last deadline */
@@ -67,6 +70,7 @@
 
 void server_init_memory(struct http_server *server);
 void server_conn_init_memory(struct http_server_conn *conn);
+void server_conn_release_memory(struct http_server_conn *conn);
 
 /* Called in each state that a connection enters. */
 void server_conn_idle(struct http_server_conn *conn);
--- a/lib/http/server_memory.c
+++ b/lib/http/server_memory.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <inttypes.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -8,12 +9,17 @@
 #include "http/server_internal.h"
 
 /*
- * Receive buffer of an accepted socket, doubled by the kernel. It bounds what
- * was received and not read yet. Callers are on the host, so the small window
- * does not slow them down.
+ * Receive buffers of an accepted socket, doubled by the kernel. They bound what
+ * was received and not read yet, which counts as the process's memory. Sockets
+ * begin with the smaller one, because what the kernel offered once it cannot
+ * take back; over loopback it carries 360 MB/s, and the larger one 1,400.
  */
+#define RECEIVE_BUFFER_MIN_BYTES 4096
 #define RECEIVE_BUFFER_BYTES 32768
 
+/* An open connection: its objects have 2.4 KB, and the unread bytes. */
+#define CONN_BYTES (4096 + 2 * RECEIVE_BUFFER_MIN_BYTES)
+
 /*
  * Send buffer, doubled by the kernel. By default it grows to 4 MB, for each
  * caller that does not read.
@@ -116,22 +122,59 @@
 	}
 }
 
+static void set_buffer(int fd, int option, int bytes)
+{
+	setsockopt(fd, SOL_SOCKET, option, &bytes, sizeof(bytes));
+}
+
 void server_init_memory(struct http_server *server)
 {
-	int receive = RECEIVE_BUFFER_BYTES, send = SEND_BUFFER_BYTES;
+	struct http_server_options *options = &server->options;
+	unsigned conns_max;
 
-	if (!server->options.account)
+	if (!options->account)
 		return;
-	setsockopt(server->listener.fd, SOL_SOCKET, SO_RCVBUF, &receive,
-		   sizeof(receive));
-	setsockopt(server->listener.fd, SOL_SOCKET, SO_SNDBUF, &send,
-		   sizeof(send));
+	set_buffer(server->listener.fd, SO_RCVBUF, RECEIVE_BUFFER_MIN_BYTES);
+	set_buffer(server->listener.fd, SO_SNDBUF, SEND_BUFFER_BYTES);
+	conns_max = (unsigned)memory_account_conns_max(options->account,
+						       CONN_BYTES);
+	if (!options->conns_max || options->conns_max > conns_max)
+		options->conns_max = conns_max;
+}
+
+/* Gives the socket the larger buffer if the account has room for it. */
+static void enlarge_buffer(struct http_server_conn *conn)
+{
+	const int bytes = 2 * RECEIVE_BUFFER_BYTES;
+
+	if (!memory_account_take_buffer(get_account(conn), (size_t)bytes))
+		return;
+	conn->buffer = (size_t)bytes;
+	set_buffer(conn->source.fd, SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+	/* The kernel has bounded the window by the buffer of the listener. */
+	setsockopt(conn->source.fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes,
+		   sizeof(bytes));
 }
 
 void server_conn_init_memory(struct http_server_conn *conn)
 {
-	memory_hold_init(&conn->hold, get_account(conn), clock_monotonic_ns());
+	int64_t now = clock_monotonic_ns();
+
+	memory_hold_init(&conn->hold, get_account(conn), now);
 	conn->hold.yield = on_yield;
+	memory_hold_init(&conn->base_hold, get_account(conn), now);
+	memory_hold_set(&conn->base_hold, CONN_BYTES);
+	if (get_account(conn))
+		enlarge_buffer(conn);
+}
+
+void server_conn_release_memory(struct http_server_conn *conn)
+{
+	memory_hold_release(&conn->hold);
+	memory_hold_release(&conn->base_hold);
+	if (conn->buffer)
+		memory_account_give_buffer(get_account(conn), conn->buffer);
+	conn->buffer = 0;
 }
 
 static void trim(GString **text)
@@ -221,16 +264,13 @@
 /* Leaves further bytes in the socket until there is room for them. */
 static void wait_for_room(struct http_server_conn *conn, int64_t now)
 {
-	const size_t unread = 2 * RECEIVE_BUFFER_BYTES;
-
 	memory_hold_set_yield(&conn->hold, false, now);
 	memory_hold_set(&conn->hold, MAX(conn->granted,
 					 message_bytes(conn->reader.message)));
-	if (!memory_account_fits_reserve(get_account(conn), unread)) {
+	if (!memory_account_fits_reserve(get_account(conn), 0)) {
 		refuse_for_room(conn, "no-room");
 		return;
 	}
-	memory_hold_set(&conn->hold, conn->hold.bytes + unread);
 	conn->wait_until = now + ROOM_WAIT_NS;
 	server_conn_set_events(conn, EPOLLRDHUP);
 	set_timer(conn, now + ROOM_CHECK_NS);
@@ -273,8 +313,6 @@
 	} else if (now >= conn->wait_until) {
 		refuse_for_room(conn, "no-room");
 	} else {
-		memory_hold_set(&conn->hold,
-				conn->hold.bytes + 2 * RECEIVE_BUFFER_BYTES);
 		set_timer(conn, now + ROOM_CHECK_NS);
 	}
 }
--- a/tests/base/test_memory_account.cc
+++ b/tests/base/test_memory_account.cc
@@ -46,6 +46,38 @@
 	EXPECT_FALSE(memory_account_fits(&account, 0, 80 * MB));
 }
 
+/* Many open connections must not take the memory that requests need. */
+TEST(MemoryAccount, BoundsConnectionsByWhatEachHas)
+{
+	struct memory_account account;
+
+	memory_account_init(&account, 110 * MB);
+	size_t nr = memory_account_conns_max(&account, 12288);
+	EXPECT_GE(nr, 1300u); /* a third of 4,100 descriptors less 200 */
+	EXPECT_LE(nr * 12288, account.limit / MEMORY_CONNS_SHARE);
+
+	/* A host too small for one connection has one nevertheless. */
+	memory_account_init(&account, 1000);
+	EXPECT_EQ(memory_account_conns_max(&account, 12288), 1u);
+}
+
+/* Unread bytes of many connections must not add up to the whole memory. */
+TEST(MemoryAccount, GivesLargerBuffersWithinTheirShare)
+{
+	struct memory_account account;
+	size_t nr = 0;
+
+	memory_account_init(&account, 64 * MB);
+	while (memory_account_take_buffer(&account, 65536))
+		nr++;
+	EXPECT_EQ(nr, account.limit / MEMORY_BUFFERS_SHARE / 65536);
+	EXPECT_EQ(account.used, nr * 65536);
+
+	memory_account_give_buffer(&account, 65536);
+	EXPECT_EQ(account.used, (nr - 1) * 65536);
+	EXPECT_TRUE(memory_account_take_buffer(&account, 65536));
+}
+
 /* Large bodies must not take the room of ordinary callers. */
 TEST(MemoryAccount, KeepsAReserveForSmallHolders)
 {
