Give up unread responses when a new one exceeds the account

A response is charged once its request has run, and was never refused, also when the account was full: only holders without progress for 250 ms gave way, and only when a request needed room. All running and queued requests could add their responses beyond the limit.

A response that exceeds the account now makes others give way, stalled ones first, then the one with the largest product of bytes and time since its last progress. Its own connection stays.

--- a/lib/base/memory_account.c
+++ b/lib/base/memory_account.c
@@ -54,8 +54,8 @@
 	return fits_in(account, account->limit - account->reserve, more);
 }
 
-static struct memory_hold *find_stalled(struct memory_account *account,
-					int64_t now)
+static struct memory_hold *find_worst(struct memory_account *account,
+				      bool only_stalled, int64_t now)
 {
 	struct memory_hold *hold, *worst = NULL;
 	double worst_cost = 0;
@@ -64,7 +64,8 @@
 		int64_t stalled = now - hold->progressed;
 		double cost = (double)hold->bytes * (double)stalled;
 
-		if (stalled < hold->stalled_ns || cost <= worst_cost)
+		if ((only_stalled && stalled < hold->stalled_ns) ||
+		    cost <= worst_cost)
 			continue;
 		worst = hold;
 		worst_cost = cost;
@@ -72,23 +73,43 @@
 	return worst;
 }
 
+static void give_way(struct memory_account *account, struct memory_hold *hold,
+		     int64_t now)
+{
+	memory_hold_set_yield(hold, false, now);
+	if (account->evicted)
+		counter_add(account->evicted, 1);
+	hold->yield(hold);
+}
+
 bool memory_account_make_room(struct memory_account *account, size_t held,
 			      size_t more, int64_t now)
 {
 	struct memory_hold *hold;
 
 	while (!memory_account_fits(account, held, more)) {
-		hold = find_stalled(account, now);
+		hold = find_worst(account, true, now);
 		if (!hold)
 			return false;
-		memory_hold_set_yield(hold, false, now);
-		if (account->evicted)
-			counter_add(account->evicted, 1);
-		hold->yield(hold);
+		give_way(account, hold, now);
 	}
 	return true;
 }
 
+void memory_account_shrink(struct memory_account *account, int64_t now)
+{
+	struct memory_hold *hold;
+
+	while (!memory_account_fits_reserve(account, 0)) {
+		hold = find_worst(account, true, now);
+		if (!hold)
+			hold = find_worst(account, false, now);
+		if (!hold)
+			return;
+		give_way(account, hold, now);
+	}
+}
+
 void memory_hold_init(struct memory_hold *hold, struct memory_account *account,
 		      int64_t now)
 {
--- a/lib/base/memory_account.h
+++ b/lib/base/memory_account.h
@@ -101,6 +101,13 @@
 bool memory_account_make_room(struct memory_account *account, size_t held,
 			      size_t more, int64_t now);
 
+/*
+ * Makes holders give way until what is held fits into the limit, whether or not
+ * they are stalled; one that has made progress just now does not. For bytes
+ * that cannot be refused, as the response to a request that has run.
+ */
+void memory_account_shrink(struct memory_account *account, int64_t now);
+
 void memory_hold_init(struct memory_hold *hold, struct memory_account *account,
 		      int64_t now);
 
--- a/lib/http/server_memory.c
+++ b/lib/http/server_memory.c
@@ -234,6 +234,10 @@
 	memory_hold_set_yield(&conn->hold, true, now);
 	conn->received = 0;
 	set_timer(conn, now + PROGRESS_NS);
+	/* Refusals are short, and those of other holders end up here as well.
+	 */
+	if (!conn->unread)
+		memory_account_shrink(get_account(conn), now);
 }
 
 void server_conn_wrote(struct http_server_conn *conn, size_t bytes)
--- a/tests/base/test_memory_account.cc
+++ b/tests/base/test_memory_account.cc
@@ -131,6 +131,30 @@
 	EXPECT_EQ(running.yields, 0);
 }
 
+/* Responses that nobody reads must not add up beyond the limit. */
+TEST(MemoryAccount, ShrinksByHoldersThatAreNotStalled)
+{
+	struct memory_account account;
+
+	memory_account_init(&account, 64 * MB);
+	Holder older(&account, 10 * MB, 0);
+	Holder newer(&account, 10 * MB, 50 * MS);
+	Holder last(&account, account.limit - 20 * MB, 100 * MS);
+
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(older.yields, 0);
+	memory_hold_set(&last.hold, account.limit - 19 * MB);
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(older.yields, 1);
+	EXPECT_EQ(newer.yields, 0);
+
+	/* The one that has just come is not given up for itself. */
+	memory_hold_set(&last.hold, 2 * account.limit);
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(newer.yields, 1);
+	EXPECT_EQ(last.yields, 0);
+}
+
 TEST(MemoryAccount, ReleaseReturnsAllBytes)
 {
 	struct memory_account account;
