Map buffers of 32 KB and more

Bodies without an announced length grow by doubling. When many of them grow past 128 KB, from where on buffers are mapped, the smaller sizes that they leave stay in the heap as free memory between others in use, which the allocator cannot return and the account does not see.

The free memory at the end of the heap stays bounded by 128 KB as before.

--- a/relay/memory_limits.c
+++ b/relay/memory_limits.c
@@ -20,9 +20,13 @@
 /*
  * Buffers of at least this size are mapped, so that freeing them returns their
  * memory. By default the allocator raises its bound to 32 MB as it frees such
- * buffers, and keeps memory of that size.
+ * buffers, and keeps memory of that size. Bodies that grow by doubling leave
+ * the smaller sizes behind as free memory of the heap, so the bound is low.
  */
-#define MAPPED_BYTES (128 * 1024)
+#define MAPPED_BYTES (32 * 1024)
+
+/* Free memory that the heap keeps at its end. */
+#define TRIM_BYTES (128 * 1024)
 
 struct limits {
 	struct memory_account account;
@@ -37,7 +41,7 @@
 	if (host->memory_bytes <= 0)
 		return NULL;
 	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
-	mallopt(M_TRIM_THRESHOLD, MAPPED_BYTES);
+	mallopt(M_TRIM_THRESHOLD, TRIM_BYTES);
 	limits = g_new0(struct limits, 1);
 	memory_account_init(&limits->account, (size_t)host->memory_bytes);
 	limits->evicted.name = "godwitspur_memory_evicted_total";
