Charge the larger receive buffer only while a request is read or runs

Idle connections have nothing unread, but each was charged 64 KB for its buffer from its opening on. On a host of 110 MB about a hundred idle connections kept a body of 64 MiB out, which was answered 503.

The buffer is charged from the first byte of a request to the end of its response; the share of the account that bounds their number is unchanged. The new test with 400 idle connections was red before and passes now.

--- a/lib/base/memory_account.c
+++ b/lib/base/memory_account.c
@@ -24,14 +24,12 @@
 	if (account->buffers + bytes > account->limit / MEMORY_BUFFERS_SHARE)
 		return false;
 	account->buffers += bytes;
-	account->used += bytes;
 	return true;
 }
 
 void memory_account_give_buffer(struct memory_account *account, size_t bytes)
 {
 	account->buffers -= bytes;
-	account->used -= bytes;
 }
 
 static bool fits_in(const struct memory_account *account, size_t limit,
--- a/lib/base/memory_account.h
+++ b/lib/base/memory_account.h
@@ -50,7 +50,7 @@
 	size_t limit;	/* bytes */
 	size_t reserve; /* part of the limit for small and internal holders */
 	size_t used;
-	size_t buffers; /* part of used: receive buffers of the larger size */
+	size_t buffers; /* receive buffers of the larger size, used or not */
 	struct cds_list_head holds; /* those that may give way */
 	struct counter *evicted;    /* counts holders that gave way */
 };
@@ -77,7 +77,8 @@
 
 /*
  * Returns whether a connection may have a receive buffer of the larger size,
- * and then takes its bytes until they are given back.
+ * and then takes its bytes from their share until they are given back. The
+ * caller charges them while they may be in use.
  */
 bool memory_account_take_buffer(struct memory_account *account, size_t bytes);
 void memory_account_give_buffer(struct memory_account *account, size_t bytes);
--- a/lib/http/server_memory.c
+++ b/lib/http/server_memory.c
@@ -163,7 +163,6 @@
 	memory_hold_init(&conn->hold, get_account(conn), now);
 	conn->hold.yield = on_yield;
 	memory_hold_init(&conn->base_hold, get_account(conn), now);
-	memory_hold_set(&conn->base_hold, CONN_BYTES);
 	if (get_account(conn))
 		enlarge_buffer(conn);
 }
@@ -177,6 +176,16 @@
 	conn->buffer = 0;
 }
 
+/*
+ * Charges what the socket may hold unread. An idle connection is read as soon
+ * as bytes arrive, so idle ones leave this room to large bodies.
+ */
+static void charge_buffer(struct http_server_conn *conn, bool is_idle)
+{
+	memory_hold_set(&conn->base_hold,
+			CONN_BYTES + (is_idle ? 0 : conn->buffer));
+}
+
 static void trim(GString **text)
 {
 	if ((*text)->allocated_len <= IDLE_KEEP_BYTES)
@@ -197,6 +206,7 @@
 	conn->wait_until = 0;
 	conn->body_begun = false;
 	memory_hold_set(&conn->hold, 0);
+	charge_buffer(conn, true);
 	trim(&conn->reader.name);
 	trim(&conn->reader.value);
 }
@@ -208,6 +218,7 @@
 
 	if (!get_account(conn))
 		return true;
+	charge_buffer(conn, false);
 	memory_hold_set_yield(&conn->hold, false, now);
 	memory_hold_set(&conn->hold,
 			message_bytes(message) + conn->pipelined->len);
@@ -293,6 +304,7 @@
 
 	if (!get_account(conn))
 		return true;
+	charge_buffer(conn, false);
 	memory_hold_set_yield(&conn->hold, true, now);
 	memory_hold_moved(&conn->hold, bytes, now);
 	conn->received += bytes;
--- a/tests/relay/test_memory_crowds.cc
+++ b/tests/relay/test_memory_crowds.cc
@@ -95,3 +95,25 @@
 	      { "--service-ms", "2", "--slots", "4", "--body-bytes",
 		std::to_string(BODY_BYTES) });
 }
+
+/* Open connections must not take the room of the largest body in calm. */
+TEST(MemoryCrowds, ServesTheLargestBodyBesideIdleConnections)
+{
+	const int body_max = 64 * 1024 * 1024;
+	Platform in(1, { "--service-ms", "5" });
+
+	crowd_start(in, { "limits.memory_mb=110", "limits.max_fds=4100" },
+		    body_max);
+	Usage usage = crowd_usage(in.hosts[0]);
+	Crowd crowd(in.hosts[0].callers, "", 400);
+	ASSERT_TRUE(eventually([&] {
+		usage.sample();
+		return usage.peak_descriptors() > 400;
+	}));
+	EXPECT_EQ(in.send_request(0, "POST", "/docs/1",
+				  std::string((size_t)body_max, 'x'), 3000)
+			  .status,
+		  200);
+	usage.sample();
+	EXPECT_LE(usage.peak_bytes(), 110000000u);
+}
