Merge the bounds on what open connections hold

Cause: what the kernel holds unread for open connections, and responses that nobody reads, were not bounded by the account of memory.

--- a/lib/base/memory_account.c
+++ b/lib/base/memory_account.c
@@ -8,10 +8,30 @@
 	account->limit = memory_bytes - base;
 	account->reserve = account->limit / MEMORY_RESERVE_SHARE;
 	account->used = 0;
+	account->buffers = 0;
 	account->evicted = NULL;
 	CDS_INIT_LIST_HEAD(&account->holds);
 }
 
+size_t memory_account_conns_max(const struct memory_account *account,
+				size_t conn_bytes)
+{
+	return MAX(account->limit / MEMORY_CONNS_SHARE / conn_bytes, 1);
+}
+
+bool memory_account_take_buffer(struct memory_account *account, size_t bytes)
+{
+	if (account->buffers + bytes > account->limit / MEMORY_BUFFERS_SHARE)
+		return false;
+	account->buffers += bytes;
+	return true;
+}
+
+void memory_account_give_buffer(struct memory_account *account, size_t bytes)
+{
+	account->buffers -= bytes;
+}
+
 static bool fits_in(const struct memory_account *account, size_t limit,
 		    size_t more)
 {
@@ -32,8 +52,8 @@
 	return fits_in(account, account->limit - account->reserve, more);
 }
 
-static struct memory_hold *find_stalled(struct memory_account *account,
-					int64_t now)
+static struct memory_hold *find_worst(struct memory_account *account,
+				      bool only_stalled, int64_t now)
 {
 	struct memory_hold *hold, *worst = NULL;
 	double worst_cost = 0;
@@ -42,7 +62,8 @@
 		int64_t stalled = now - hold->progressed;
 		double cost = (double)hold->bytes * (double)stalled;
 
-		if (stalled < hold->stalled_ns || cost <= worst_cost)
+		if ((only_stalled && stalled < hold->stalled_ns) ||
+		    cost <= worst_cost)
 			continue;
 		worst = hold;
 		worst_cost = cost;
@@ -50,23 +71,43 @@
 	return worst;
 }
 
+static void give_way(struct memory_account *account, struct memory_hold *hold,
+		     int64_t now)
+{
+	memory_hold_set_yield(hold, false, now);
+	if (account->evicted)
+		counter_add(account->evicted, 1);
+	hold->yield(hold);
+}
+
 bool memory_account_make_room(struct memory_account *account, size_t held,
 			      size_t more, int64_t now)
 {
 	struct memory_hold *hold;
 
 	while (!memory_account_fits(account, held, more)) {
-		hold = find_stalled(account, now);
+		hold = find_worst(account, true, now);
 		if (!hold)
 			return false;
-		memory_hold_set_yield(hold, false, now);
-		if (account->evicted)
-			counter_add(account->evicted, 1);
-		hold->yield(hold);
+		give_way(account, hold, now);
 	}
 	return true;
 }
 
+void memory_account_shrink(struct memory_account *account, int64_t now)
+{
+	struct memory_hold *hold;
+
+	while (!memory_account_fits_reserve(account, 0)) {
+		hold = find_worst(account, true, now);
+		if (!hold)
+			hold = find_worst(account, false, now);
+		if (!hold)
+			return;
+		give_way(account, hold, now);
+	}
+}
+
 void memory_hold_init(struct memory_hold *hold, struct memory_account *account,
 		      int64_t now)
 {
--- a/tests/base/test_memory_account.cc
+++ b/tests/base/test_memory_account.cc
@@ -46,6 +46,36 @@
 	EXPECT_FALSE(memory_account_fits(&account, 0, 80 * MB));
 }
 
+/* Many open connections must not take the memory that requests need. */
+TEST(MemoryAccount, BoundsConnectionsByWhatEachHas)
+{
+	struct memory_account account;
+
+	memory_account_init(&account, 110 * MB);
+	size_t nr = memory_account_conns_max(&account, 12288);
+	EXPECT_GE(nr, 1300u); /* a third of 4,100 descriptors less 200 */
+	EXPECT_LE(nr * 12288, account.limit / MEMORY_CONNS_SHARE);
+
+	/* A host too small for one connection has one nevertheless. */
+	memory_account_init(&account, 1000);
+	EXPECT_EQ(memory_account_conns_max(&account, 12288), 1u);
+}
+
+/* Unread bytes of many connections must not add up to the whole memory. */
+TEST(MemoryAccount, GivesLargerBuffersWithinTheirShare)
+{
+	struct memory_account account;
+	size_t nr = 0;
+
+	memory_account_init(&account, 64 * MB);
+	while (memory_account_take_buffer(&account, 65536))
+		nr++;
+	EXPECT_EQ(nr, account.limit / MEMORY_BUFFERS_SHARE / 65536);
+	memory_account_give_buffer(&account, 65536);
+	EXPECT_TRUE(memory_account_take_buffer(&account, 65536));
+	EXPECT_FALSE(memory_account_take_buffer(&account, 65536));
+}
+
 /* Large bodies must not take the room of ordinary callers. */
 TEST(MemoryAccount, KeepsAReserveForSmallHolders)
 {
@@ -99,6 +129,30 @@
 	EXPECT_EQ(running.yields, 0);
 }
 
+/* Responses that nobody reads must not add up beyond the limit. */
+TEST(MemoryAccount, ShrinksByHoldersThatAreNotStalled)
+{
+	struct memory_account account;
+
+	memory_account_init(&account, 64 * MB);
+	Holder older(&account, 10 * MB, 0);
+	Holder newer(&account, 10 * MB, 50 * MS);
+	Holder last(&account, account.limit - 20 * MB, 100 * MS);
+
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(older.yields, 0);
+	memory_hold_set(&last.hold, account.limit - 19 * MB);
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(older.yields, 1);
+	EXPECT_EQ(newer.yields, 0);
+
+	/* The one that has just come is not given up for itself. */
+	memory_hold_set(&last.hold, 2 * account.limit);
+	memory_account_shrink(&account, 100 * MS);
+	EXPECT_EQ(newer.yields, 1);
+	EXPECT_EQ(last.yields, 0);
+}
+
 TEST(MemoryAccount, ReleaseReturnsAllBytes)
 {
 	struct memory_account account;
